--- /dev/null
+++ b/cmake/OrioleModule.cmake
@@ -0,0 +1,35 @@
+# oriole_module(NAME DEPS a b LIBS x y)
+# Makes the static library oriole_NAME of every .cc in the current folder,
+# installs it with its headers, and exports it as oriolewalk::NAME.
+function(oriole_warnings target)
+  target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow)
+  if(ORIOLE_WERROR)
+    target_compile_options(${target} PRIVATE -Werror)
+  endif()
+endfunction()
+
+function(oriole_module name)
+  cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  set(target oriole_${name})
+  if(sources)
+    add_library(${target} STATIC ${sources})
+    set(scope PUBLIC)
+    oriole_warnings(${target})
+  else()
+    add_library(${target} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  target_compile_features(${target} ${scope} cxx_std_20)
+  target_include_directories(
+    ${target} ${scope} $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}>
+                       $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+  list(TRANSFORM ARG_DEPS PREPEND oriole_)
+  target_link_libraries(${target} ${scope} ${ARG_DEPS} ${ARG_LIBS})
+  set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
+  install(TARGETS ${target} EXPORT oriolewalkTargets
+          ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/
+          DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/oriolewalk/${name}
+          FILES_MATCHING PATTERN "*.h")
+endfunction()
--- /dev/null
+++ b/testing/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
