Request ledger and the RPC between our processes

Cause: a request needs one place that knows what became of it, and processes need calls that end exactly once. Before: neither. Ruled out: kj::Executor for hand-over (it blocks the sender or needs its loop). Conclusion: attempts are named by the claim's token, so that a grant that was lost on its way can be given back.

--- /dev/null
+++ b/oriolewalk/ledger/records.h
@@ -0,0 +1,189 @@
+#pragma once
+
+// The records of the request ledger: what goes into the log (commands) and
+// what is kept by key (request_record).
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "oriolewalk/base/codec.h"
+#include "oriolewalk/base/id.h"
+
+namespace oriolewalk::ledger {
+
+// One piece of work as its caller names it: the key is unique within the
+// organisation.
+struct request_ref
+{
+  organisation_id mOrganisation;
+  request_key mKey;
+
+  auto operator<=>(const request_ref&) const = default;
+  // "ORGANISATION/KEY", as targets and the time line see it.
+  [[nodiscard]] std::string ToString() const;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mOrganisation, mKey);
+  }
+};
+
+struct request_ref_hash
+{
+  std::size_t operator()(const request_ref& aRef) const
+  {
+    const std::size_t first = std::hash<organisation_id>{}(aRef.mOrganisation);
+    return first * 31 + std::hash<request_key>{}(aRef.mKey);
+  }
+};
+
+// The entry process that carries a request: an instance and one life of it.
+struct carrier
+{
+  instance_id mInstance;
+  std::uint64_t mBoot = 0;
+
+  auto operator<=>(const carrier&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mInstance, mBoot);
+  }
+};
+
+// "This key runs on this target now." Committed before anything is sent.
+struct claim
+{
+  request_ref mRef;
+  // Hash of method, path, class and body: the same key must mean the same work.
+  std::uint64_t mFingerprint = 0;
+  carrier mCarrier;
+  // Made by the carrier for each claim that it makes, unique among all
+  // carriers (random): a claim sent again after a lost answer bears the same
+  // token, and gets the same grant.
+  std::uint64_t mToken = 0;
+  service_id mService;
+  target_id mTarget;
+  std::uint8_t mClass = 0;
+  bool mRepeatable = false;
+  std::int64_t mDeadlineWallMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mRef,
+             mFingerprint,
+             mCarrier,
+             mToken,
+             mService,
+             mTarget,
+             mClass,
+             mRepeatable,
+             mDeadlineWallMs);
+  }
+};
+
+enum class attempt_result : std::uint8_t
+{
+  Answered,   // The target's whole answer is here.
+  NotStarted, // Surely not begun: not one byte reached the target.
+  Unknown,    // Sent, but no whole answer: it may have run.
+};
+
+// How the attempt that was granted to mToken ended, told by its carrier. The
+// token names the attempt, since a carrier whose grant was lost on the way has
+// to give it back without knowing its number.
+struct finish
+{
+  request_ref mRef;
+  std::uint64_t mToken = 0;
+  attempt_result mResult = attempt_result::Unknown;
+  std::uint16_t mStatus = 0; // HTTP status of the answer
+  bool mAnswerKept = false;  // false where the answer was too large to keep
+  bytes mAnswer;             // empty unless kept
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mRef, mToken, mResult, mStatus, mAnswerKept, mAnswer);
+  }
+};
+
+// Tombstone: this key did not run and never will.
+struct refusal
+{
+  request_ref mRef;
+  std::uint64_t mFingerprint = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mRef, mFingerprint);
+  }
+};
+
+// The carrier is gone: what it carried may have run, nobody will tell.
+struct carrier_lost
+{
+  carrier mCarrier;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mCarrier);
+  }
+};
+
+using ledger_command = std::variant<claim, finish, refusal, carrier_lost>;
+
+enum class request_state : std::uint8_t
+{
+  Running,   // An attempt is claimed and not known to have ended.
+  Ready,     // The last attempt surely did not start; may be claimed again.
+  Completed, // Final.
+  NotRun,    // Final: a tombstone.
+  Unknown,   // May have run; becomes Completed if the answer turns up.
+};
+
+struct request_record
+{
+  request_state mState = request_state::Running;
+  std::uint32_t mAttempt = 0;
+  std::uint64_t mFingerprint = 0;
+  bool mRepeatable = false;
+  std::uint8_t mClass = 0;
+  std::uint16_t mStatus = 0;
+  bool mAnswerKept = false;
+  std::int64_t mEndedWallMs = 0;
+  std::int64_t mDeadlineWallMs = 0;
+  std::uint64_t mToken = 0;
+  carrier mCarrier;  // emptied at the end, to keep ended records small
+  target_id mTarget; // emptied at the end
+  bytes mAnswer;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mState,
+             mAttempt,
+             mFingerprint,
+             mRepeatable,
+             mClass,
+             mStatus,
+             mAnswerKept,
+             mEndedWallMs,
+             mDeadlineWallMs,
+             mToken,
+             mCarrier,
+             mTarget,
+             mAnswer);
+  }
+};
+
+} // namespace oriolewalk::ledger
--- /dev/null
+++ b/oriolewalk/ledger/request_ledger.cc
@@ -0,0 +1,300 @@
+#include "oriolewalk/ledger/request_ledger.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+#include <variant>
+
+namespace oriolewalk::ledger {
+
+std::string
+request_ref::ToString() const
+{
+  return mOrganisation.Value() + "/" + mKey.Value();
+}
+
+request_ledger::request_ledger(ledger_options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+ledger_outcome
+request_ledger::Apply(const ledger_command& aCommand, std::int64_t aWallMs)
+{
+  mLastWallMs = std::max(mLastWallMs, aWallMs);
+  Forget();
+  return std::visit([this](const auto& aOne) { return ApplyOne(aOne); },
+                    aCommand);
+}
+
+const request_record*
+request_ledger::Find(const request_ref& aRef) const
+{
+  const auto found = mRecords.find(aRef);
+  return found == mRecords.end() ? nullptr : &found->second;
+}
+
+std::vector<request_ledger::running_request>
+request_ledger::Running() const
+{
+  std::vector<running_request> running;
+  for (const std::set<request_ref>& refs : mRunning | std::views::values) {
+    std::ranges::transform(
+      refs, std::back_inserter(running), [this](const request_ref& aRef) {
+        return running_request{ aRef, mRecords.at(aRef) };
+      });
+  }
+  std::ranges::sort(running, {}, &running_request::mRef);
+  return running;
+}
+
+std::set<carrier>
+request_ledger::Carriers() const
+{
+  std::set<carrier> carriers;
+  std::ranges::copy(mRunning | std::views::keys,
+                    std::inserter(carriers, carriers.end()));
+  return carriers;
+}
+
+ledger_outcome
+request_ledger::ApplyOne(const claim& aClaim)
+{
+  if (const auto found = mRecords.find(aClaim.mRef); found != mRecords.end()) {
+    return ClaimKnown(found->second, aClaim);
+  }
+  if (!MakeRoom()) {
+    return { verdict::Full, 0, std::nullopt };
+  }
+  request_record& record = mRecords[aClaim.mRef];
+  Start(record, aClaim);
+  return { verdict::Granted, record.mAttempt, record };
+}
+
+ledger_outcome
+request_ledger::ClaimKnown(request_record& aRecord, const claim& aClaim)
+{
+  if (aRecord.mFingerprint != aClaim.mFingerprint) {
+    return { verdict::Mismatch, aRecord.mAttempt, aRecord };
+  }
+  if (aRecord.mState == request_state::Ready) {
+    Start(aRecord, aClaim);
+    return { verdict::Granted, aRecord.mAttempt, aRecord };
+  }
+  if (aRecord.mState != request_state::Running) {
+    return { verdict::Known, aRecord.mAttempt, aRecord };
+  }
+  // The same claim again, after its grant was lost on the way: the carrier has
+  // not sent it yet (it waits for the grant), so the same grant is right. The
+  // recorded target counts, not the one proposed now.
+  const bool sameClaim =
+    aRecord.mCarrier == aClaim.mCarrier && aRecord.mToken == aClaim.mToken;
+  return { sameClaim ? verdict::Granted : verdict::InProgress,
+           aRecord.mAttempt,
+           aRecord };
+}
+
+void
+request_ledger::Start(request_record& aRecord, const claim& aClaim)
+{
+  aRecord.mState = request_state::Running;
+  ++aRecord.mAttempt;
+  aRecord.mFingerprint = aClaim.mFingerprint;
+  aRecord.mRepeatable = aClaim.mRepeatable;
+  aRecord.mClass = aClaim.mClass;
+  aRecord.mDeadlineWallMs = aClaim.mDeadlineWallMs;
+  aRecord.mToken = aClaim.mToken;
+  aRecord.mCarrier = aClaim.mCarrier;
+  aRecord.mTarget = aClaim.mTarget;
+  mRunning[aClaim.mCarrier].insert(aClaim.mRef);
+}
+
+ledger_outcome
+request_ledger::ApplyOne(const finish& aFinish)
+{
+  const auto found = mRecords.find(aFinish.mRef);
+  if (found == mRecords.end()) {
+    return { verdict::Ignored, 0, std::nullopt };
+  }
+  request_record& record = found->second;
+  if (record.mToken != aFinish.mToken) {
+    return { verdict::Ignored, record.mAttempt, record };
+  }
+  const bool open = record.mState == request_state::Running;
+  const bool answerTurnedUp = record.mState == request_state::Unknown &&
+                              aFinish.mResult == attempt_result::Answered;
+  if (!open && !answerTurnedUp) {
+    // The same report again, or one that adds nothing to what is known.
+    return { verdict::Recorded, record.mAttempt, record };
+  }
+  switch (aFinish.mResult) {
+    case attempt_result::Answered:
+      KeepAnswer(aFinish.mRef, record, aFinish);
+      End(aFinish.mRef, record, request_state::Completed);
+      break;
+    case attempt_result::NotStarted:
+      End(aFinish.mRef, record, request_state::Ready);
+      break;
+    case attempt_result::Unknown:
+      End(aFinish.mRef, record, request_state::Unknown);
+      break;
+  }
+  return { verdict::Recorded, record.mAttempt, record };
+}
+
+ledger_outcome
+request_ledger::ApplyOne(const refusal& aRefusal)
+{
+  const auto found = mRecords.find(aRefusal.mRef);
+  if (found == mRecords.end()) {
+    if (!MakeRoom()) {
+      return { verdict::Full, 0, std::nullopt };
+    }
+    request_record& record = mRecords[aRefusal.mRef];
+    record.mFingerprint = aRefusal.mFingerprint;
+    End(aRefusal.mRef, record, request_state::NotRun);
+    return { verdict::Recorded, 0, record };
+  }
+  request_record& record = found->second;
+  if (record.mFingerprint != aRefusal.mFingerprint) {
+    return { verdict::Mismatch, record.mAttempt, record };
+  }
+  switch (record.mState) {
+    case request_state::Ready:
+      End(aRefusal.mRef, record, request_state::NotRun);
+      return { verdict::Recorded, record.mAttempt, record };
+    case request_state::NotRun:
+      return { verdict::Recorded, record.mAttempt, record };
+    case request_state::Running:
+      return { verdict::InProgress, record.mAttempt, record };
+    case request_state::Completed:
+    case request_state::Unknown:
+      break;
+  }
+  return { verdict::Known, record.mAttempt, record };
+}
+
+ledger_outcome
+request_ledger::ApplyOne(const carrier_lost& aLost)
+{
+  const auto found = mRunning.find(aLost.mCarrier);
+  if (found == mRunning.end()) {
+    return { verdict::Recorded, 0, std::nullopt };
+  }
+  // End() erases from the set that is walked here.
+  const std::set<request_ref> refs = found->second;
+  for (const request_ref& ref : refs) {
+    End(ref, mRecords.at(ref), request_state::Unknown);
+  }
+  return { verdict::Recorded, 0, std::nullopt };
+}
+
+void
+request_ledger::End(const request_ref& aRef,
+                    request_record& aRecord,
+                    request_state aState)
+{
+  const bool endedBefore = aRecord.mEndedWallMs != 0;
+  if (const auto running = mRunning.find(aRecord.mCarrier);
+      running != mRunning.end()) {
+    running->second.erase(aRef);
+    if (running->second.empty()) {
+      mRunning.erase(running);
+    }
+  }
+  aRecord.mState = aState;
+  aRecord.mCarrier = {};
+  aRecord.mTarget = {};
+  aRecord.mEndedWallMs = std::max<std::int64_t>(mLastWallMs, 1);
+  if (!endedBefore) {
+    mEnded.push_back(aRef);
+  }
+}
+
+void
+request_ledger::KeepAnswer(const request_ref& aRef,
+                           request_record& aRecord,
+                           const finish& aFinish)
+{
+  aRecord.mStatus = aFinish.mStatus;
+  if (!aFinish.mAnswerKept) {
+    return;
+  }
+  aRecord.mAnswerKept = true;
+  aRecord.mAnswer = aFinish.mAnswer;
+  mAnswerBytes += aRecord.mAnswer.size();
+  mAnswered.push_back(aRef);
+  while (mAnswerBytes > mOptions.mMaxAnswerBytes && !mAnswered.empty()) {
+    if (const auto oldest = mRecords.find(mAnswered.front());
+        oldest != mRecords.end() && oldest->second.mAnswerKept) {
+      mAnswerBytes -= oldest->second.mAnswer.size();
+      oldest->second.mAnswerKept = false;
+      oldest->second.mAnswer = {};
+    }
+    mAnswered.pop_front();
+  }
+}
+
+bool
+request_ledger::MayForget(const request_record& aRecord, bool aFull) const
+{
+  if (aRecord.mState == request_state::Running) {
+    return false;
+  }
+  const std::int64_t age = mLastWallMs - aRecord.mEndedWallMs;
+  if (age < mOptions.mMinimumWindowMs) {
+    return false;
+  }
+  const std::int64_t window =
+    aRecord.mRepeatable ? mOptions.mRepeatableWindowMs : mOptions.mWindowMs;
+  return aFull || age >= window;
+}
+
+// Looks at a bounded number of the oldest ends for each command, so that one
+// command never pays for a day's backlog. A record that may not go yet is
+// moved to the back: a repeatable one behind it need not wait for it.
+void
+request_ledger::Forget()
+{
+  constexpr int kLookedAt = 4;
+  const bool full = mRecords.size() >= mOptions.mMaxRecords;
+  for (int looked = 0; looked < kLookedAt && !mEnded.empty(); ++looked) {
+    const request_ref ref = mEnded.front();
+    const auto found = mRecords.find(ref);
+    if (found == mRecords.end()) {
+      mEnded.pop_front();
+      continue;
+    }
+    if (mLastWallMs - found->second.mEndedWallMs < mOptions.mMinimumWindowMs) {
+      return;
+    }
+    mEnded.pop_front();
+    if (MayForget(found->second, full)) {
+      mAnswerBytes -= found->second.mAnswer.size();
+      mRecords.erase(found);
+    } else {
+      mEnded.push_back(ref);
+    }
+  }
+}
+
+bool
+request_ledger::MakeRoom()
+{
+  return mRecords.size() < mOptions.mMaxRecords;
+}
+
+void
+request_ledger::RebuildIndexes()
+{
+  mRunning.clear();
+  mAnswerBytes = 0;
+  for (const auto& [ref, record] : mRecords) {
+    if (record.mState == request_state::Running) {
+      mRunning[record.mCarrier].insert(ref);
+    }
+    mAnswerBytes += record.mAnswer.size();
+  }
+}
+
+} // namespace oriolewalk::ledger
--- /dev/null
+++ b/oriolewalk/ledger/request_ledger.h
@@ -0,0 +1,140 @@
+#pragma once
+
+// The request ledger: what became of each piece of work, by key.
+//
+//   request_ledger ledger(ledger_options{});
+//   auto outcome = ledger.Apply(claim{...}, wallMs);
+//   if (outcome.mVerdict == verdict::Granted) { /* send attempt mAttempt */ }
+//
+// Replicated: every control process applies the same commands in the order of
+// the log, so all rules stand here and not with those who propose. A stale or
+// doubled proposal is answered by what is recorded; it changes nothing.
+//
+// The rules:
+//  - one attempt at a time; the next only after one that surely did not start;
+//  - NotRun is final: no claim of that key is ever granted afterwards;
+//  - a key means one piece of work: another fingerprint is refused;
+//  - an ended key is remembered for the window, and never forgotten earlier to
+//    make room: a forgotten payment that is sent again would be paid twice.
+//    When the ledger is full of records inside the minimum window it grants
+//    nothing new (verdict::Full) instead.
+//
+// Owned by the control state; the control thread only. Costs: Apply is O(1)
+// amortised, but carrier_lost is linear in that carrier's running requests.
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "oriolewalk/ledger/records.h"
+
+namespace oriolewalk::ledger {
+
+struct ledger_options
+{
+  // How long an ended non-repeatable key is remembered. A caller that resends
+  // later is outside the contract (docs/LEDGER.md).
+  std::int64_t mWindowMs = 24LL * 3600 * 1000;
+  // The same for repeatable keys: running again does no harm, only costs.
+  std::int64_t mRepeatableWindowMs = 600'000;
+  // Nothing is forgotten earlier than this, full or not: 20 times the longest
+  // deadline that an entry accepts (30 s).
+  std::int64_t mMinimumWindowMs = 600'000;
+  // At about 200 bytes a record 400,000 stay under 80 MB of the 128 MB.
+  std::size_t mMaxRecords = 400'000;
+  // All kept answers together; beyond it the oldest answers are dropped first
+  // (the outcome stays).
+  std::size_t mMaxAnswerBytes = std::size_t{ 24 } << 20U;
+};
+
+enum class verdict : std::uint8_t
+{
+  Granted,    // claim: send attempt mAttempt to the target of the claim
+  Recorded,   // finish, refusal: it is in the books now (or was already)
+  InProgress, // another attempt runs
+  Known,      // ended: see mRecord
+  Mismatch,   // the key belongs to other work
+  Full,       // nothing new is granted before older records may be forgotten
+  Ignored,    // finish of an attempt that is not the current one
+};
+
+struct ledger_outcome
+{
+  verdict mVerdict = verdict::Ignored;
+  std::uint32_t mAttempt = 0;
+  // The record as it stands now; absent for Full and Ignored.
+  std::optional<request_record> mRecord;
+};
+
+class request_ledger
+{
+public:
+  explicit request_ledger(ledger_options aOptions = {});
+
+  // Applies one committed command. aWallMs is the proposer's wall clock, as
+  // recorded in the log, so that every replica forgets at the same place.
+  ledger_outcome Apply(const ledger_command& aCommand, std::int64_t aWallMs);
+
+  [[nodiscard]] const request_record* Find(const request_ref& aRef) const;
+
+  struct running_request
+  {
+    request_ref mRef;
+    request_record mRecord;
+  };
+  // In the order of their keys.
+  [[nodiscard]] std::vector<running_request> Running() const;
+  [[nodiscard]] std::set<carrier> Carriers() const;
+
+  [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
+  [[nodiscard]] std::size_t AnswerBytes() const { return mAnswerBytes; }
+
+  // For snapshots; options are not part of the state.
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mRecords, mEnded, mAnswered, mLastWallMs);
+    if constexpr (Archive::is_loading::value) {
+      RebuildIndexes();
+    }
+  }
+
+private:
+  using record_map =
+    std::unordered_map<request_ref, request_record, request_ref_hash>;
+
+  ledger_outcome ApplyOne(const claim& aClaim);
+  ledger_outcome ApplyOne(const finish& aFinish);
+  ledger_outcome ApplyOne(const refusal& aRefusal);
+  ledger_outcome ApplyOne(const carrier_lost& aLost);
+
+  ledger_outcome ClaimKnown(request_record& aRecord, const claim& aClaim);
+  void Start(request_record& aRecord, const claim& aClaim);
+  void End(const request_ref& aRef,
+           request_record& aRecord,
+           request_state aState);
+  void KeepAnswer(const request_ref& aRef,
+                  request_record& aRecord,
+                  const finish& aFinish);
+  void Forget();
+  bool MayForget(const request_record& aRecord, bool aFull) const;
+  bool MakeRoom();
+  void RebuildIndexes();
+
+  ledger_options mOptions;
+  record_map mRecords;
+  std::deque<request_ref> mEnded;    // oldest end first
+  std::deque<request_ref> mAnswered; // oldest kept answer first
+  std::int64_t mLastWallMs = 0;      // never falls, whatever the clocks do
+  // Derived.
+  std::map<carrier, std::set<request_ref>> mRunning;
+  std::size_t mAnswerBytes = 0;
+};
+
+} // namespace oriolewalk::ledger
--- /dev/null
+++ b/oriolewalk/wire/peer_link.cc
@@ -0,0 +1,218 @@
+#include "oriolewalk/wire/peer_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "oriolewalk/wire/reply_code.h"
+
+namespace oriolewalk::wire {
+
+namespace {
+
+kj::Duration
+ToKj(duration aDuration)
+{
+  return std::chrono::duration_cast<nanoseconds>(aDuration).count() *
+         kj::NANOSECONDS;
+}
+
+std::string
+Text(const kj::Exception& aException)
+{
+  return { aException.getDescription().cStr() };
+}
+
+} // namespace
+
+peer_link::peer_link(std::string aPeer,
+                     const rpc_options& aOptions,
+                     kj::Network& aNetwork,
+                     kj::Timer& aTimer,
+                     std::uint64_t aSeed)
+  : mPeer(std::move(aPeer))
+  , mOptions(aOptions)
+  , mNetwork(aNetwork)
+  , mTimer(aTimer)
+  , mRandom(aSeed)
+  , mNextTry(aTimer.now())
+  , mLastHeard(aTimer.now())
+  , mTasks(*this)
+{
+}
+
+void
+peer_link::taskFailed(kj::Exception&& /*aException*/)
+{
+  // Every task ends its own call; what is left over here is a cancelled send.
+}
+
+error
+peer_link::Problem(error_code aCode, std::string aMessage) const
+{
+  return { aCode, "rpc", mPeer, std::move(aMessage) };
+}
+
+void
+peer_link::Call(outgoing_call aCall)
+{
+  if (mConnection != nullptr) {
+    Send(std::move(aCall));
+    return;
+  }
+  if (!mConnecting && mTimer.now() < mNextTry) {
+    aCall.mReply(
+      Fail(Problem(error_code::Unavailable, "not connected, will try again")));
+    return;
+  }
+  mWaiting.push_back(std::move(aCall));
+  if (!mConnecting) {
+    Connect();
+  }
+}
+
+void
+peer_link::Deliver(bytes aMessage)
+{
+  KJ_IF_MAYBE (live, mConnection) {
+    if (mUndelivered >= mOptions.mMostUndelivered) {
+      return;
+    }
+    auto request = (*live)->mChannel.deliverRequest();
+    auto messages = request.initMessages(1);
+    messages.set(
+      0,
+      capnp::Data::Reader(reinterpret_cast<const kj::byte*>(aMessage.data()),
+                          aMessage.size()));
+    ++mUndelivered;
+    const std::uint64_t generation = mGeneration;
+    auto sent = request.send().then(
+      [this](auto&&) {
+        --mUndelivered;
+        mLastHeard = mTimer.now();
+      },
+      [this](kj::Exception&&) { --mUndelivered; });
+    // A peer cut off in silence takes nothing over and resets nothing: after
+    // the silence bound the connection goes, or replication would wait for the
+    // kernel's minutes.
+    mTasks.add(sent.exclusiveJoin(
+      mTimer.afterDelay(ToKj(mOptions.mSilence)).then([this, generation]() {
+        --mUndelivered;
+        NoteTimeout(generation);
+      })));
+    return;
+  }
+  if (!mConnecting && mTimer.now() >= mNextTry) {
+    Connect();
+  }
+}
+
+void
+peer_link::Connect()
+{
+  mConnecting = true;
+  auto stream =
+    mNetwork.parseAddress(mPeer).then([](kj::Own<kj::NetworkAddress> aAddress) {
+      auto connected = aAddress->connect();
+      return connected.attach(kj::mv(aAddress));
+    });
+  mTasks.add(
+    mTimer.timeoutAfter(ToKj(mOptions.mConnectTimeout), kj::mv(stream))
+      .then(
+        [this](kj::Own<kj::AsyncIoStream> aStream) {
+          Connected(kj::mv(aStream));
+        },
+        [this](kj::Exception&& aProblem) { ConnectFailed(Text(aProblem)); }));
+}
+
+void
+peer_link::Connected(kj::Own<kj::AsyncIoStream> aStream)
+{
+  mConnecting = false;
+  mFailures = 0;
+  mLastHeard = mTimer.now();
+  const std::uint64_t generation = ++mGeneration;
+  auto live = kj::heap<connection>(kj::mv(aStream));
+  mTasks.add(live->mClient.onDisconnect().then(
+    [this, generation]() { Drop(generation); }));
+  mConnection = kj::mv(live);
+  for (outgoing_call& call : std::exchange(mWaiting, {})) {
+    Send(std::move(call));
+  }
+}
+
+void
+peer_link::ConnectFailed(const std::string& aReason)
+{
+  constexpr int kMostDoublings = 10;
+  mConnecting = false;
+  const duration doubled =
+    mOptions.mLeastBackoff * (1LL << std::min(mFailures, kMostDoublings));
+  const duration backoff = std::min<duration>(doubled, mOptions.mMostBackoff);
+  ++mFailures;
+  const double jitter = 0.5 + 0.5 * mRandom.Fraction();
+  mNextTry =
+    mTimer.now() + ToKj(std::chrono::duration_cast<duration>(backoff * jitter));
+  for (outgoing_call& call : std::exchange(mWaiting, {})) {
+    call.mReply(Fail(Problem(error_code::Unavailable, aReason)));
+  }
+}
+
+void
+peer_link::Send(outgoing_call aCall)
+{
+  KJ_IF_MAYBE (live, mConnection) {
+    auto request = (*live)->mChannel.callRequest();
+    request.setKind(aCall.mKind);
+    request.setBody(
+      capnp::Data::Reader(reinterpret_cast<const kj::byte*>(aCall.mBody.data()),
+                          aCall.mBody.size()));
+    const std::uint64_t generation = mGeneration;
+    auto reply = std::make_shared<reply_function>(std::move(aCall.mReply));
+    auto answered = request.send().then(
+      [this, reply](capnp::Response<Channel::CallResults>&& aResults) {
+        mLastHeard = mTimer.now();
+        const auto body = aResults.getBody();
+        (*reply)(FromReply(
+          aResults.getCode(),
+          bytes(reinterpret_cast<const char*>(body.begin()), body.size()),
+          mPeer));
+      },
+      [this, reply](kj::Exception&& aProblem) {
+        // The request may have arrived before the connection broke.
+        (*reply)(Fail(Problem(error_code::Timeout, Text(aProblem))));
+      });
+    auto late =
+      mTimer.atTime(aCall.mDeadline).then([this, reply, generation]() {
+        (*reply)(Fail(Problem(error_code::Timeout, "no answer in time")));
+        NoteTimeout(generation);
+      });
+    mTasks.add(answered.exclusiveJoin(kj::mv(late)));
+  }
+}
+
+void
+peer_link::NoteTimeout(std::uint64_t aGeneration)
+{
+  if (mTimer.now() - mLastHeard >= ToKj(mOptions.mSilence)) {
+    Drop(aGeneration);
+  }
+}
+
+// Runs inside a promise of the connection that it drops, so the connection is
+// destroyed in a turn of its own.
+void
+peer_link::Drop(std::uint64_t aGeneration)
+{
+  if (aGeneration != mGeneration) {
+    return;
+  }
+  KJ_IF_MAYBE (live, mConnection) {
+    kj::Own<connection> dying = kj::mv(*live);
+    mConnection = nullptr;
+    mTasks.add(kj::evalLater([dying = kj::mv(dying)]() mutable {
+      kj::Own<connection> ended = kj::mv(dying);
+    }));
+  }
+}
+
+} // namespace oriolewalk::wire
