Traffic: queues, placement, admission, retry budget and entry limiter

Cause: nothing decides who is served when the system is full. The dispatcher holds all slots of all targets, so that entries together stay within them; inside a class, slot time is shared by weight between organisations and evenly between callers; what cannot be served in time is refused at once; slow and failing targets get less or are ejected and probed. base: a deduction guide, since clang 16 does not deduce aggregates.

--- a/oriolewalk/base/overloaded.h
+++ b/oriolewalk/base/overloaded.h
@@ -9,4 +9,8 @@
   using Visitors::operator()...;
 };
 
+// Not needed by C++20, but by clang before 17.
+template<class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
 } // namespace oriolewalk
--- /dev/null
+++ b/oriolewalk/traffic/class_order.cc
@@ -0,0 +1,117 @@
+#include "oriolewalk/traffic/class_order.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdint>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+namespace {
+
+// How long urgent work is expected again after the last one.
+constexpr duration kUrgentMemory = seconds(60);
+// A class that ran alone for long owes at most this much.
+constexpr double kMaxDebtSeconds = 60;
+
+double
+FreeSlotsPerSecond(const class_loads& aLoads)
+{
+  double rate = 0;
+  for (const class_load& load : aLoads) {
+    rate += load.mMeanSeconds > 0 ? load.mHeld / load.mMeanSeconds : 0;
+  }
+  return rate;
+}
+
+} // namespace
+
+void
+class_order::Advance(const class_loads& aLoads,
+                     std::uint32_t aSlots,
+                     time_point aNow)
+{
+  const double step = std::max(0.0, ToSeconds(aNow - mAt));
+  mAt = std::max(mAt, aNow);
+  for (const work_class each : kClasses) {
+    const double balance =
+      FloorSlots(each, aSlots) - aLoads.at(IndexOf(each)).mHeld;
+    double& credit = mCredit.at(IndexOf(each));
+    credit = std::clamp(credit + (balance * step), -kMaxDebtSeconds, 0.0);
+  }
+}
+
+std::array<work_class, kClassCount>
+class_order::Order(const class_loads& aLoads, std::uint32_t aSlots) const
+{
+  auto order = kClasses;
+  std::ranges::stable_partition(
+    order, [&](work_class aClass) { return Owed(aClass, aLoads, aSlots); });
+  return order;
+}
+
+bool
+class_order::MayStart(work_class aClass,
+                      const class_loads& aLoads,
+                      std::uint32_t aSlots,
+                      time_point aNow) const
+{
+  const bool urgentExpected =
+    mUrgentSeen && aNow - *mUrgentSeen < kUrgentMemory;
+  if (aClass == work_class::Urgent || !urgentExpected || aSlots < 2 ||
+      FreeSlotsPerSecond(aLoads) * ToSeconds(mOptions.mUrgentStart) >= 1) {
+    return true;
+  }
+  const double kept =
+    std::max(1.0, std::floor(aSlots * mOptions.mUrgentReserve));
+  const std::uint32_t others = aLoads.at(IndexOf(work_class::Normal)).mHeld +
+                               aLoads.at(IndexOf(work_class::Heavy)).mHeld;
+  return others + kept < aSlots;
+}
+
+bool
+class_order::LongMayStart(std::uint32_t aLongHeld, std::uint32_t aSlots) const
+{
+  return aLongHeld < std::max(1.0, std::floor(aSlots * mOptions.mLongCap));
+}
+
+double
+class_order::Drain(work_class aClass,
+                   const class_loads& aLoads,
+                   std::uint32_t aSlots) const
+{
+  double floor = FloorSlots(aClass, aSlots);
+  if (aClass == work_class::Urgent) {
+    floor = aSlots - FloorSlots(work_class::Normal, aSlots) -
+            FloorSlots(work_class::Heavy, aSlots);
+  }
+  return std::max<double>(floor, aLoads.at(IndexOf(aClass)).mHeld);
+}
+
+bool
+class_order::Owed(work_class aClass,
+                  const class_loads& aLoads,
+                  std::uint32_t aSlots) const
+{
+  const class_load& load = aLoads.at(IndexOf(aClass));
+  const double floor = FloorSlots(aClass, aSlots);
+  if (!load.mWaits || floor <= 0) {
+    return false;
+  }
+  if (floor >= 1) {
+    return load.mHeld + 1 <= floor;
+  }
+  return load.mHeld == 0 && mCredit.at(IndexOf(aClass)) >= 0;
+}
+
+double
+class_order::FloorSlots(work_class aClass, std::uint32_t aSlots) const
+{
+  return mOptions.mFloor.at(IndexOf(aClass)) * aSlots;
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/class_queue.cc
@@ -0,0 +1,255 @@
+#include "oriolewalk/traffic/class_queue.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/policy.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+namespace {
+
+// Before the first answer: what a quick request takes. Only fairness rests on
+// it; nothing is refused for it.
+constexpr double kFirstGuess = 0.02;
+// A drain below this is taken as this: the estimate stays finite.
+constexpr double kLeastDrain = 0.01;
+// Idle flows up to this number keep their measured service time.
+constexpr std::size_t kFlowsKept = 1024;
+
+void
+ApplyRule(flow& aFlow, const share_rule& aRule, time_point aNow)
+{
+  aFlow.mRule = aRule;
+  aFlow.mBucket.Configure(aRule.mRatePerSecond, aRule.mBurst, aNow);
+}
+
+} // namespace
+
+flow*
+class_queue::FlowOf(const organisation_id& aOrganisation,
+                    const share_rule& aRule,
+                    std::size_t aMaxFlows,
+                    time_point aNow)
+{
+  const auto found = mFlows.find(aOrganisation);
+  if (found != mFlows.end()) {
+    return found->second.get();
+  }
+  if (mFlows.size() >= aMaxFlows) {
+    return nullptr;
+  }
+  auto made = std::make_unique<flow>();
+  made->mOrganisation = aOrganisation;
+  made->mTag.mWeight = aRule.mWeight;
+  ApplyRule(*made, aRule, aNow);
+  return mFlows.emplace(aOrganisation, std::move(made)).first->second.get();
+}
+
+void
+class_queue::SetPolicy(const share_policy& aPolicy,
+                       work_class aClass,
+                       time_point aNow)
+{
+  // The order of this loop shows only in turns between flows of equal virtual
+  // time; it is made the order of the names, to be the same everywhere.
+  std::vector<flow*> flows;
+  std::ranges::transform(
+    mFlows, std::back_inserter(flows), [](const auto& aEntry) {
+      return aEntry.second.get();
+    });
+  std::ranges::sort(
+    flows, {}, [](const flow* aFlow) { return aFlow->mOrganisation; });
+  for (flow* each : flows) {
+    ApplyRule(*each, aPolicy.Of(each->mOrganisation, aClass), aNow);
+    mOrder.SetWeight(*each, each->mRule.mWeight);
+    Settle(*each);
+  }
+}
+
+queue_position
+class_queue::Push(flow& aFlow, waiting_request aRequest)
+{
+  const std::string& key = aRequest.mArrival.mCallerKey;
+  caller_queue& caller = aFlow.mCallers[key];
+  if (caller.mWaiting.empty()) {
+    caller.mKey = key;
+    aFlow.mOrder.Activate(caller);
+  }
+  const auto place =
+    caller.mWaiting.insert(caller.mWaiting.end(), std::move(aRequest));
+  ++aFlow.mWaiting;
+  ++mWaiting;
+  Settle(aFlow);
+  return { &aFlow, &caller, place };
+}
+
+void
+class_queue::Remove(const queue_position& aPosition)
+{
+  flow& owner = *aPosition.mFlow;
+  caller_queue& caller = *aPosition.mCaller;
+  caller.mWaiting.erase(aPosition.mRequest);
+  --owner.mWaiting;
+  --mWaiting;
+  if (caller.mWaiting.empty()) {
+    owner.mOrder.Deactivate(caller);
+    owner.mCallers.erase(owner.mCallers.find(caller.mKey));
+  }
+  Settle(owner);
+}
+
+double
+class_queue::Start(const queue_position& aPosition)
+{
+  flow& owner = *aPosition.mFlow;
+  const double charge = Estimate(owner);
+  owner.mOrder.Serve(*aPosition.mCaller);
+  owner.mOrder.Charge(*aPosition.mCaller, charge);
+  mOrder.Serve(owner);
+  mOrder.Charge(owner, charge);
+  owner.mChargedSeconds += charge;
+  ++owner.mHeld;
+  ++mHeld;
+  Remove(aPosition);
+  return charge;
+}
+
+void
+class_queue::StartRestored(flow& aFlow)
+{
+  ++aFlow.mHeld;
+  ++mHeld;
+  Settle(aFlow);
+}
+
+void
+class_queue::Finish(flow& aFlow,
+                    std::string_view aCallerKey,
+                    double aCharged,
+                    duration aHeld,
+                    bool aMeasured)
+{
+  const double correction = ToSeconds(aHeld) - aCharged;
+  const auto caller = aFlow.mCallers.find(std::string(aCallerKey));
+  if (caller != aFlow.mCallers.end()) {
+    aFlow.mOrder.Charge(caller->second, correction);
+  }
+  mOrder.Charge(aFlow, correction);
+  aFlow.mChargedSeconds += correction;
+  if (aMeasured) {
+    aFlow.mTime.Add(aHeld);
+    mTime.Add(aHeld);
+  }
+  --aFlow.mHeld;
+  --mHeld;
+  Settle(aFlow);
+}
+
+double
+class_queue::ExpectedWait(const flow& aFlow,
+                          const std::string& aCallerKey,
+                          double aDrain) const
+{
+  const auto caller = aFlow.mCallers.find(aCallerKey);
+  const std::size_t own =
+    caller == aFlow.mCallers.end() ? 0 : caller->second.mWaiting.size();
+  return WaitBehind(aFlow,
+                    static_cast<double>(own),
+                    static_cast<double>(aFlow.mWaiting),
+                    aDrain);
+}
+
+double
+class_queue::ExpectedWaitOfLast(const flow& aFlow,
+                                const caller_queue& aCaller,
+                                double aDrain) const
+{
+  return WaitBehind(aFlow,
+                    static_cast<double>(aCaller.mWaiting.size()) - 1,
+                    static_cast<double>(aFlow.mWaiting) - 1,
+                    aDrain);
+}
+
+// Callers take turns, so that a request waits for one round of all callers for
+// each request before it in its own queue, and never for more than the whole
+// flow. The flow drains by its share, or by the slots that it holds now: by
+// Little's law those are the slot seconds that it gets each second, lent share
+// included.
+double
+class_queue::WaitBehind(const flow& aFlow,
+                        double aInCaller,
+                        double aInFlow,
+                        double aDrain) const
+{
+  const auto callers = static_cast<double>(aFlow.mCallers.size());
+  const double ahead = std::min(aInFlow, (aInCaller + 1) * callers);
+  const double weight = aFlow.mTag.mWeight;
+  const double others =
+    std::max(0.0, mOrder.Weight() - (aFlow.mTag.mActive ? weight : 0));
+  double drain = std::max(aDrain * weight / (others + weight),
+                          static_cast<double>(aFlow.mHeld));
+  if (aFlow.mRule.mMaxSlots > 0) {
+    drain = std::min(drain, static_cast<double>(aFlow.mRule.mMaxSlots));
+  }
+  return ahead * Estimate(aFlow) / std::max(drain, kLeastDrain);
+}
+
+double
+class_queue::Estimate(const flow& aFlow) const
+{
+  if (aFlow.mTime.Known()) {
+    return aFlow.mTime.Seconds();
+  }
+  return mTime.Known() ? mTime.Seconds() : kFirstGuess;
+}
+
+void
+class_queue::DropIdle(time_point aNow)
+{
+  if (mFlows.size() <= kFlowsKept) {
+    return;
+  }
+  // With nobody waiting nothing is owed to anybody.
+  const bool quiet = mOrder.Nodes().empty();
+  std::erase_if(mFlows, [&](const auto& aEntry) {
+    const flow& each = *aEntry.second;
+    return each.mWaiting == 0 && each.mHeld == 0 &&
+           (quiet || each.mTag.mVirtual <= mOrder.Now()) &&
+           each.mBucket.Full(aNow);
+  });
+}
+
+queue_position
+class_queue::Front(flow& aFlow)
+{
+  caller_queue* caller =
+    aFlow.mOrder.First([](const caller_queue&) { return true; });
+  return { &aFlow, caller, caller->mWaiting.begin() };
+}
+
+// A flow at its slot limit leaves the order: choosing the next flow then never
+// steps over flows that may not run.
+void
+class_queue::Settle(flow& aFlow)
+{
+  const std::uint32_t limit = aFlow.mRule.mMaxSlots;
+  if (aFlow.mWaiting > 0 && (limit == 0 || aFlow.mHeld < limit)) {
+    mOrder.Activate(aFlow);
+  } else {
+    mOrder.Deactivate(aFlow);
+  }
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/entry_limiter.cc
@@ -0,0 +1,207 @@
+#include "oriolewalk/traffic/entry_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/policy.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+namespace {
+
+// Fewer sent requests than this say nothing of a caller.
+constexpr double kLeastSent = 10;
+
+} // namespace
+
+entry_limiter::entry_limiter(const entry_options& aOptions, std::uint64_t aSeed)
+  : mOptions(aOptions)
+  , mRandom(aSeed)
+  , mLimit(aOptions.mFirstLimit)
+{
+}
+
+void
+entry_limiter::SetPolicy(const share_policy& aPolicy)
+{
+  mPolicy = aPolicy;
+  mActiveWeight = 0;
+  for (const work_class each : kClasses) {
+    for (const auto& [organisation, calls] : mCalls.at(IndexOf(each))) {
+      mActiveWeight += mPolicy.Of(organisation, each).mWeight;
+    }
+  }
+}
+
+entry_verdict
+entry_limiter::Admit(const entry_request& aRequest, time_point aNow)
+{
+  caller_record* record = RecordOf(aRequest, aNow);
+  if (record != nullptr) {
+    record->mSent += 1;
+    if (Throttled(*record)) {
+      return Refuse(refusal::Overloaded);
+    }
+  }
+  if (OverLimit(aRequest)) {
+    // Refused for control's sake, not for the caller's: not held against it.
+    if (record != nullptr) {
+      record->mSent -= 1;
+    }
+    return Refuse(refusal::Overloaded);
+  }
+  auto& calls = mCalls.at(IndexOf(aRequest.mClass));
+  if (++calls[aRequest.mOrganisation] == 1) {
+    mActiveWeight +=
+      mPolicy.Of(aRequest.mOrganisation, aRequest.mClass).mWeight;
+  }
+  ++mInProgress;
+  return {};
+}
+
+void
+entry_limiter::Finished(const entry_request& aRequest,
+                        const control_call& aCall,
+                        time_point aNow)
+{
+  auto& calls = mCalls.at(IndexOf(aRequest.mClass));
+  const auto found = calls.find(aRequest.mOrganisation);
+  if (found == calls.end()) {
+    return;
+  }
+  if (--found->second == 0) {
+    calls.erase(found);
+    mActiveWeight -=
+      mPolicy.Of(aRequest.mOrganisation, aRequest.mClass).mWeight;
+  }
+  --mInProgress;
+  mActiveWeight = mInProgress == 0 ? 0 : mActiveWeight;
+  if (aCall.mResult == call_result::Accepted) {
+    caller_record* record = RecordOf(aRequest, aNow);
+    if (record != nullptr) {
+      record->mAccepted += 1;
+    }
+  }
+  Adapt(aCall, aNow);
+}
+
+// nullptr if there are too many callers to remember one more.
+entry_limiter::caller_record*
+entry_limiter::RecordOf(const entry_request& aRequest, time_point aNow)
+{
+  std::string key = aRequest.mOrganisation.Value();
+  key += '\0';
+  key += static_cast<char>('0' + IndexOf(aRequest.mClass));
+  key += aRequest.mCallerKey;
+  const auto found = mCallers.find(key);
+  if (found != mCallers.end()) {
+    Age(found->second, aNow);
+    return &found->second;
+  }
+  if (mCallers.size() >= kMaxCallers) {
+    Sweep(aNow);
+  }
+  if (mCallers.size() >= kMaxCallers) {
+    return nullptr;
+  }
+  caller_record& made = mCallers[key];
+  made.mAt = aNow;
+  return &made;
+}
+
+// Linear in the callers, so not more often than half of their counts fade.
+void
+entry_limiter::Sweep(time_point aNow)
+{
+  if (aNow - mLastSweep < mOptions.mMemory) {
+    return;
+  }
+  mLastSweep = aNow;
+  for (auto& [key, record] : mCallers) {
+    Age(record, aNow);
+  }
+  std::erase_if(mCallers,
+                [](const auto& aEntry) { return aEntry.second.mSent < 1; });
+}
+
+void
+entry_limiter::Age(caller_record& aRecord, time_point aNow) const
+{
+  const double since = std::max(0.0, ToSeconds(aNow - aRecord.mAt));
+  const double kept = std::exp2(-since / ToSeconds(mOptions.mMemory));
+  aRecord.mSent *= kept;
+  aRecord.mAccepted *= kept;
+  aRecord.mAt = std::max(aRecord.mAt, aNow);
+}
+
+bool
+entry_limiter::Throttled(const caller_record& aRecord)
+{
+  if (aRecord.mSent < kLeastSent) {
+    return false;
+  }
+  const double excess =
+    aRecord.mSent - (mOptions.mSentPerAccepted * aRecord.mAccepted);
+  // Never all of it: what is sent on is how the entry learns of better times.
+  constexpr double kMost = 0.95;
+  return mRandom.Fraction() < std::min(kMost, excess / (aRecord.mSent + 1));
+}
+
+bool
+entry_limiter::OverLimit(const entry_request& aRequest) const
+{
+  const double part = mLimit * mOptions.mPart.at(IndexOf(aRequest.mClass));
+  const auto used = static_cast<double>(mInProgress);
+  const auto& calls = mCalls.at(IndexOf(aRequest.mClass));
+  if (used + 1 > part) {
+    return aRequest.mClass == work_class::Urgent || !calls.empty();
+  }
+  if (used < mLimit * mOptions.mShareFrom) {
+    return false;
+  }
+  const auto own = calls.find(aRequest.mOrganisation);
+  if (own == calls.end()) {
+    return false;
+  }
+  const double weight =
+    mPolicy.Of(aRequest.mOrganisation, aRequest.mClass).mWeight;
+  const double share = part * weight / std::max(weight, mActiveWeight);
+  return static_cast<double>(own->second) + 1 > std::max(1.0, share);
+}
+
+void
+entry_limiter::Adapt(const control_call& aCall, time_point aNow)
+{
+  const bool slow =
+    aCall.mResult == call_result::Lost || aCall.mLatency > mOptions.mSlowCall;
+  if (!slow) {
+    // Only a limit that is being used can be known to be too low.
+    if (static_cast<double>(mInProgress) * 2 >= mLimit) {
+      mLimit = std::min(mLimit + (1 / mLimit), mOptions.mMostLimit);
+    }
+    return;
+  }
+  // Calls that were under way together tell of one and the same moment.
+  if (aNow - mLastDecrease >= std::max(aCall.mLatency, mOptions.mSlowCall)) {
+    mLimit = std::max(mLimit * mOptions.mDecrease, mOptions.mLeastLimit);
+    mLastDecrease = aNow;
+  }
+}
+
+entry_verdict
+entry_limiter::Refuse(refusal aReason)
+{
+  constexpr double kSpread = 0.2;
+  const double after =
+    ToSeconds(mOptions.mRetryAfter) * (1 + (kSpread * mRandom.Fraction()));
+  return { aReason, FromSeconds(after) };
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/retry_budget.cc
@@ -0,0 +1,60 @@
+#include "oriolewalk/traffic/retry_budget.h"
+
+#include <algorithm>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+bool
+MayRunAgain(const ended_attempt& aAttempt)
+{
+  switch (aAttempt.mResult) {
+    case finish_result::NeverStarted:
+      return true;
+    case finish_result::TimedOut:
+    case finish_result::Unknown:
+      return aAttempt.mRepeatable && aAttempt.mSurelyEnded;
+    case finish_result::Answered:
+    case finish_result::FailedFast:
+      return false;
+  }
+  return false;
+}
+
+retry_budget::retry_budget(const retry_options& aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void
+retry_budget::Succeeded()
+{
+  mTokens = std::min(mTokens + mOptions.mShareOfSuccesses, mOptions.mMost);
+}
+
+bool
+retry_budget::Spend(time_point aNow)
+{
+  mTokens = Left(aNow);
+  mAt = std::max(mAt, aNow);
+  if (mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+// The steady trickle fills the budget to one retry only: what is saved up
+// comes from successes.
+double
+retry_budget::Left(time_point aNow) const
+{
+  const double trickle =
+    std::max(0.0, ToSeconds(aNow - mAt)) * mOptions.mLeastPerSecond;
+  return std::max(mTokens, std::min(1.0, mTokens + trickle));
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/service_pool_admission.cc
@@ -0,0 +1,223 @@
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/random.h"
+#include "oriolewalk/traffic/class_queue.h"
+#include "oriolewalk/traffic/policy.h"
+#include "oriolewalk/traffic/service_pool.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+namespace {
+
+// Bounds of "come back after": under the first one, polling would cost more
+// than the answer; over the second one, a recovered system would idle.
+constexpr duration kLeastRetryAfter = milliseconds(50);
+constexpr duration kMostRetryAfter = seconds(5);
+// Until targets have announced themselves.
+constexpr duration kTargetRetryAfter = milliseconds(500);
+// Queued work is given up once its wait would exceed what is left by this
+// factor: estimates swing, and a request that was let in should not be turned
+// out by a swing.
+constexpr double kReviewSlack = 2;
+
+} // namespace
+
+void
+service_pool::Arrive(const arrival& aArrival,
+                     const share_rule& aRule,
+                     bool aAwaitTargets,
+                     time_point aNow)
+{
+  Advance(aNow);
+  if (aArrival.mClass == work_class::Urgent) {
+    mOrder.SawUrgent(aNow);
+  }
+  if (aNow >= aArrival.mDeadline) {
+    Refuse(aArrival.mId, refusal::Expired, kLeastRetryAfter);
+    return;
+  }
+  if (!mTargets.HasTargets() && !aAwaitTargets) {
+    Refuse(aArrival.mId, refusal::NoTarget, kTargetRetryAfter);
+    return;
+  }
+  class_queue& queue = Queue(aArrival.mClass);
+  flow* owner = queue.FlowOf(
+    aArrival.mOrganisation, aRule, mOptions.mQueue.mMaxFlows, aNow);
+  if (owner == nullptr ||
+      queue.Waiting() >= mOptions.mQueue.mMaxWaitingOfClass) {
+    Refuse(aArrival.mId, refusal::Overloaded, kMostRetryAfter);
+    return;
+  }
+  const admission verdict = Admit(aArrival, *owner, aNow);
+  if (verdict.mRefused) {
+    Refuse(aArrival.mId, *verdict.mRefused, verdict.mRetryAfter);
+    return;
+  }
+  owner->mBucket.Take(aNow);
+  const waiting_request request = Stamp(aArrival, *owner, aNow);
+  mLatest.emplace(request.mLatestStart, aArrival.mId);
+  mWaiting.emplace(aArrival.mId, queue.Push(*owner, request));
+  Place(aNow);
+}
+
+service_pool::admission
+service_pool::Admit(const arrival& aArrival, const flow& aFlow, time_point aNow)
+{
+  const duration wait = aFlow.mBucket.Wait(aNow);
+  if (wait > duration::zero()) {
+    return { refusal::LimitReached, wait };
+  }
+  const std::uint32_t bound = aFlow.mRule.mMaxWaiting > 0
+                                ? aFlow.mRule.mMaxWaiting
+                                : mOptions.mQueue.mMaxWaiting;
+  if (aFlow.mWaiting >= bound) {
+    return { refusal::LimitReached,
+             FromSeconds(Queue(aArrival.mClass).Estimate(aFlow)) };
+  }
+  // With a slot free and nobody before it a request is tried, whatever the
+  // estimate says: else one wrong measurement would shut a flow out for good.
+  if (!mTargets.HasTargets() ||
+      (mTargets.HasFree() && Queue(aArrival.mClass).Waiting() == 0)) {
+    return {};
+  }
+  return AdmitByTime(aArrival, aFlow, aNow);
+}
+
+service_pool::admission
+service_pool::AdmitByTime(const arrival& aArrival,
+                          const flow& aFlow,
+                          time_point aNow) const
+{
+  const class_queue& queue = mQueues.at(IndexOf(aArrival.mClass));
+  const double drain = mOrder.Drain(aArrival.mClass, Loads(), mTargets.Slots());
+  const double wait = queue.ExpectedWait(aFlow, aArrival.mCallerKey, drain);
+  const double longest =
+    ToSeconds(mOptions.mQueue.mMaxWait.at(IndexOf(aArrival.mClass)));
+  const double left =
+    ToSeconds(aArrival.mDeadline - aNow) - aFlow.mTime.Seconds();
+  if (wait >= left) {
+    return { refusal::CannotMeetDeadline, FromSeconds(wait - left) };
+  }
+  if (wait > longest) {
+    return { refusal::Overloaded, FromSeconds(wait - longest) };
+  }
+  return {};
+}
+
+waiting_request
+service_pool::Stamp(const arrival& aArrival,
+                    const flow& aFlow,
+                    time_point aNow) const
+{
+  const duration longest =
+    mOptions.mQueue.mMaxWait.at(IndexOf(aArrival.mClass));
+  // At least a moment, so that it is offered to a free slot once.
+  const time_point byDeadline =
+    std::max(aArrival.mDeadline - FromSeconds(aFlow.mTime.Seconds()),
+             std::min(aNow + duration(1), aArrival.mDeadline));
+  if (byDeadline <= aNow + longest) {
+    return { aArrival, aNow, byDeadline, latest_reason::Deadline };
+  }
+  return { aArrival, aNow, aNow + longest, latest_reason::MaxWait };
+}
+
+void
+service_pool::Expire(time_point aNow)
+{
+  while (!mLatest.empty() && mLatest.begin()->first <= aNow) {
+    const request_id id = mLatest.begin()->second;
+    const waiting_request& request = *mWaiting.at(id).mRequest;
+    refusal reason = refusal::Overloaded;
+    if (aNow >= request.mArrival.mDeadline) {
+      reason = refusal::Expired;
+    } else if (request.mLatestReason == latest_reason::Deadline) {
+      reason = refusal::CannotMeetDeadline;
+    }
+    const duration retryAfter =
+      mOptions.mQueue.mMaxWait.at(IndexOf(request.mArrival.mClass));
+    Unqueue(id);
+    Refuse(id, reason, retryAfter);
+  }
+}
+
+void
+service_pool::Review(time_point aNow)
+{
+  for (const work_class each : kClasses) {
+    class_queue& queue = Queue(each);
+    const double drain = mOrder.Drain(each, Loads(), mTargets.Slots());
+    std::vector<std::pair<flow*, caller_queue*>> callers;
+    for (const auto& [tag, owner] : queue.Active()) {
+      for (const auto& [turn, caller] : owner->mOrder.Nodes()) {
+        callers.emplace_back(owner, caller);
+      }
+    }
+    for (const auto& [owner, caller] : callers) {
+      ReviewCaller(queue, *owner, *caller, drain, aNow);
+    }
+  }
+}
+
+// Only the ends of queues are looked at, since the first request of a queue
+// that can be served in time is followed by others that may not.
+void
+service_pool::ReviewCaller(class_queue& aQueue,
+                           flow& aFlow,
+                           caller_queue& aCaller,
+                           double aDrain,
+                           time_point aNow)
+{
+  // The last one is kept: removing it would remove the caller, and what has
+  // nobody before it is better left to its latest start.
+  while (aCaller.mWaiting.size() > 1) {
+    const waiting_request& last = aCaller.mWaiting.back();
+    const double wait = aQueue.ExpectedWaitOfLast(aFlow, aCaller, aDrain);
+    const double left = ToSeconds(last.mLatestStart - aNow);
+    if (wait <= left * kReviewSlack) {
+      return;
+    }
+    const refusal reason = last.mLatestReason == latest_reason::Deadline
+                             ? refusal::CannotMeetDeadline
+                             : refusal::Overloaded;
+    const request_id id = last.mArrival.mId;
+    Unqueue(id);
+    Refuse(id, reason, FromSeconds(wait - left));
+  }
+}
+
+void
+service_pool::RefuseAll(refusal aReason, time_point aNow)
+{
+  Expire(aNow);
+  while (!mLatest.empty()) {
+    const request_id id = mLatest.begin()->second;
+    Unqueue(id);
+    Refuse(id, aReason, kTargetRetryAfter);
+  }
+}
+
+void
+service_pool::Refuse(request_id aId, refusal aReason, duration aRetryAfter)
+{
+  mDecisions.emplace_back(refuse{ aId, aReason, Jittered(aRetryAfter) });
+}
+
+// Spread over a fifth: callers that were refused together must not come back
+// together.
+duration
+service_pool::Jittered(duration aRetryAfter) const
+{
+  constexpr double kSpread = 0.2;
+  const duration bounded =
+    std::clamp(aRetryAfter, kLeastRetryAfter, kMostRetryAfter);
+  return FromSeconds(ToSeconds(bounded) *
+                     (1 + (kSpread * mRandom->Fraction())));
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/service_time.h
@@ -0,0 +1,42 @@
+#pragma once
+
+// Measured mean time that work holds a slot.
+//
+// Load pattern: declared times are often far off. Without a measured time the
+// queue cannot tell whether a deadline can be met, and slot time cannot be
+// charged ahead. An exponentially weighted mean forgets: a weight of 1/16
+// follows a lasting change within some 30 answers, and one outlier moves it by
+// a sixteenth. Owned by a flow or a class; one thread; O(1).
+
+#include <cstdint>
+
+#include "oriolewalk/base/clock.h"
+
+namespace oriolewalk::traffic {
+
+inline double
+ToSeconds(duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+inline duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+class service_time
+{
+public:
+  void Add(duration aMeasured);
+  [[nodiscard]] bool Known() const { return mCount > 0; }
+  [[nodiscard]] double Seconds() const { return mSeconds; } // 0 if not known
+
+private:
+  double mSeconds = 0;
+  std::uint32_t mCount = 0;
+};
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/target_health.cc
@@ -0,0 +1,111 @@
+#include "oriolewalk/traffic/target_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/traffic/service_time.h"
+#include "oriolewalk/traffic/stats.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+
+namespace {
+
+constexpr double kSmoothing = 1.0 / 16;
+// A failure rate of fewer samples says little.
+constexpr std::uint32_t kLeastSamples = 16;
+// One answer counts at most so many times its expected time: a single long
+// request cannot shrink a target by itself.
+constexpr double kMaxSample = 8;
+constexpr std::uint32_t kMaxDoublings = 10;
+// Probing ends when this many slots were filled without a failure.
+constexpr std::uint32_t kRampEnd = 16;
+
+} // namespace
+
+bool
+target_health::Record(const finish& aFinish, double aExpected, time_point aNow)
+{
+  const bool failed = aFinish.mResult != finish_result::Answered;
+  mFailureRate += ((failed ? 1.0 : 0.0) - mFailureRate) * kSmoothing;
+  mSamples = std::min(mSamples + 1, kLeastSamples);
+  if (!failed) {
+    RecordAnswer(aFinish.mLatency, aExpected, aNow);
+    return false;
+  }
+  ++mInRow;
+  if (mPhase == target_phase::Probing) {
+    return true;
+  }
+  return mPhase == target_phase::Up &&
+         (mInRow >= mOptions.mConsecutiveFailures ||
+          (mSamples >= kLeastSamples && mFailureRate > mOptions.mFailureRate));
+}
+
+void
+target_health::Eject(time_point aNow)
+{
+  // Healthy for as long as the longest ejection: the row of them is over.
+  if (mPhase == target_phase::Up && aNow - mUpSince > mOptions.mMaxEjectFor) {
+    mEjections = 0;
+  }
+  const std::uint32_t doublings = std::min(mEjections, kMaxDoublings);
+  mUntil = aNow + std::min<duration>(mOptions.mEjectFor * (1U << doublings),
+                                     mOptions.mMaxEjectFor);
+  ++mEjections;
+  mPhase = target_phase::Ejected;
+}
+
+bool
+target_health::Advance(time_point aNow)
+{
+  if (mPhase != target_phase::Ejected || aNow < mUntil) {
+    return false;
+  }
+  mPhase = target_phase::Probing;
+  mRamp = 1;
+  mInRow = 0;
+  mSamples = 0;
+  mFailureRate = 0;
+  mSlowness = 1;
+  return true;
+}
+
+std::uint32_t
+target_health::Allowed(std::uint32_t aSlots) const
+{
+  if (mPhase == target_phase::Probing) {
+    return std::min(aSlots, mRamp);
+  }
+  if (mPhase != target_phase::Up) {
+    return 0;
+  }
+  if (!Slow()) {
+    return aSlots;
+  }
+  return std::max(1U,
+                  static_cast<std::uint32_t>(std::lround(aSlots / mSlowness)));
+}
+
+void
+target_health::RecordAnswer(duration aLatency,
+                            double aExpected,
+                            time_point aNow)
+{
+  mInRow = 0;
+  if (mPhase == target_phase::Probing) {
+    mRamp *= 2;
+    if (mRamp >= kRampEnd) {
+      mPhase = target_phase::Up;
+      mUpSince = aNow;
+    }
+  }
+  if (aExpected > 0) {
+    const double sample = std::min(ToSeconds(aLatency) / aExpected, kMaxSample);
+    mSlowness += (sample - mSlowness) * kSmoothing;
+  }
+}
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/oriolewalk/traffic/types.h
@@ -0,0 +1,120 @@
+#pragma once
+
+// Values that go into and come out of the traffic modules.
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+
+namespace oriolewalk::traffic {
+
+// In the order in which a free slot is offered.
+enum class work_class : std::uint8_t
+{
+  Urgent,
+  Normal,
+  Heavy,
+};
+
+inline constexpr std::size_t kClassCount = 3;
+inline constexpr std::array<work_class, kClassCount> kClasses = {
+  work_class::Urgent,
+  work_class::Normal,
+  work_class::Heavy,
+};
+
+constexpr std::size_t
+IndexOf(work_class aClass)
+{
+  return static_cast<std::size_t>(aClass);
+}
+
+std::string_view
+ToString(work_class aClass);
+
+// Made by the shell for one attempt to place a request; never used again in
+// the life of one dispatcher, also not for another attempt of the same key.
+using request_id = number_id<struct traffic_request_tag>;
+
+struct arrival
+{
+  request_id mId;
+  service_id mService;
+  organisation_id mOrganisation;
+  std::string mCallerKey; // whose share within the organisation it uses
+  work_class mClass = work_class::Normal;
+  bool mRepeatable = false;
+  data_centre_id mOrigin; // of the entry that will call the target
+  time_point mDeadline{}; // from here on the answer is worthless
+};
+
+// An attempt that a new leader finds in the ledger.
+struct running_attempt
+{
+  request_id mId;
+  service_id mService;
+  target_id mTarget;
+  organisation_id mOrganisation;
+  work_class mClass = work_class::Normal;
+};
+
+struct target_state
+{
+  target_id mId;
+  service_id mService;
+  data_centre_id mDataCentre;
+  std::uint32_t mSlots = 1;
+  std::uint32_t mConnections = 1;
+};
+
+enum class finish_result : std::uint8_t
+{
+  Answered,     // a whole answer that the target vouches for
+  FailedFast,   // an error answer, or a broken one
+  NeverStarted, // refused before start, e.g. no connection
+  TimedOut,     // the deadline came first
+  Unknown,      // the connection broke after the request was sent
+};
+
+struct finish
+{
+  finish_result mResult = finish_result::Answered;
+  duration mLatency{}; // from sending to the end, as the entry saw it
+};
+
+enum class refusal : std::uint8_t
+{
+  Overloaded,         // its queue is longer than the class may wait
+  LimitReached,       // the organisation's own rate or queue bound
+  CannotMeetDeadline, // the measured service time does not fit any more
+  Expired,            // the deadline has passed
+  NoTarget,           // the service has no target that takes new work
+};
+
+inline constexpr std::size_t kRefusalCount = 5;
+
+std::string_view
+ToString(refusal aRefusal);
+
+struct dispatch
+{
+  request_id mId;
+  target_id mTarget;
+};
+
+struct refuse
+{
+  request_id mId;
+  refusal mReason = refusal::Overloaded;
+  duration mRetryAfter{};
+};
+
+using decision = std::variant<dispatch, refuse>;
+
+} // namespace oriolewalk::traffic
--- /dev/null
+++ b/testing/traffic/dispatcher_test.cc
@@ -0,0 +1,218 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/dispatcher.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+namespace {
+
+const service_id kFees("fees");
+const organisation_id kTaksa("taksa");
+const data_centre_id kNear("a");
+constexpr std::uint64_t kSeed = 1;
+const time_point kStart{ seconds(1000) };
+
+target_state
+Target(const std::string& aName, std::uint32_t aSlots)
+{
+  return { target_id(aName), kFees, kNear, aSlots, 60 };
+}
+
+arrival
+Request(std::uint64_t aNumber, work_class aClass = work_class::Normal)
+{
+  return { request_id(aNumber), kFees, kTaksa, "caller", aClass, false, kNear,
+           kStart + seconds(10) };
+}
+
+template<class Kind>
+std::vector<Kind>
+Only(const std::vector<decision>& aDecisions)
+{
+  std::vector<Kind> kept;
+  for (const decision& each : aDecisions) {
+    if (const Kind* found = std::get_if<Kind>(&each)) {
+      kept.push_back(*found);
+    }
+  }
+  return kept;
+}
+
+TEST_CASE("slots are never exceeded, and a finish frees one")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 2), kStart);
+  for (std::uint64_t number = 1; number <= 3; ++number) {
+    traffic.Arrive(Request(number), kStart);
+  }
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 2);
+  traffic.Finished(request_id(1), { finish_result::Answered, {} }, kStart);
+  const auto next = Only<dispatch>(traffic.TakeDecisions());
+  REQUIRE(next.size() == 1);
+  CHECK(next.front().mId == request_id(3));
+}
+
+TEST_CASE("fewer connections than slots bound the target")
+{
+  dispatcher traffic({}, kSeed);
+  target_state target = Target("t1", 8);
+  target.mConnections = 3;
+  traffic.TargetUp(target, kStart);
+  for (std::uint64_t number = 1; number <= 8; ++number) {
+    traffic.Arrive(Request(number), kStart);
+  }
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 3);
+}
+
+TEST_CASE("a leaving target gets nothing new, not even by a late renewal")
+{
+  // The target says that it leaves; a renewal that it had sent before arrives
+  // after that. Were it taken for a new announcement, requests would go to a
+  // process that is about to end.
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.TargetUp(Target("t2", 1), kStart);
+  traffic.TargetLeaving(target_id("t1"), kStart);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    traffic.Arrive(Request(number), kStart);
+  }
+  for (const dispatch& each : Only<dispatch>(traffic.TakeDecisions())) {
+    CHECK(each.mTarget == target_id("t2"));
+  }
+}
+
+TEST_CASE("attempts of an earlier leader keep their slots")
+{
+  // The leader dies with an attempt in progress. The new one learns of it from
+  // the ledger before the target announces itself; giving its slot to another
+  // request would run nine on eight slots.
+  dispatcher traffic({}, kSeed);
+  traffic.Restore(
+    { request_id(1), kFees, target_id("t1"), kTaksa, work_class::Normal },
+    kStart);
+  traffic.TargetUp(Target("t1", 2), kStart);
+  traffic.Arrive(Request(2), kStart);
+  traffic.Arrive(Request(3), kStart);
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
+  traffic.Finished(
+    request_id(1), { finish_result::Answered, milliseconds(1) }, kStart);
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
+}
+
+TEST_CASE("a target that is gone and back still holds its old attempts")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  traffic.TargetGone(target_id("t1"), kStart);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.TakeDecisions();
+  traffic.Arrive(Request(2), kStart);
+  CHECK(traffic.TakeDecisions().empty());
+  traffic.Finished(request_id(1), { finish_result::Unknown, {} }, kStart);
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
+}
+
+TEST_CASE("a caller that hangs up leaves the queue; an attempt goes on")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  traffic.Arrive(Request(2), kStart);
+  traffic.TakeDecisions();
+  CHECK(traffic.Cancel(request_id(2), kStart));
+  CHECK_FALSE(traffic.Cancel(request_id(1), kStart));
+  traffic.Finished(request_id(1), { finish_result::Answered, {} }, kStart);
+  CHECK(traffic.TakeDecisions().empty());
+}
+
+TEST_CASE("when the last target goes, all that waits is told at once")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  traffic.Arrive(Request(2), kStart);
+  traffic.TakeDecisions();
+  traffic.TargetLeaving(target_id("t1"), kStart);
+  const auto refused = Only<refuse>(traffic.TakeDecisions());
+  REQUIRE(refused.size() == 1);
+  CHECK(refused.front().mReason == refusal::NoTarget);
+  CHECK(refused.front().mRetryAfter > duration::zero());
+}
+
+TEST_CASE("a new leader waits for targets to announce themselves, but not long")
+{
+  // Callers' requests reach the new leader before the targets' next renewal.
+  // Refusing them would turn each leader change into a wave of refusals.
+  dispatcher traffic({}, kSeed);
+  traffic.Arrive(Request(1), kStart);
+  CHECK(traffic.TakeDecisions().empty());
+  traffic.TargetUp(Target("t1", 1), kStart + milliseconds(500));
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
+
+  dispatcher lonely({}, kSeed);
+  lonely.Arrive(Request(1), kStart);
+  lonely.Tick(kStart + seconds(2));
+  CHECK(Only<refuse>(lonely.TakeDecisions()).size() == 1);
+}
+
+TEST_CASE("expired work is refused at its deadline and never dispatched")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  arrival late = Request(2);
+  late.mDeadline = kStart + milliseconds(30);
+  traffic.Arrive(late, kStart);
+  traffic.TakeDecisions();
+  REQUIRE(traffic.NextWake());
+  traffic.Finished(request_id(1),
+                   { finish_result::Answered, milliseconds(30) },
+                   kStart + milliseconds(30));
+  const auto decided = traffic.TakeDecisions();
+  CHECK(Only<dispatch>(decided).empty());
+  REQUIRE(Only<refuse>(decided).size() == 1);
+  CHECK(Only<refuse>(decided).front().mReason == refusal::Expired);
+}
+
+TEST_CASE("an organisation's own limits bind it, and nobody else")
+{
+  dispatcher traffic({}, kSeed);
+  share_policy policy;
+  policy.Set(kTaksa, work_class::Normal, { 1, 2, 0, 0, 1 });
+  traffic.SetPolicy(policy, kStart);
+  traffic.TargetUp(Target("t1", 8), kStart);
+  for (std::uint64_t number = 1; number <= 4; ++number) {
+    traffic.Arrive(Request(number), kStart);
+  }
+  auto decided = traffic.TakeDecisions();
+  CHECK(Only<dispatch>(decided).size() == 2);
+  REQUIRE(Only<refuse>(decided).size() == 1);
+  CHECK(Only<refuse>(decided).front().mReason == refusal::LimitReached);
+  arrival other = Request(5);
+  other.mOrganisation = organisation_id("other");
+  traffic.Arrive(other, kStart);
+  CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
+
+  policy.Set(kTaksa, work_class::Normal, { 1, 0, 10, 2, 0 });
+  traffic.SetPolicy(policy, kStart);
+  traffic.TakeDecisions();
+  for (std::uint64_t number = 10; number < 13; ++number) {
+    traffic.Arrive(Request(number), kStart);
+  }
+  decided = traffic.TakeDecisions();
+  CHECK(Only<dispatch>(decided).size() == 2);
+  CHECK(Only<refuse>(decided).size() == 1);
+}
+
+} // namespace
+} // namespace oriolewalk::traffic
