--- a/oriolewalk/base/overloaded.h
+++ b/oriolewalk/base/overloaded.h
@@ -9,7 +9,7 @@
   using Visitors::operator()...;
 };
 
-// Not needed by C++20, but by clang before 17.
+// clang 16, which lints us, does not yet deduce this for an aggregate.
 template<class... Visitors>
 overloaded(Visitors...) -> overloaded<Visitors...>;
 
