--- a/oriolewalk/weights/serving_lease.h
+++ b/oriolewalk/weights/serving_lease.h
@@ -25,7 +25,8 @@
 class serving_lease
 {
 public:
-  explicit serving_lease(duration aLease = kServingLease)
+  serving_lease() = default;
+  explicit serving_lease(duration aLease)
     : mLease(aLease)
   {
   }
@@ -44,7 +45,7 @@
   [[nodiscard]] std::uint64_t Version() const { return mVersion; }
 
 private:
-  duration mLease;
+  duration mLease = kServingLease;
   std::uint64_t mVersion = 0;
   time_point mUntil = time_point::min();
 };
