Cell: jobs, tasks and workers from submit to end

The scheduler orders by class and weighted dominant share, finds workers through a bucketed index, holds leases and declares losses as one command.

--- /dev/null
+++ b/oriolewalk/cell/order.cc
@@ -0,0 +1,149 @@
+// Who is next: strict classes, and inside a class the organisation with the
+// smallest weighted dominant share.
+//
+// The load it answers: one organisation submits ten thousand tasks at once.
+// First come, first served would make all others wait for them; here each
+// start raises the submitter's share, and the next start is another's. A
+// share is lent as long as nobody else waits.
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/soft_state.h"
+#include "oriolewalk/cell/stages.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+// Where one organisation's queue of a class stands in this Plan.
+struct queue_cursor
+{
+  double mShare = 0;
+  organisation_slot mOrganisation = 0;
+  std::set<job_number>::const_iterator mJob;
+  std::uint32_t mTask = 0; // Tasks before it are placed or in flight.
+  std::uint32_t mSkipped = 0;
+
+  bool operator>(const queue_cursor& aOther) const
+  {
+    return std::pair(mShare, mOrganisation) >
+           std::pair(aOther.mShare, aOther.mOrganisation);
+  }
+};
+
+// The order of one class; made for one Plan.
+class class_queue
+{
+public:
+  class_queue(plan_context& aPlan, job_class aClass)
+    : mPlan(aPlan)
+    , mClass(aClass)
+  {
+    for (const organisation_slot at : aPlan.mState.Waiting(aClass)) {
+      mHeap.push_back(
+        { aPlan.mSoft.ShareOf(aPlan.mState, at), at, Jobs(at).begin(), 0, 0 });
+    }
+    std::ranges::make_heap(mHeap, std::greater{});
+  }
+
+  // Starts until room, budget or work is used up.
+  void Run(std::uint32_t& aLooks)
+  {
+    const std::size_t most = mPlan.mSoft.mOptions.mMostStarts;
+    while (!mHeap.empty() && aLooks > 0 &&
+           mPlan.mStarts.mPlacements.size() < most) {
+      --aLooks;
+      std::ranges::pop_heap(mHeap, std::greater{});
+      queue_cursor cursor = mHeap.back();
+      mHeap.pop_back();
+      if (Step(cursor)) {
+        mHeap.push_back(cursor);
+        std::ranges::push_heap(mHeap, std::greater{});
+      }
+    }
+  }
+
+private:
+  [[nodiscard]] const std::set<job_number>& Jobs(organisation_slot aAt) const
+  {
+    return mPlan.mState.Organisations()[aAt].mWaiting.at(
+      static_cast<std::size_t>(mClass));
+  }
+
+  // The first task from the cursor on that may start now.
+  [[nodiscard]] std::optional<std::uint32_t> NextTask(const job_record& aJob,
+                                                      std::uint32_t aFrom) const
+  {
+    for (std::uint32_t at = std::max(aFrom, aJob.mFirstWaiting);
+         at < aJob.mTasks.size();
+         ++at) {
+      const task_record& task = aJob.mTasks[at];
+      if (task.mState == task_state::Waiting &&
+          task.mNotBeforeMs <= mPlan.mNow.mWallMs &&
+          !mPlan.mSoft.mStarts.contains({ aJob.mNumber, at })) {
+        return at;
+      }
+    }
+    return std::nullopt;
+  }
+
+  bool NextJob(queue_cursor& aCursor) const
+  {
+    ++aCursor.mJob;
+    aCursor.mTask = 0;
+    return aCursor.mJob != Jobs(aCursor.mOrganisation).end();
+  }
+
+  // False, if the organisation is done with in this Plan.
+  bool Step(queue_cursor& aCursor)
+  {
+    const job_record& job = *mPlan.mState.FindJob(*aCursor.mJob);
+    const auto task = NextTask(job, aCursor.mTask);
+    if (!task) {
+      return NextJob(aCursor);
+    }
+    switch (TryStart(mPlan, job, *task)) {
+      case start_result::Started:
+        aCursor.mTask = *task + 1;
+        aCursor.mShare =
+          mPlan.mSoft.ShareOf(mPlan.mState, aCursor.mOrganisation);
+        return true;
+      case start_result::NoRoom:
+        return ++aCursor.mSkipped <= mPlan.mSoft.mOptions.mBackfillDepth &&
+               NextJob(aCursor);
+      case start_result::NoQuota:
+        break;
+    }
+    return false;
+  }
+
+  plan_context& mPlan;
+  job_class mClass;
+  std::vector<queue_cursor> mHeap;
+};
+
+} // namespace
+
+void
+PlanStarts(plan_context& aPlan)
+{
+  constexpr std::array kOrder{ job_class::Urgent,
+                               job_class::Normal,
+                               job_class::Heavy };
+  std::uint32_t looks = aPlan.mSoft.mOptions.mMostLooks;
+  for (const job_class each : kOrder) {
+    class_queue(aPlan, each).Run(looks);
+  }
+}
+
+} // namespace oriolewalk::cell
--- /dev/null
+++ b/oriolewalk/cell/plan.cc
@@ -0,0 +1,86 @@
+// One Plan, and what is due by time.
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/policy.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/scheduler.h"
+#include "oriolewalk/cell/soft_state.h"
+#include "oriolewalk/cell/stages.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+// Every worker whose lease has surely lapsed, in one command: a rack or data
+// centre that goes quiet is one event, and what it held is placed again in
+// one order instead of in that of the timers.
+void
+PlanLosses(plan_context& aPlan)
+{
+  soft_state& soft = aPlan.mSoft;
+  const auto bound = soft.mOptions.mLease + soft.mOptions.mDriftBound;
+  workers_lost lost;
+  const auto workers = aPlan.mState.Workers();
+  for (worker_slot slot = 0; slot < workers.size(); ++slot) {
+    worker_view& view = soft.mWorkers[slot];
+    const worker_record& worker = workers[slot];
+    if (!worker.mKnown || !worker.mPresent || view.mLossProposed) {
+      continue;
+    }
+    const duration silence = aPlan.mNow.mNow - view.mHeard;
+    if (silence > soft.mOptions.mQuiet && soft.mIndex.Contains(slot)) {
+      soft.Refresh(aPlan.mState, slot, aPlan.mNow.mNow);
+    }
+    if (silence > bound) {
+      view.mLossProposed = true;
+      soft.Refresh(aPlan.mState, slot, aPlan.mNow.mNow);
+      lost.mLives.push_back({ worker.mId, worker.mBoot });
+    }
+  }
+  if (!lost.mLives.empty()) {
+    aPlan.mCommands.emplace_back(std::move(lost));
+  }
+}
+
+} // namespace
+
+void
+PlanHousekeeping(plan_context& aPlan, const cell_policy& aPolicy)
+{
+  soft_state& soft = aPlan.mSoft;
+  if (!soft.mQuotasProposed && aPlan.mState.Quotas() != aPolicy.mQuotas) {
+    soft.mQuotasProposed = true;
+    aPlan.mCommands.emplace_back(quotas_changed{ aPolicy.mQuotas });
+  }
+  if (aPlan.mNow.mNow < soft.mNextHousekeeping) {
+    return;
+  }
+  soft.mNextHousekeeping = aPlan.mNow.mNow + soft.mOptions.mHousekeeping;
+  PlanLosses(aPlan);
+}
+
+std::vector<cell_command>
+cell_scheduler::Plan(const cell_state& aState,
+                     const cell_policy& aPolicy,
+                     const instant& aNow)
+{
+  if (!mSoft->mLeading) {
+    return {};
+  }
+  mSoft->ReadPolicy(aState, aPolicy);
+  plan_context plan{ *mSoft, aState, aNow, {}, {} };
+  PlanHousekeeping(plan, aPolicy);
+  PlanStarts(plan);
+  if (!plan.mStarts.mPlacements.empty()) {
+    plan.mCommands.emplace_back(std::move(plan.mStarts));
+  }
+  return std::move(plan.mCommands);
+}
+
+} // namespace oriolewalk::cell
--- /dev/null
+++ b/oriolewalk/cell/scheduler.cc
@@ -0,0 +1,170 @@
+// Leadership and what became of proposals.
+
+#include "oriolewalk/cell/scheduler.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/policy.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/soft_state.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+proposal_kind
+KindOf(stop_mode aMode)
+{
+  switch (aMode) {
+    case stop_mode::Throttle:
+      return proposal_kind::Throttle;
+    case stop_mode::Checkpoint:
+      return proposal_kind::Checkpoint;
+    case stop_mode::None:
+    case stop_mode::Stop:
+      break;
+  }
+  return proposal_kind::Stop;
+}
+
+// The command isn't in flight any more, applied or not.
+void
+ClearProposal(soft_state& aSoft,
+              const cell_state& aState,
+              const cell_command& aCommand,
+              const instant& aNow)
+{
+  const auto clear = [&](proposal_kind aKind, const task_id& aTask) {
+    aSoft.mProposed.erase({ aKind, aTask });
+  };
+  std::visit(
+    overloaded{
+      [&](const start_tasks& aCase) {
+        for (const placement& each : aCase.mPlacements) {
+          aSoft.ClearStart(aState, each.mTask, aNow.mNow);
+        }
+      },
+      [&](const stop_task& aCase) { clear(KindOf(aCase.mMode), aCase.mTask); },
+      [&](const task_throttled& aCase) {
+        clear(proposal_kind::Throttled, aCase.mTask);
+      },
+      [&](const resume_task& aCase) {
+        clear(proposal_kind::Resume, aCase.mTask);
+      },
+      [&](const task_ended& aCase) {
+        clear(proposal_kind::Ended, aCase.mTask);
+      },
+      [&](const workers_lost& aCase) {
+        for (const worker_life& life : aCase.mLives) {
+          if (const auto slot = aState.FindSlot(life.mWorker)) {
+            aSoft.mWorkers[*slot].mLossProposed = false;
+          }
+        }
+      },
+      [&](const quotas_changed&) { aSoft.mQuotasProposed = false; },
+      [](const auto&) {},
+    },
+    aCommand);
+}
+
+void
+HearAnnouncement(soft_state& aSoft,
+                 const cell_state& aState,
+                 const worker_id& aWorker,
+                 const instant& aNow)
+{
+  const auto slot = aState.FindSlot(aWorker);
+  if (!slot) {
+    return;
+  }
+  aSoft.Refresh(aState, *slot, aNow.mNow);
+  // Its lease runs from when it sent the announcement, which was earlier.
+  aSoft.mWorkers[*slot].mHeard = aNow.mNow;
+  aSoft.mWorkers[*slot].mSeen = true;
+  // A proposed loss stays proposed: were this life's announcement applied
+  // first and leases given again, the loss would end, on paper, tasks that
+  // run under them. Polls get no lease until it is resolved.
+}
+
+} // namespace
+
+cell_scheduler::cell_scheduler(const scheduler_options& aOptions,
+                               std::uint64_t aSeed)
+  : mSoft(std::make_unique<soft_state>(aOptions, aSeed))
+{
+}
+
+cell_scheduler::~cell_scheduler() = default;
+cell_scheduler::cell_scheduler(cell_scheduler&&) noexcept = default;
+cell_scheduler&
+cell_scheduler::operator=(cell_scheduler&&) noexcept = default;
+
+void
+cell_scheduler::BecomeLeader(const cell_state& aState, const instant& aNow)
+{
+  constexpr std::uint64_t kSeeds = 1ULL << 62;
+  const std::uint64_t seed = mSoft->mRandom.Below(kSeeds);
+  *mSoft = soft_state(mSoft->mOptions, seed);
+  mSoft->mLeading = true;
+  mSoft->mNextHousekeeping = aNow.mNow;
+  mSoft->mOrganisationInFlight.resize(aState.Organisations().size());
+  mSoft->RefreshAll(aState, aNow.mNow);
+}
+
+void
+cell_scheduler::StepDown()
+{
+  mSoft->mLeading = false;
+}
+
+bool
+cell_scheduler::IsLeading() const
+{
+  return mSoft->mLeading;
+}
+
+void
+cell_scheduler::OnApplied(const cell_state& aState,
+                          const cell_command& aCommand,
+                          const apply_outcome& aOutcome,
+                          const instant& aNow)
+{
+  if (!mSoft->mLeading) {
+    return;
+  }
+  soft_state& soft = *mSoft;
+  soft.mOrganisationInFlight.resize(aState.Organisations().size());
+  if (soft.mWorkers.size() < aState.Workers().size()) {
+    soft.mWorkers.resize(aState.Workers().size());
+  }
+  if (const auto* announced = std::get_if<register_worker>(&aCommand);
+      announced != nullptr && !aOutcome.mRefusal) {
+    HearAnnouncement(soft, aState, announced->mWorker, aNow);
+  }
+  ClearProposal(soft, aState, aCommand, aNow);
+  for (const worker_slot slot : aOutcome.mWorkers) {
+    soft.Refresh(aState, slot, aNow.mNow);
+  }
+}
+
+void
+cell_scheduler::OnDropped(const cell_state& aState,
+                          const cell_command& aCommand,
+                          const instant& aNow)
+{
+  if (mSoft->mLeading) {
+    ClearProposal(*mSoft, aState, aCommand, aNow);
+  }
+}
+
+} // namespace oriolewalk::cell
--- /dev/null
+++ b/oriolewalk/cell/soft_state.cc
@@ -0,0 +1,146 @@
+#include "oriolewalk/cell/soft_state.h"
+
+#include <algorithm>
+#include <cstddef>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/policy.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/resources.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+// Sizes remembered as too large; the common ones of a cell are fewer.
+constexpr std::size_t kMostNoRoom = 32;
+constexpr double kLeastWeight = 1e-6;
+
+} // namespace
+
+bool
+soft_state::MayTakeWork(const cell_state& aState,
+                        worker_slot aSlot,
+                        time_point aNow) const
+{
+  const worker_view& view = mWorkers[aSlot];
+  return aState.Workers()[aSlot].TakesWork() && view.mSeen &&
+         !view.mLossProposed && aNow - view.mHeard <= mOptions.mQuiet;
+}
+
+void
+soft_state::Refresh(const cell_state& aState,
+                    worker_slot aSlot,
+                    time_point aNow)
+{
+  if (aSlot >= mWorkers.size()) {
+    mWorkers.resize(aState.Workers().size());
+  }
+  const worker_record& worker = aState.Workers()[aSlot];
+  if (mWorkers[aSlot].mId != worker.mId) {
+    mWorkers[aSlot] = {};
+    mWorkers[aSlot].mId = worker.mId;
+    mWorkers[aSlot].mHeard = aNow;
+  }
+  if (!MayTakeWork(aState, aSlot, aNow)) {
+    mIndex.Erase(aSlot);
+    return;
+  }
+  if (mIndex.Set(aSlot, Free(aState, aSlot), worker.mCapacity)) {
+    mNoRoom.clear();
+  }
+}
+
+void
+soft_state::RefreshAll(const cell_state& aState, time_point aNow)
+{
+  for (worker_slot slot = 0; slot < aState.Workers().size(); ++slot) {
+    Refresh(aState, slot, aNow);
+  }
+}
+
+void
+soft_state::ReadPolicy(const cell_state& aState, const cell_policy& aPolicy)
+{
+  const auto organisations = aState.Organisations();
+  mOrganisationInFlight.resize(organisations.size());
+  if (!mPolicyRead || mPolicyVersion != aPolicy.mVersion) {
+    mWeights.clear();
+    mPolicyRead = true;
+    mPolicyVersion = aPolicy.mVersion;
+  }
+  for (std::size_t at = mWeights.size(); at < organisations.size(); ++at) {
+    const auto found = aPolicy.mWeights.find(organisations[at].mId);
+    mWeights.push_back(found == aPolicy.mWeights.end()
+                         ? 1.0
+                         : std::max(kLeastWeight, found->second));
+  }
+}
+
+double
+soft_state::ShareOf(const cell_state& aState,
+                    organisation_slot aOrganisation) const
+{
+  const resources used = aState.Organisations()[aOrganisation].mBooked +
+                         mOrganisationInFlight[aOrganisation];
+  return DominantShare(used, aState.TotalCapacity()) / mWeights[aOrganisation];
+}
+
+bool
+soft_state::QuotaAllows(const cell_state& aState,
+                        organisation_slot aOrganisation,
+                        const resources& aMore) const
+{
+  return aState.Organisations()[aOrganisation].Allows(
+    mOrganisationInFlight[aOrganisation] + aMore);
+}
+
+bool
+soft_state::IsKnownToLackRoom(const resources& aRequest) const
+{
+  return std::ranges::any_of(mNoRoom, [&](const resources& aTooLarge) {
+    return aTooLarge.FitsIn(aRequest);
+  });
+}
+
+void
+soft_state::NoteNoRoom(const resources& aRequest)
+{
+  std::erase_if(mNoRoom, [&](const resources& aTooLarge) {
+    return aRequest.FitsIn(aTooLarge);
+  });
+  if (mNoRoom.size() < kMostNoRoom) {
+    mNoRoom.push_back(aRequest);
+  }
+}
+
+void
+soft_state::AddStart(const cell_state& aState,
+                     const task_id& aTask,
+                     const start_in_flight& aStart,
+                     time_point aNow)
+{
+  mStarts.emplace(aTask, aStart);
+  mWorkers[aStart.mWorker].mInFlight += aStart.mSize;
+  mOrganisationInFlight[aStart.mOrganisation] += aStart.mSize;
+  Refresh(aState, aStart.mWorker, aNow);
+}
+
+void
+soft_state::ClearStart(const cell_state& aState,
+                       const task_id& aTask,
+                       time_point aNow)
+{
+  const auto found = mStarts.find(aTask);
+  if (found == mStarts.end()) {
+    return;
+  }
+  const start_in_flight start = found->second;
+  mStarts.erase(found);
+  mWorkers[start.mWorker].mInFlight -= start.mSize;
+  mOrganisationInFlight[start.mOrganisation] -= start.mSize;
+  Refresh(aState, start.mWorker, aNow);
+}
+
+} // namespace oriolewalk::cell
