--- /dev/null
+++ b/oriolewalk/http/client.cc
@@ -0,0 +1,149 @@
+#include "oriolewalk/http/client.h"
+
+#include <algorithm>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/client_core.h"
+#include "oriolewalk/http/connection.h"
+#include "oriolewalk/http/message.h"
+#include "oriolewalk/settings/address.h"
+
+namespace oriolewalk::http {
+
+void
+client::core::Launch(std::unique_ptr<call> aCall)
+{
+  std::shared_ptr<connection> chosen;
+  std::string refusal;
+  {
+    const std::scoped_lock lock(mLock);
+    pool& there = mPools[aCall->mTo];
+    if (mClosed) {
+      refusal = "the client is closed";
+    } else if (!there.mIdle.empty()) {
+      chosen = std::move(there.mIdle.back());
+      there.mIdle.pop_back();
+    } else if (there.mOpen >= mLimits.mMaxConnections) {
+      refusal = "all " + std::to_string(there.mOpen) + " connections are busy";
+    } else {
+      ++there.mOpen;
+    }
+  }
+  if (!refusal.empty()) {
+    boost::asio::post(mContext,
+                      [done = std::move(aCall->mDone),
+                       problem = error{ error_code::Busy,
+                                        "choosing a connection",
+                                        aCall->mTo.ToString(),
+                                        std::move(refusal) }] {
+                        done(never_started{ problem });
+                      });
+    return;
+  }
+  if (!chosen) {
+    chosen =
+      std::make_shared<connection>(mContext, aCall->mTo, shared_from_this());
+  }
+  chosen->Start(std::move(aCall));
+}
+
+bool
+client::core::Return(const std::shared_ptr<connection>& aConnection)
+{
+  const std::scoped_lock lock(mLock);
+  if (!mClosed) {
+    mPools[aConnection->To()].mIdle.push_back(aConnection);
+  }
+  return !mClosed;
+}
+
+void
+client::core::Remove(connection& aConnection)
+{
+  std::shared_ptr<connection> kept; // freed after the lock
+  const std::scoped_lock lock(mLock);
+  const auto there = mPools.find(aConnection.To());
+  if (there == mPools.end()) {
+    return;
+  }
+  auto& idle = there->second.mIdle;
+  const auto found = std::ranges::find(
+    idle, &aConnection, [](const auto& aOne) { return aOne.get(); });
+  if (found != idle.end()) {
+    kept = std::move(*found);
+    idle.erase(found);
+  }
+  if (--there->second.mOpen == 0) {
+    mPools.erase(there);
+  }
+}
+
+void
+client::core::Opened(connection& aConnection)
+{
+  const std::scoped_lock lock(mLock);
+  mAll.insert(&aConnection);
+}
+
+void
+client::core::Ended(connection& aConnection)
+{
+  const std::scoped_lock lock(mLock);
+  mAll.erase(&aConnection);
+}
+
+void
+client::core::Close()
+{
+  std::vector<std::shared_ptr<connection>> open;
+  {
+    const std::scoped_lock lock(mLock);
+    mClosed = true;
+    for (connection* one : mAll) {
+      if (auto kept = one->weak_from_this().lock()) {
+        open.push_back(std::move(kept));
+      }
+    }
+  }
+  for (const auto& one : open) {
+    one->Close();
+  }
+}
+
+client::client(boost::asio::io_context& aContext, client_limits aLimits)
+  : mCore(std::make_shared<core>(aContext, aLimits))
+{
+}
+
+client::~client()
+{
+  mCore->Close();
+}
+
+void
+client::Send(const settings::address& aTo,
+             request aRequest,
+             send_options aOptions,
+             send_callback aDone)
+{
+  const time_point due = runtime_clock::now() + aOptions.mTotalTimeout;
+  mCore->Launch(std::make_unique<call>(call{
+    aTo, std::move(aRequest), std::move(aOptions), std::move(aDone), due }));
+}
+
+void
+client::Close()
+{
+  mCore->Close();
+}
+
+} // namespace oriolewalk::http
--- /dev/null
+++ b/oriolewalk/http/client.h
@@ -0,0 +1,105 @@
+#pragma once
+
+// An HTTP/1.1 client that never guesses: each outcome says what is known of
+// the request.
+//
+//   client web(context, {});
+//   web.Send({ "127.0.0.1", 9001 }, { .mMethod = "POST", .mTarget = "/pay" },
+//            {}, [](send_outcome aOutcome) {
+//     std::visit(overloaded{
+//       [](answered& aAnswer) { ... aAnswer.mResponse ... },
+//       [](never_started& aNone) { ... safe to send elsewhere ... },
+//       [](unknown_outcome& aLost) { ... it may have run ... } }, aOutcome);
+//   });
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/message.h"
+#include "oriolewalk/settings/address.h"
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace oriolewalk::http {
+
+// The peer's whole answer to this very request.
+struct answered
+{
+  response mResponse;
+};
+
+// Not one byte of the request was written: the peer can't have begun it.
+struct never_started
+{
+  error mError;
+};
+
+// Some of the request was written, but no whole answer to it came: cut off,
+// too late, too large, malformed or somebody else's. It may have run.
+struct unknown_outcome
+{
+  error mError;
+};
+
+using send_outcome = std::variant<answered, never_started, unknown_outcome>;
+// On a strand of the io_context, exactly once.
+using send_callback = std::function<void(send_outcome)>;
+
+struct send_options
+{
+  milliseconds mConnectTimeout{ 1'000 };
+  milliseconds mTotalTimeout{ 10'000 }; // from Send to the whole answer
+  std::size_t mMaxAnswerBytes = 1024UL * 1024;
+  std::size_t mMaxAnswerHeaderBytes = 16UL * 1024;
+  // Headers that must have this value in the answer, if it has them at all.
+  // A faulty peer that answers one request twice would otherwise have its
+  // second answer taken for the next request's.
+  std::vector<header> mMustMatch{};
+};
+
+struct client_limits
+{
+  // To one address, busy and idle. One more request is never_started (Busy):
+  // waiting belongs to the caller, who knows what is urgent.
+  std::size_t mMaxConnections = 256;
+  // Under the server's 60 s, so that it is we who close and a request never
+  // meets a connection that the peer is just closing.
+  milliseconds mIdleTimeout{ 20'000 };
+};
+
+// Keeps idle connections per address and uses the latest first. One read is
+// always under way, so that a peer's close is seen while a connection is idle;
+// a connection found dead before a byte was written is replaced, one that dies
+// later makes unknown_outcome. Owned by a process's shell; any thread may
+// call. The io_context must outlive it.
+class client
+{
+public:
+  client(boost::asio::io_context& aContext, client_limits aLimits);
+  ~client(); // Close()
+  client(const client&) = delete;
+  client& operator=(const client&) = delete;
+  client(client&&) = delete;
+  client& operator=(client&&) = delete;
+
+  void Send(const settings::address& aTo,
+            request aRequest,
+            send_options aOptions,
+            send_callback aDone);
+  // Cuts all connections; requests under way end as never_started or unknown.
+  void Close();
+
+  class core;
+
+private:
+  std::shared_ptr<core> mCore;
+};
+
+} // namespace oriolewalk::http
--- /dev/null
+++ b/oriolewalk/http/connection.cc
@@ -0,0 +1,371 @@
+#include "oriolewalk/http/connection.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <sys/socket.h>
+#include <sys/types.h>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/write.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/client.h"
+#include "oriolewalk/http/client_core.h"
+#include "oriolewalk/http/message.h"
+#include "oriolewalk/settings/address.h"
+
+namespace oriolewalk::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using system_code = boost::system::error_code;
+using code = oriolewalk::error_code;
+
+constexpr std::size_t kReadBytes = 16UL * 1024;
+constexpr unsigned kVersion11 = 11;
+constexpr unsigned kFirstFinalStatus = 200;
+
+bool
+IsOurs(const header& aHeader)
+{
+  return beast::iequals(aHeader.mName, "Content-Length") ||
+         beast::iequals(aHeader.mName, "Connection") ||
+         beast::iequals(aHeader.mName, "Transfer-Encoding") ||
+         beast::iequals(aHeader.mName, "Host");
+}
+
+} // namespace
+
+connection::connection(asio::io_context& aContext,
+                       settings::address aTo,
+                       std::shared_ptr<client::core> aCore)
+  : mSocket(asio::make_strand(aContext))
+  , mTo(std::move(aTo))
+  , mCore(std::move(aCore))
+  , mDeadline(*this, mSocket.get_executor())
+{
+  mCore->Opened(*this);
+}
+
+connection::~connection()
+{
+  if (mState != state::Closed) {
+    mCore->Remove(*this);
+  }
+  mCore->Ended(*this);
+}
+
+void
+connection::Start(std::unique_ptr<call> aCall)
+{
+  asio::dispatch(
+    mSocket.get_executor(),
+    [self = shared_from_this(), call = std::move(aCall)]() mutable {
+      self->mCall = std::move(call);
+      self->Begin();
+    });
+}
+
+void
+connection::Close()
+{
+  asio::dispatch(mSocket.get_executor(), [self = shared_from_this()] {
+    self->FailCall(code::Unavailable, "the client was closed");
+    self->CloseNow();
+  });
+}
+
+void
+connection::Begin()
+{
+  if (mState == state::Fresh) {
+    Connect();
+    return;
+  }
+  if (mState == state::Closed || IsStale()) {
+    CloseNow();
+    mCore->Launch(std::move(mCall));
+    return;
+  }
+  mUsedBefore = true;
+  Write();
+}
+
+// The peer may have closed, or sent what nobody asked for, without our read's
+// handler having run yet. One system call spares most of the unknown outcomes
+// that a peer's idle time-out would otherwise make.
+bool
+connection::IsStale()
+{
+  char byte = 0;
+  const ssize_t count =
+    ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void
+connection::Connect()
+{
+  mState = state::Connecting;
+  system_code wrong;
+  const auto host = asio::ip::make_address(mTo.mHost, wrong);
+  if (wrong) {
+    FailCall(code::InvalidArgument, wrong.message());
+    CloseNow();
+    return;
+  }
+  mDeadline.Set(std::min(
+    mCall->mDue, runtime_clock::now() + mCall->mOptions.mConnectTimeout));
+  mSocket.async_connect({ host, mTo.mPort },
+                        [self = shared_from_this()](system_code aCode) {
+                          self->HandleConnect(aCode);
+                        });
+}
+
+void
+connection::HandleConnect(system_code aCode)
+{
+  if (mState != state::Connecting) {
+    return;
+  }
+  if (aCode) {
+    FailCall(code::Unavailable, aCode.message());
+    CloseNow();
+    return;
+  }
+  system_code ignored;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Write();
+}
+
+void
+connection::Write()
+{
+  mState = state::Sending;
+  mBytesWritten = false;
+  mWriting = true;
+  mDeadline.Set(mCall->mDue);
+  StartAnswer();
+  // A copy of the body would be needed only for a resend; the request is
+  // moved back into the call if nothing was written.
+  request& whole = mCall->mRequest;
+  mMessage.emplace();
+  mMessage->version(kVersion11);
+  mMessage->method_string(whole.mMethod);
+  mMessage->target(whole.mTarget);
+  mMessage->set(beast::http::field::host, mTo.ToString());
+  for (const header& one : whole.mHeaders) {
+    if (!IsOurs(one)) {
+      mMessage->insert(one.mName, one.mValue);
+    }
+  }
+  mMessage->body() = std::move(whole.mBody);
+  mMessage->prepare_payload();
+  beast::http::async_write(
+    mSocket,
+    *mMessage,
+    [self = shared_from_this()](system_code aCode, std::size_t aCount) {
+      self->HandleWritten(aCode, aCount);
+    });
+  Read();
+}
+
+void
+connection::HandleWritten(system_code aCode, std::size_t aCount)
+{
+  mWriting = false;
+  mBytesWritten = mBytesWritten || aCount > 0;
+  if (!aCode || mState != state::Sending || !mCall) {
+    return;
+  }
+  if (mUsedBefore && !mBytesWritten) {
+    mCall->mRequest.mBody = std::move(mMessage->body());
+    auto call = std::move(mCall);
+    CloseNow();
+    mCore->Launch(std::move(call));
+    return;
+  }
+  FailCall(code::Unavailable, aCode.message());
+  CloseNow();
+}
+
+void
+connection::Read()
+{
+  if (mReading || mState == state::Closed) {
+    return;
+  }
+  mReading = true;
+  mSocket.async_read_some(
+    mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](system_code aCode, std::size_t aCount) {
+      self->mReading = false;
+      self->HandleRead(aCode, aCount);
+    });
+}
+
+void
+connection::HandleRead(system_code aCode, std::size_t aCount)
+{
+  mBuffer.commit(aCount);
+  if (mState == state::Closed) {
+    return;
+  }
+  if (mState == state::Idle) {
+    // Closed by the peer, or an answer that nobody asked for.
+    CloseNow();
+    return;
+  }
+  if (aCode) {
+    FailCall(code::Unavailable,
+             aCode == asio::error::eof ? "the answer was cut off"
+                                       : aCode.message());
+    CloseNow();
+    return;
+  }
+  Parse();
+}
+
+void
+connection::StartAnswer()
+{
+  mParser.emplace();
+  mParser->eager(true);
+  mParser->header_limit(
+    static_cast<std::uint32_t>(mCall->mOptions.mMaxAnswerHeaderBytes));
+  mParser->body_limit(mCall->mOptions.mMaxAnswerBytes);
+  mParser->skip(mCall->mRequest.mMethod == "HEAD");
+}
+
+void
+connection::Parse()
+{
+  using beast::http::error;
+  // An answer proves that something was written, whatever our own handler has
+  // seen so far.
+  mBytesWritten = true;
+  system_code wrong;
+  while (mBuffer.size() > 0 && !mParser->is_done() && !wrong) {
+    mBuffer.consume(mParser->put(mBuffer.data(), wrong));
+    if (mParser->is_done() && mParser->get().result_int() < kFirstFinalStatus) {
+      StartAnswer(); // 100 and the like: the answer itself is still to come
+    }
+  }
+  if (!wrong && mParser->is_header_done() && mParser->need_eof()) {
+    wrong = error::bad_content_length; // an end that can't be told from a cut
+  }
+  if (wrong && wrong != error::need_more) {
+    const bool large =
+      wrong == error::body_limit || wrong == error::header_limit;
+    FailCall(large ? code::InvalidArgument : code::Corrupt,
+             large ? "the answer is too large" : wrong.message());
+    CloseNow();
+  } else if (mParser->is_done()) {
+    HandleAnswer();
+  } else {
+    Read();
+  }
+}
+
+bool
+connection::Matches(const response& aResponse) const
+{
+  return std::ranges::all_of(mCall->mOptions.mMustMatch,
+                             [&](const header& aWanted) {
+                               const auto value = aResponse.Find(aWanted.mName);
+                               return !value || *value == aWanted.mValue;
+                             });
+}
+
+void
+connection::HandleAnswer()
+{
+  const bool reuse = mParser->keep_alive() && !mWriting && mBuffer.size() == 0;
+  auto message = mParser->release();
+  response whole{ message.result_int(), {}, std::move(message.body()) };
+  for (const auto& field : message) {
+    whole.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  std::erase_if(whole.mHeaders, IsOurs);
+  if (!Matches(whole)) {
+    FailCall(code::Corrupt, "the answer is to another request");
+    CloseNow();
+    return;
+  }
+  const auto call = std::move(mCall);
+  mState = state::Idle;
+  mDeadline.Set(runtime_clock::now() + mCore->Limits().mIdleTimeout);
+  Read();
+  if (!reuse || !mCore->Return(shared_from_this())) {
+    CloseNow();
+  }
+  call->mDone(answered{ std::move(whole) });
+}
+
+void
+connection::HandleTimeout()
+{
+  if (mState == state::Connecting) {
+    FailCall(code::Timeout, "no connection in time");
+  } else if (mState == state::Sending) {
+    FailCall(code::Timeout, "no whole answer in time");
+  }
+  CloseNow();
+}
+
+// Ends the call, if there is one, by what is known of its bytes. While a write
+// is under way some may have gone out that its handler has not told of.
+void
+connection::FailCall(code aCode, std::string_view aReason)
+{
+  const auto call = std::move(mCall);
+  if (!call) {
+    return;
+  }
+  const bool sent = mState == state::Sending && (mBytesWritten || mWriting);
+  error problem{ aCode,
+                 mState == state::Sending ? "waiting for the answer"
+                                          : "connecting",
+                 mTo.ToString(),
+                 std::string(aReason) };
+  if (sent) {
+    call->mDone(unknown_outcome{ std::move(problem) });
+  } else {
+    call->mDone(never_started{ std::move(problem) });
+  }
+}
+
+void
+connection::CloseNow()
+{
+  if (mState == state::Closed) {
+    return;
+  }
+  mState = state::Closed;
+  mDeadline.Stop();
+  mCore->Remove(*this);
+  system_code ignored;
+  mSocket.close(ignored);
+}
+
+} // namespace oriolewalk::http
--- /dev/null
+++ b/testing/http/client_test.cc
@@ -0,0 +1,261 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <future>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/client.h"
+#include "oriolewalk/http/message.h"
+#include "oriolewalk/http/server.h"
+#include "oriolewalk/settings/address.h"
+#include "testing/http/loopback.h"
+
+namespace oriolewalk::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+// A target that answers every request of a connection with the same bytes and
+// then closes it, if asked to.
+raw_target::script
+AnswerWith(std::string aBytes, bool aClose)
+{
+  return [bytes = std::move(aBytes), aClose](tcp::socket& aSocket) {
+    while (!ReadRequest(aSocket).empty()) {
+      WriteAll(aSocket, bytes);
+      if (aClose) {
+        return;
+      }
+    }
+  };
+}
+
+std::string
+Reason(const send_outcome& aOutcome)
+{
+  REQUIRE(std::holds_alternative<unknown_outcome>(aOutcome));
+  return std::get<unknown_outcome>(aOutcome).mError.Describe();
+}
+
+TEST_CASE("many callers each get their own answer over few connections")
+{
+  running_context context;
+  server web(context.Get(),
+             kAnyPort,
+             {},
+             [](const request& aRequest, const responder& aCall) {
+               aCall.Send({ 200, {}, aRequest.mTarget + aRequest.mBody });
+             });
+  const settings::address where{ "127.0.0.1", web.Start().value() };
+  client caller(context.Get(), {});
+  constexpr int kRounds = 20;
+  constexpr int kAtOnce = 32;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<std::pair<std::string, std::future<send_outcome>>> sent;
+    for (int number = 0; number < kAtOnce; ++number) {
+      const std::string body = std::to_string(round * kAtOnce + number);
+      sent.emplace_back(
+        "/" + body + body,
+        SendTo(caller,
+               where,
+               { .mMethod = "POST", .mTarget = "/" + body, .mBody = body }));
+    }
+    for (auto& [wanted, future] : sent) {
+      const send_outcome outcome = future.get();
+      REQUIRE(std::holds_alternative<answered>(outcome));
+      CHECK(std::get<answered>(outcome).mResponse.mBody == wanted);
+    }
+  }
+  CHECK(web.Connections() <= kAtOnce);
+  caller.Close();
+  context.Stop();
+}
+
+TEST_CASE("a refused connection is never started")
+{
+  running_context context;
+  settings::address nobody;
+  {
+    const raw_target gone(AnswerWith(kOk, true));
+    nobody = gone.Address();
+  }
+  client caller(context.Get(), {});
+  const send_outcome outcome = SendTo(caller, nobody, {}).get();
+  REQUIRE(std::holds_alternative<never_started>(outcome));
+  CHECK(std::get<never_started>(outcome).mError.mPeer == nobody.ToString());
+}
+
+TEST_CASE("an answer that is cut, malformed, too large or of no stated length "
+          "leaves the outcome unknown")
+{
+  // The caller's request reached the target, which may have run it; no part
+  // of the answer is passed on, and nothing claims that it did not run.
+  const auto [bytes, reason] = GENERATE(table<std::string, std::string>({
+    { "", "cut off" },
+    { "HTTP/1.1 200 OK\r\nContent-Le", "cut off" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "cut off" },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+      "cut off" },
+    { "HTTP/1.1 200 OK\r\n\r\nok", "Content-Length" },
+    { "nonsense\r\n\r\n", "bad" },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "too large" },
+  }));
+  running_context context;
+  const raw_target target(AnswerWith(bytes, true));
+  client caller(context.Get(), {});
+  send_options options;
+  options.mMaxAnswerBytes = 100;
+  CAPTURE(bytes);
+  CHECK_THAT(Reason(SendTo(caller, target.Address(), {}, options).get()),
+             Catch::Contains(reason));
+}
+
+TEST_CASE("no answer in time is unknown, and its late answer reaches nobody")
+{
+  // The first request runs out of time. Its answer comes later, on the same
+  // connection; the next request must not get it.
+  const paused_clock clock;
+  running_context context;
+  std::promise<void> late;
+  std::atomic<int> connections = 0;
+  const raw_target target([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    if (++connections == 1) {
+      late.get_future().wait();
+      WriteAll(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+      return;
+    }
+    WriteAll(aSocket, kOk);
+  });
+  client caller(context.Get(), {});
+  auto first = SendTo(caller, target.Address(), {});
+  while (first.wait_for(milliseconds(1)) != std::future_status::ready) {
+    paused_clock::Advance(milliseconds(500));
+  }
+  // Either word is right here: if the clock ran out before the connection was
+  // made, nothing was written.
+  CHECK_FALSE(std::holds_alternative<answered>(first.get()));
+  late.set_value();
+  const send_outcome second = SendTo(caller, target.Address(), {}).get();
+  if (const auto* answer = std::get_if<answered>(&second)) {
+    CHECK(answer->mResponse.mBody == "ok");
+  }
+}
+
+TEST_CASE("an answer sent twice, or to another request, is taken by nobody")
+{
+  running_context context;
+  const raw_target twice(AnswerWith(kOk + kOk, true));
+  client caller(context.Get(), {});
+  for (int round = 0; round < 3; ++round) {
+    const send_outcome outcome = SendTo(caller, twice.Address(), {}).get();
+    CHECK(std::holds_alternative<answered>(outcome));
+  }
+  const raw_target other(AnswerWith("HTTP/1.1 200 OK\r\nOriole-Request: t/1\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    true));
+  send_options options;
+  options.mMustMatch = { { "oriole-request", "t/2" } };
+  CHECK_THAT(Reason(SendTo(caller, other.Address(), {}, options).get()),
+             Catch::Contains("another request"));
+}
+
+TEST_CASE("a connection that the peer closed while idle costs no outcome")
+{
+  // The target closes after each answer without saying so. The next request
+  // would be written to a dead connection and come back unknown, though the
+  // target never saw it.
+  running_context context;
+  std::atomic<int> closed = 0;
+  const raw_target target([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    WriteAll(aSocket, kOk);
+    aSocket.close();
+    ++closed;
+  });
+  client caller(context.Get(), {});
+  constexpr int kRounds = 50;
+  for (int round = 1; round <= kRounds; ++round) {
+    const send_outcome outcome = SendTo(caller, target.Address(), {}).get();
+    CHECK(std::holds_alternative<answered>(outcome));
+    while (closed < round) {
+      std::this_thread::yield();
+    }
+  }
+}
+
+TEST_CASE("connections to an address are bounded, and the refusal is at once")
+{
+  running_context context;
+  std::promise<void> go;
+  const raw_target target([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    go.get_future().wait();
+    WriteAll(aSocket, kOk);
+  });
+  client_limits limits;
+  limits.mMaxConnections = 1;
+  client caller(context.Get(), limits);
+  auto first = SendTo(caller, target.Address(), {});
+  const send_outcome second = SendTo(caller, target.Address(), {}).get();
+  REQUIRE(std::holds_alternative<never_started>(second));
+  CHECK(std::get<never_started>(second).mError.mCode == error_code::Busy);
+  go.set_value();
+  CHECK(std::holds_alternative<answered>(first.get()));
+}
+
+TEST_CASE("a closed client ends what is under way and refuses what is new")
+{
+  running_context context;
+  std::promise<void> arrived;
+  std::promise<void> go;
+  const raw_target target([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    arrived.set_value();
+    go.get_future().wait();
+  });
+  client caller(context.Get(), {});
+  auto first = SendTo(caller, target.Address(), {});
+  arrived.get_future().wait();
+  caller.Close();
+  CHECK_THAT(Reason(first.get()), Catch::Contains("closed"));
+  CHECK(std::holds_alternative<never_started>(
+    SendTo(caller, target.Address(), {}).get()));
+  go.set_value();
+}
+
+TEST_CASE("100 Continue and HEAD are followed, and the connection is kept")
+{
+  running_context context;
+  const raw_target target([](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    WriteAll(aSocket, "HTTP/1.1 100 Continue\r\n\r\n" + kOk);
+    ReadRequest(aSocket);
+    WriteAll(aSocket, "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n");
+    ReadRequest(aSocket);
+    WriteAll(aSocket, kOk);
+  });
+  client caller(context.Get(), {});
+  for (const char* method : { "GET", "HEAD", "GET" }) {
+    const send_outcome outcome =
+      SendTo(caller, target.Address(), { .mMethod = method }).get();
+    REQUIRE(std::holds_alternative<answered>(outcome));
+    CHECK(std::get<answered>(outcome).mResponse.mBody.size() ==
+          (std::string(method) == "GET" ? 2 : 0));
+  }
+}
+
+} // namespace
+} // namespace oriolewalk::http
