--- a/bench/detector_bench.cc
+++ b/bench/detector_bench.cc
@@ -150,6 +150,30 @@
   time_point mDeath;
 };
 
+struct beat
+{
+  std::uint64_t mNumber = 0;
+  time_point mSent;
+};
+
+// Of the beats that fall due in a pause, one is sent on waking, under the
+// number of that moment.
+std::vector<beat>
+MakeBeats(time_point aDeath, std::span<const span_of_time> aPauses)
+{
+  std::vector<beat> beats;
+  for (time_point due{}; due < aDeath; due += kPeriod) {
+    const auto* pause = PauseAt(aPauses, due);
+    const auto sent = pause == nullptr ? due : pause->mTo;
+    const auto number =
+      static_cast<std::uint64_t>(sent.time_since_epoch() / kPeriod);
+    if (beats.empty() || beats.back().mNumber < number) {
+      beats.push_back({ number, sent });
+    }
+  }
+  return beats;
+}
+
 life
 MakeLife(const series_kind& aKind, std::uint64_t aSeed)
 {
@@ -157,36 +181,18 @@
   life made;
   made.mDeath = time_point{} + kLife + Scaled(kPeriod, random.Fraction());
   auto pauses = MakePauses(aKind, random);
-  std::uint64_t skipTo = 0;
-  for (std::uint64_t due = 0;; ++due) {
-    auto sent = time_point{} + kPeriod * static_cast<int>(due);
-    auto number = due;
-    if (sent >= made.mDeath) {
-      break;
-    }
-    if (due < skipTo) {
-      continue;
-    }
-    const auto* pause = aKind.mObserverPauses ? nullptr : PauseAt(pauses, sent);
-    if (pause != nullptr) {
-      // One is sent on waking, under the number of that moment.
-      sent = pause->mTo;
-      number = static_cast<std::uint64_t>(sent.time_since_epoch() / kPeriod);
-      skipTo = number + 1;
+  if (aKind.mObserverPauses) {
+    std::swap(pauses, made.mObserverPauses);
+  }
+  for (const auto& sent : MakeBeats(made.mDeath, pauses)) {
+    auto arrival =
+      sent.mSent + aKind.mDelay + Scaled(aKind.mJitter, Exponential(random));
+    if (const auto* pause = PauseAt(made.mObserverPauses, arrival)) {
+      arrival = pause->mTo + milliseconds(1);
     }
-    const auto delay =
-      aKind.mDelay + Scaled(aKind.mJitter, Exponential(random));
     if (random.Fraction() >= aKind.mLoss) {
-      made.mArrivals.push_back({ number, sent + delay });
-    }
-  }
-  if (aKind.mObserverPauses) {
-    for (auto& arrival : made.mArrivals) {
-      if (const auto* pause = PauseAt(pauses, arrival.mArrived)) {
-        arrival.mArrived = pause->mTo + milliseconds(1);
-      }
+      made.mArrivals.push_back({ sent.mNumber, arrival });
     }
-    made.mObserverPauses = std::move(pauses);
   }
   std::ranges::stable_sort(made.mArrivals, {}, &heartbeat::mArrived);
   return made;
