--- a/oriolewalk/cell/cell_state_workers.cc
+++ b/oriolewalk/cell/cell_state_workers.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -39,6 +40,31 @@
            });
 }
 
+bool
+IsNumber(std::string_view aText)
+{
+  return std::ranges::all_of(
+    aText, [](char aEach) { return aEach >= '0' && aEach <= '9'; });
+}
+
+// Numbers that rise with each life tell every late announcement, also one of
+// a life that the cell never heard of. Other boots are known only by having
+// been seen.
+bool
+IsEarlierLife(const boot_id& aBoot, const worker_record& aWorker)
+{
+  std::string_view boot = aBoot.Value();
+  std::string_view present = aWorker.mBoot.Value();
+  if (IsNumber(boot) && IsNumber(present)) {
+    boot.remove_prefix(std::min(boot.find_first_not_of('0'), boot.size()));
+    present.remove_prefix(
+      std::min(present.find_first_not_of('0'), present.size()));
+    return std::pair(boot.size(), boot) < std::pair(present.size(), present);
+  }
+  return std::ranges::find(aWorker.mFormerBoots, aBoot) !=
+         aWorker.mFormerBoots.end();
+}
+
 } // namespace
 
 worker_slot
@@ -75,8 +101,7 @@
   const bool newLife = worker.mBoot != aCommand.mBoot;
   // A copy of an earlier life's announcement that comes late would end, on
   // paper, what the present life still runs: tasks would run twice.
-  if (newLife && std::ranges::find(worker.mFormerBoots, aCommand.mBoot) !=
-                   worker.mFormerBoots.end()) {
+  if (newLife && IsEarlierLife(aCommand.mBoot, worker)) {
     aOutcome.mRefusal =
       Refusal(error_code::Conflict, kStep, "this life of the worker is over");
     return;
--- a/oriolewalk/cell/command.h
+++ b/oriolewalk/cell/command.h
@@ -45,7 +45,9 @@
   }
 };
 
-// A new boot says that nothing of an earlier life still runs.
+// A new boot says that nothing of an earlier life still runs. Boots should be
+// decimal numbers that rise with each life, such as the time of its start: a
+// lower one is then a late copy, and is refused.
 struct register_worker
 {
   worker_id mWorker;
--- a/oriolewalk/cell/explain.cc
+++ b/oriolewalk/cell/explain.cc
@@ -7,9 +7,11 @@
 #include <vector>
 
 #include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/health.h"
 #include "oriolewalk/cell/job.h"
 #include "oriolewalk/cell/policy.h"
 #include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/reservations.h"
 #include "oriolewalk/cell/scheduler.h"
 #include "oriolewalk/cell/soft_state.h"
 
@@ -39,15 +41,24 @@
   if (worker.mDraining) {
     return "draining";
   }
+  if (aSoft.mHealth.Standing(aSlot, aNow.mNow) == worker_standing::Out) {
+    return "out: it failed what others finish";
+  }
   if (!aSoft.MayTakeWork(aState, aSlot, aNow.mNow)) {
     return "quiet";
   }
   if (const auto excess = aSpec.mEach.FirstExcess(worker.mCapacity)) {
     return "too small: " + std::string(ToString(*excess));
   }
+  if (aSoft.mHealth.Standing(aSlot, aNow.mNow) == worker_standing::Probing) {
+    return "probed after it failed what others finish";
+  }
   if (const auto excess = aSpec.mEach.FirstExcess(aSoft.Free(aState, aSlot))) {
     return "no room now: " + std::string(ToString(*excess));
   }
+  if (aSoft.mBook.IsHeld(aSlot)) {
+    return "held for work that comes first";
+  }
   return "has room";
 }
 
@@ -89,6 +100,17 @@
                : std::string(ToString(aJob.mLatestMove)));
 }
 
+std::string
+DescribePlaces(const soft_state& aSoft, job_number aJob)
+{
+  const reservation* held = aSoft.mBook.Find(aJob);
+  if (held == nullptr) {
+    return {};
+  }
+  return held->mPreempts ? "; lesser work is being ended to make room"
+                         : "; places are held for it where room comes first";
+}
+
 } // namespace
 
 explanation
@@ -112,7 +134,8 @@
     answer.mReason = std::string(ToString(answer.mState)) + DescribeMoves(*job);
     return answer;
   }
-  answer.mReason = DescribeWait(aState, *job, aNow) + DescribeMoves(*job);
+  answer.mReason = DescribeWait(aState, *job, aNow) +
+                   DescribePlaces(*mSoft, aJob) + DescribeMoves(*job);
   std::map<std::string, worker_group> groups;
   for (worker_slot slot = 0; slot < aState.Workers().size(); ++slot) {
     const worker_record& worker = aState.Workers()[slot];
--- /dev/null
+++ b/oriolewalk/cell/health.cc
@@ -0,0 +1,120 @@
+#include "oriolewalk/cell/health.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/cell/records.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+// Three failures in a row of work that surely succeeds elsewhere, four of
+// families that nobody knows yet.
+constexpr double kMostBlame = 2.0;
+constexpr std::uint32_t kLeastFailures = 3;
+// One family without other evidence is never enough.
+constexpr double kMostBlameOfAFamily = 1.5;
+constexpr double kUnknownRate = 0.5;
+constexpr seconds kFirstProbe{ 60 };
+constexpr std::uint32_t kMostDoublings = 3;
+constexpr std::size_t kMostOutDivisor = 5;
+constexpr std::uint32_t kHalveAt = 64;
+
+} // namespace
+
+double
+worker_health::Blame(const record& aRecord) const
+{
+  double blame = 0;
+  for (const auto& [family, own] : aRecord.mFailures) {
+    const auto found = mFamilies.find(family);
+    const counts all = found == mFamilies.end() ? own : found->second;
+    const double ended = all.mEnded > own.mEnded ? all.mEnded - own.mEnded : 0;
+    const double failed =
+      all.mFailed > own.mFailed ? all.mFailed - own.mFailed : 0;
+    const double elsewhere = (failed + kUnknownRate) / (ended + 1.0);
+    const double each = std::max(0.0, 1.0 - elsewhere) * own.mFailed;
+    blame += ended < 1 ? std::min(each, kMostBlameOfAFamily) : each;
+  }
+  return blame;
+}
+
+void
+worker_health::TakeOut(record& aRecord, time_point aNow)
+{
+  const std::size_t most =
+    std::max<std::size_t>(mWorkers > 2 ? 1 : 0, mWorkers / kMostOutDivisor);
+  if (!aRecord.mOut) {
+    if (mOut >= most) {
+      return;
+    }
+    aRecord.mOut = true;
+    ++mOut;
+  }
+  aRecord.mOutUntil =
+    aNow + kFirstProbe * (1U << std::min(aRecord.mTimesOut, kMostDoublings));
+  ++aRecord.mTimesOut;
+}
+
+void
+worker_health::Note(worker_slot aSlot,
+                    const std::string& aFamily,
+                    bool aFailed,
+                    time_point aNow)
+{
+  counts& family = mFamilies[aFamily];
+  family.mEnded += 1;
+  family.mFailed += aFailed ? 1 : 0;
+  if (family.mEnded >= kHalveAt) { // Old results count less and less.
+    family.mEnded /= 2;
+    family.mFailed /= 2;
+  }
+  if (!aFailed && !mRecords.contains(aSlot)) {
+    return;
+  }
+  record& worker = mRecords[aSlot];
+  if (!aFailed) {
+    worker.mFailures.clear();
+    worker.mInARow = 0;
+    mOut -= worker.mOut ? 1 : 0;
+    worker.mOut = false;
+    return;
+  }
+  counts& own = worker.mFailures[aFamily];
+  ++own.mEnded;
+  ++own.mFailed;
+  ++worker.mInARow;
+  if (worker.mOut ||
+      (worker.mInARow >= kLeastFailures && Blame(worker) >= kMostBlame)) {
+    TakeOut(worker, aNow);
+  }
+}
+
+void
+worker_health::Reset(worker_slot aSlot)
+{
+  const auto found = mRecords.find(aSlot);
+  if (found != mRecords.end()) {
+    mOut -= found->second.mOut ? 1 : 0;
+    mRecords.erase(found);
+  }
+}
+
+worker_standing
+worker_health::Standing(worker_slot aSlot, time_point aNow) const
+{
+  if (mOut == 0) {
+    return worker_standing::Good;
+  }
+  const auto found = mRecords.find(aSlot);
+  if (found == mRecords.end() || !found->second.mOut) {
+    return worker_standing::Good;
+  }
+  return aNow < found->second.mOutUntil ? worker_standing::Out
+                                        : worker_standing::Probing;
+}
+
+} // namespace oriolewalk::cell
--- a/oriolewalk/cell/order.cc
+++ b/oriolewalk/cell/order.cc
@@ -80,23 +80,6 @@
       static_cast<std::size_t>(mClass));
   }
 
-  // The first task from the cursor on that may start now.
-  [[nodiscard]] std::optional<std::uint32_t> NextTask(const job_record& aJob,
-                                                      std::uint32_t aFrom) const
-  {
-    for (std::uint32_t at = std::max(aFrom, aJob.mFirstWaiting);
-         at < aJob.mTasks.size();
-         ++at) {
-      const task_record& task = aJob.mTasks[at];
-      if (task.mState == task_state::Waiting &&
-          task.mNotBeforeMs <= mPlan.mNow.mWallMs &&
-          !mPlan.mSoft.mStarts.contains({ aJob.mNumber, at })) {
-        return at;
-      }
-    }
-    return std::nullopt;
-  }
-
   bool NextJob(queue_cursor& aCursor) const
   {
     ++aCursor.mJob;
@@ -108,7 +91,7 @@
   bool Step(queue_cursor& aCursor)
   {
     const job_record& job = *mPlan.mState.FindJob(*aCursor.mJob);
-    const auto task = NextTask(job, aCursor.mTask);
+    const auto task = NextTask(mPlan, job, aCursor.mTask);
     if (!task) {
       return NextJob(aCursor);
     }
@@ -118,7 +101,10 @@
         aCursor.mShare =
           mPlan.mSoft.ShareOf(mPlan.mState, aCursor.mOrganisation);
         return true;
+      case start_result::Paced:
+        return NextJob(aCursor);
       case start_result::NoRoom:
+        MakeRoom(mPlan, job);
         return ++aCursor.mSkipped <= mPlan.mSoft.mOptions.mBackfillDepth &&
                NextJob(aCursor);
       case start_result::NoQuota:
@@ -132,8 +118,54 @@
   std::vector<queue_cursor> mHeap;
 };
 
+// The oldest of one class's queues that is beyond its bound.
+const job_record*
+OldestAged(const plan_context& aPlan, job_class aClass)
+{
+  const job_record* oldest = nullptr;
+  for (const organisation_slot at : aPlan.mState.Waiting(aClass)) {
+    const auto& jobs = aPlan.mState.Organisations()[at].mWaiting.at(
+      static_cast<std::size_t>(aClass));
+    const job_record* job = aPlan.mState.FindJob(*jobs.begin());
+    if (IsAged(aPlan, *job) &&
+        (oldest == nullptr ||
+         WaitedMs(aPlan, *job) > WaitedMs(aPlan, *oldest))) {
+      oldest = job;
+    }
+  }
+  return oldest;
+}
+
 } // namespace
 
+std::optional<std::uint32_t>
+NextTask(const plan_context& aPlan, const job_record& aJob, std::uint32_t aFrom)
+{
+  for (std::uint32_t at = std::max(aFrom, aJob.mFirstWaiting);
+       at < aJob.mTasks.size();
+       ++at) {
+    const task_record& task = aJob.mTasks[at];
+    if (task.mState == task_state::Waiting &&
+        task.mNotBeforeMs <= aPlan.mNow.mWallMs &&
+        !aPlan.mSoft.mStarts.contains({ aJob.mNumber, at })) {
+      return at;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+PlanAged(plan_context& aPlan)
+{
+  for (const job_class each : { job_class::Heavy, job_class::Normal }) {
+    const job_record* job = OldestAged(aPlan, each);
+    const auto task = job == nullptr ? std::nullopt : NextTask(aPlan, *job, 0);
+    if (task && TryStart(aPlan, *job, *task) == start_result::NoRoom) {
+      MakeRoom(aPlan, *job);
+    }
+  }
+}
+
 void
 PlanStarts(plan_context& aPlan)
 {
--- a/oriolewalk/cell/placing.cc
+++ b/oriolewalk/cell/placing.cc
@@ -1,14 +1,25 @@
 // Where a task goes.
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <map>
 #include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <variant>
 #include <vector>
 
+#include "oriolewalk/base/id.h"
 #include "oriolewalk/cell/cell_state.h"
 #include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/health.h"
 #include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/packing.h"
 #include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/reservations.h"
 #include "oriolewalk/cell/resources.h"
 #include "oriolewalk/cell/soft_state.h"
 #include "oriolewalk/cell/stages.h"
@@ -16,37 +27,250 @@
 namespace oriolewalk::cell {
 namespace {
 
-std::optional<worker_slot>
-ChooseWorker(plan_context& aPlan, const job_record& aJob)
+// A family that uses more than it declares looks for that much room; after
+// this wait it takes what it declared, so that it waits but does not starve.
+constexpr std::int64_t kPaddedWaitMs = 30'000;
+
+// What the smaller task may have for itself beside what is held.
+bool
+FitsBesideHeld(const plan_context& aPlan,
+               const resources& aSize,
+               worker_slot aSlot,
+               const held_room& aHeld)
 {
-  soft_state& soft = aPlan.mSoft;
-  const resources& size = aJob.mSpec.mEach;
-  if (soft.IsKnownToLackRoom(size)) {
-    return std::nullopt;
+  const resources needed = aSize + aHeld.mAmount;
+  resources free = aPlan.mSoft.Free(aPlan.mState, aSlot);
+  if (needed.FitsIn(free)) {
+    return true;
   }
-  const auto accept = [](worker_slot) { return true; };
-  const auto found =
-    soft.mIndex.Find(soft.mOptions.mPacking, size, accept, soft.mRandom);
-  if (!found) {
-    soft.NoteNoRoom(size);
+  for (const task_id& id : aPlan.mState.Workers()[aSlot].mTasks) {
+    const job_record& job = *aPlan.mState.FindJob(id.mJob);
+    const task_record& task = job.mTasks[id.mIndex];
+    if (ExpectedEndMs(aPlan, job, task) <= aHeld.mFromMs) {
+      free += Booking(job.mSpec, task);
+    }
   }
-  return found;
+  return needed.FitsIn(free);
 }
 
+// One search for one task.
+class worker_choice
+{
+public:
+  worker_choice(plan_context& aPlan,
+                const job_record& aJob,
+                std::uint32_t aIndex)
+    : mPlan(aPlan)
+    , mSoft(aPlan.mSoft)
+    , mJob(aJob)
+    , mTask{ aJob.mNumber, aIndex }
+    , mExpectedMs(mSoft.mLearning.ExpectedMs(aJob.mSpec))
+  {
+    const auto failed = mSoft.mFailedOn.find(mTask);
+    mFailedOn = failed == mSoft.mFailedOn.end() ? nullptr : &failed->second;
+  }
+
+  std::optional<worker_slot> Find()
+  {
+    if (const auto own = FindOwnPlace()) {
+      return own;
+    }
+    const resources padded = mSoft.mLearning.RoomFor(mJob.mSpec);
+    const bool pads = padded != mJob.mSpec.mEach &&
+                      mJob.mSpec.mClass != job_class::Urgent &&
+                      WaitedMs(mPlan, mJob) < kPaddedWaitMs;
+    auto found = FindFor(pads ? padded : mJob.mSpec.mEach);
+    if (!found && mFailedOn != nullptr && mRejectedForTask) {
+      // It failed wherever there is room; then anywhere is as good.
+      mFailedOn = nullptr;
+      found = FindFor(mJob.mSpec.mEach);
+    }
+    return found;
+  }
+
+private:
+  std::optional<worker_slot> FindOwnPlace()
+  {
+    const reservation* held = mSoft.mBook.Find(mJob.mNumber);
+    if (held == nullptr) {
+      return std::nullopt;
+    }
+    for (const auto& [slot, count] : held->mPlaces) {
+      if (mSoft.mIndex.Contains(slot) &&
+          mJob.mSpec.mEach.FitsIn(mSoft.Free(mPlan.mState, slot))) {
+        return slot;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::optional<worker_slot> FindFor(const resources& aSize)
+  {
+    no_room request{
+      aSize, false, mExpectedMs, IsEvictable(mJob.mSpec), mJob.mSpec.mClass
+    };
+    if (mSoft.IsKnownToLackRoom(request)) {
+      return std::nullopt;
+    }
+    const auto found =
+      mJob.mSpec.mKind == job_kind::Service
+        ? FindSpread(aSize)
+        : mSoft.mIndex.Find(
+            mSoft.mOptions.mPacking,
+            aSize,
+            [&](worker_slot aSlot) { return Accepts(aSlot, aSize); },
+            mSoft.mRandom);
+    if (!found && !mRejectedForTask) {
+      request.mForAll = !mRejectedForHeld;
+      mSoft.NoteNoRoom(request);
+    }
+    return found;
+  }
+
+  bool Accepts(worker_slot aSlot, const resources& aSize)
+  {
+    if (mSoft.mHealth.HasSuspects() && !AcceptsProbe(aSlot)) {
+      mRejectedForTask = true;
+      return false;
+    }
+    if (mFailedOn != nullptr &&
+        std::ranges::find(*mFailedOn, aSlot) != mFailedOn->end()) {
+      mRejectedForTask = true;
+      return false;
+    }
+    const auto held = mSoft.mBook.HeldOn(aSlot, mJob.mNumber);
+    if (!held || mJob.mSpec.mClass < held->mClass ||
+        FitsBesideHeld(mPlan, aSize, aSlot, *held) ||
+        (IsEvictable(mJob.mSpec) && mExpectedMs > 0 &&
+         mPlan.mNow.mWallMs + mExpectedMs <= held->mFromMs)) {
+      return true;
+    }
+    mRejectedForHeld = true;
+    return false;
+  }
+
+  // A suspect is tried with one task at a time, of the kind that may fail.
+  [[nodiscard]] bool AcceptsProbe(worker_slot aSlot) const
+  {
+    return mSoft.mHealth.Standing(aSlot, mPlan.mNow.mNow) ==
+             worker_standing::Good ||
+           (mJob.mSpec.mRepeatable && mJob.mSpec.mKind == job_kind::Batch &&
+            mPlan.mState.Workers()[aSlot].mTasks.empty() &&
+            mSoft.mWorkers[aSlot].mInFlight == resources{});
+  }
+
+  // Replicas: the data centre with the fewest, in it the rack with the
+  // fewest, there the worker with the fewest, then the best fit. Losing any
+  // one of them then takes the smallest share of the service.
+  std::optional<worker_slot> FindSpread(const resources& aSize)
+  {
+    CountReplicas();
+    using ranked_rack =
+      std::tuple<std::uint32_t, std::uint32_t, const std::set<worker_slot>*>;
+    std::vector<ranked_rack> racks;
+    for (const auto& [centre, byRack] : mSoft.mRacks) {
+      for (const auto& [rack, slots] : byRack) {
+        racks.emplace_back(
+          mByCentre[centre], mByRack[{ centre, rack }], &slots);
+      }
+    }
+    std::ranges::stable_sort(racks, [](const auto& aLeft, const auto& aRight) {
+      return std::tie(std::get<0>(aLeft), std::get<1>(aLeft)) <
+             std::tie(std::get<0>(aRight), std::get<1>(aRight));
+    });
+    for (const auto& [inCentre, inRack, slots] : racks) {
+      if (const auto found = BestInRack(*slots, aSize)) {
+        return found;
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::optional<worker_slot> BestInRack(const std::set<worker_slot>& aSlots,
+                                        const resources& aSize)
+  {
+    std::optional<worker_slot> best;
+    std::pair<std::uint32_t, double> bestRank;
+    for (const worker_slot slot : aSlots) {
+      const resources free = mSoft.Free(mPlan.mState, slot);
+      if (!mSoft.mIndex.Contains(slot) || !aSize.FitsIn(free) ||
+          !Accepts(slot, aSize)) {
+        continue;
+      }
+      const std::pair rank{
+        mByWorker[slot],
+        Score(shaped_fit{}, aSize, free, mPlan.mState.Workers()[slot].mCapacity)
+      };
+      if (!best || rank < bestRank) {
+        best = slot;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  void CountReplicas()
+  {
+    for (std::uint32_t at = 0; at < mJob.mTasks.size(); ++at) {
+      const task_record& task = mJob.mTasks[at];
+      worker_slot slot = task.mWorker;
+      if (task.mState != task_state::Placed) {
+        const auto start = mSoft.mStarts.find({ mJob.mNumber, at });
+        slot = start == mSoft.mStarts.end() ? kNoWorker : start->second.mWorker;
+      }
+      if (slot != kNoWorker) {
+        const worker_record& worker = mPlan.mState.Workers()[slot];
+        ++mByCentre[worker.mDataCentre];
+        ++mByRack[{ worker.mDataCentre, worker.mRack }];
+        ++mByWorker[slot];
+      }
+    }
+  }
+
+  plan_context& mPlan;
+  soft_state& mSoft;
+  const job_record& mJob;
+  task_id mTask;
+  std::int64_t mExpectedMs;
+  const std::vector<worker_slot>* mFailedOn = nullptr;
+  bool mRejectedForTask = false;
+  bool mRejectedForHeld = false;
+  std::map<data_centre_id, std::uint32_t> mByCentre;
+  std::map<std::pair<data_centre_id, rack_id>, std::uint32_t> mByRack;
+  std::map<worker_slot, std::uint32_t> mByWorker;
+};
+
 void
 ProposeStart(plan_context& aPlan,
              const job_record& aJob,
              std::uint32_t aIndex,
              worker_slot aSlot)
 {
+  soft_state& soft = aPlan.mSoft;
   const worker_record& worker = aPlan.mState.Workers()[aSlot];
   const task_id task{ aJob.mNumber, aIndex };
+  const auto held = soft.mBook.HeldOn(aSlot, aJob.mNumber);
+  if (held && aJob.mSpec.mClass >= held->mClass &&
+      !FitsBesideHeld(aPlan, aJob.mSpec.mEach, aSlot, *held)) {
+    soft.mBackfilled.insert(task);
+  }
   aPlan.mStarts.mPlacements.push_back(
     { task, aJob.mTasks[aIndex].mAttempt + 1, worker.mId, worker.mBoot });
-  aPlan.mSoft.AddStart(aPlan.mState,
-                       task,
-                       { aSlot, aJob.mOrganisation, aJob.mSpec.mEach },
-                       aPlan.mNow.mNow);
+  soft.AddStart(aPlan.mState,
+                task,
+                { aSlot, aJob.mOrganisation, aJob.mSpec.mEach },
+                aPlan.mNow.mNow);
+}
+
+void
+TakeBack(plan_context& aPlan, std::size_t aKeep)
+{
+  while (aPlan.mStarts.mPlacements.size() > aKeep) {
+    const task_id task = aPlan.mStarts.mPlacements.back().mTask;
+    aPlan.mSoft.mBackfilled.erase(task);
+    aPlan.mSoft.ClearStart(aPlan.mState, task, aPlan.mNow.mNow);
+    aPlan.mStarts.mPlacements.pop_back();
+  }
 }
 
 // All or none: a gang that held some of its places while it waits for the
@@ -55,22 +279,20 @@
 TryStartGang(plan_context& aPlan, const job_record& aJob)
 {
   const std::size_t before = aPlan.mStarts.mPlacements.size();
+  const auto known = aPlan.mSoft.mNoRoom;
   for (std::uint32_t at = aJob.mFirstWaiting; at < aJob.mTasks.size(); ++at) {
     if (aJob.mTasks[at].mState != task_state::Waiting) {
       continue;
     }
-    const auto slot = ChooseWorker(aPlan, aJob);
-    if (slot) {
-      ProposeStart(aPlan, aJob, at, *slot);
-      continue;
-    }
-    while (aPlan.mStarts.mPlacements.size() > before) {
-      aPlan.mSoft.ClearStart(
-        aPlan.mState, aPlan.mStarts.mPlacements.back().mTask, aPlan.mNow.mNow);
-      aPlan.mStarts.mPlacements.pop_back();
+    const auto slot = worker_choice(aPlan, aJob, at).Find();
+    if (!slot) {
+      TakeBack(aPlan, before);
+      aPlan.mSoft.mNoRoom = known; // What was learnt held for the trial only.
+      return start_result::NoRoom;
     }
-    return start_result::NoRoom;
+    ProposeStart(aPlan, aJob, at, *slot);
   }
+  aPlan.mSoft.DropReservation(aJob.mNumber);
   return start_result::Started;
 }
 
@@ -79,19 +301,28 @@
 start_result
 TryStart(plan_context& aPlan, const job_record& aJob, std::uint32_t aIndex)
 {
+  soft_state& soft = aPlan.mSoft;
   const bool gang = aJob.mSpec.mKind == job_kind::Gang;
   const resources needed = aJob.mSpec.mEach * (gang ? aJob.mWaiting : 1);
-  if (!aPlan.mSoft.QuotaAllows(aPlan.mState, aJob.mOrganisation, needed)) {
+  if (!soft.QuotaAllows(aPlan.mState, aJob.mOrganisation, needed)) {
     return start_result::NoQuota;
   }
   if (gang) {
     return TryStartGang(aPlan, aJob);
   }
-  const auto slot = ChooseWorker(aPlan, aJob);
+  const auto slot = worker_choice(aPlan, aJob, aIndex).Find();
   if (!slot) {
     return start_result::NoRoom;
   }
+  if (aJob.mTasks[aIndex].mAttempt > 0 &&
+      aJob.mSpec.mClass != job_class::Urgent &&
+      !soft.TakeRecoveryToken(aPlan.mNow.mNow)) {
+    return start_result::Paced;
+  }
   ProposeStart(aPlan, aJob, aIndex, *slot);
+  if (soft.mBook.Find(aJob.mNumber) != nullptr) {
+    soft.mBook.Use(aJob.mNumber, *slot);
+  }
   return start_result::Started;
 }
 
--- a/oriolewalk/cell/plan.cc
+++ b/oriolewalk/cell/plan.cc
@@ -50,7 +50,7 @@
 
 } // namespace
 
-void
+bool
 PlanHousekeeping(plan_context& aPlan, const cell_policy& aPolicy)
 {
   soft_state& soft = aPlan.mSoft;
@@ -59,10 +59,17 @@
     aPlan.mCommands.emplace_back(quotas_changed{ aPolicy.mQuotas });
   }
   if (aPlan.mNow.mNow < soft.mNextHousekeeping) {
-    return;
+    return false;
   }
   soft.mNextHousekeeping = aPlan.mNow.mNow + soft.mOptions.mHousekeeping;
   PlanLosses(aPlan);
+  if (soft.mHealth.HasSuspects()) {
+    soft.RefreshAll(aPlan.mState, aPlan.mNow.mNow); // Some may be due a probe.
+  }
+  KeepReservations(aPlan);
+  KeepThrottles(aPlan);
+  KeepDrains(aPlan);
+  return true;
 }
 
 std::vector<cell_command>
@@ -75,7 +82,9 @@
   }
   mSoft->ReadPolicy(aState, aPolicy);
   plan_context plan{ *mSoft, aState, aNow, {}, {} };
-  PlanHousekeeping(plan, aPolicy);
+  if (PlanHousekeeping(plan, aPolicy)) {
+    PlanAged(plan);
+  }
   PlanStarts(plan);
   if (!plan.mStarts.mPlacements.empty()) {
     plan.mCommands.emplace_back(std::move(plan.mStarts));
--- a/oriolewalk/cell/policy.h
+++ b/oriolewalk/cell/policy.h
@@ -47,11 +47,11 @@
   // Jobs of one organisation and class that are tried behind one that waits
   // for room.
   std::uint32_t mBackfillDepth = 16;
-  // Waiting longer than this, a normal or heavy job goes ahead of younger
-  // work, whatever its class, for at most one of mAgedEvery starts.
+  // Waiting longer than this, a normal or heavy job goes ahead of all younger
+  // work, one of each class every mHousekeeping: urgent work hardly feels it,
+  // and nothing starves under a flood of it.
   milliseconds mNormalBound{ 10 * 60 * 1000 };
   milliseconds mHeavyBound{ 60 * 60 * 1000 };
-  std::uint32_t mAgedEvery = 8;
   // Places held for work that doesn't fit yet.
   std::uint32_t mMostReservations = 64;
   std::uint32_t mMostQuietReservations = 8; // For other than urgent work.
@@ -61,7 +61,7 @@
   // A normal job may preempt heavy ones after this wait.
   milliseconds mNormalPatience{ 30'000 };
   // Most workers that a search for victims or for a reservation looks at.
-  std::uint32_t mMostScanned = 512;
+  std::uint32_t mMostScanned = 128;
   // Restarts of work that lost its worker, a second: a lost data centre must
   // not hold up new urgent work nor start everything on the same few workers.
   std::uint32_t mRecoveryPerSecond = 400;
--- a/oriolewalk/cell/poll.cc
+++ b/oriolewalk/cell/poll.cc
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/id.h"
 #include "oriolewalk/cell/cell_state.h"
 #include "oriolewalk/cell/command.h"
@@ -28,11 +29,13 @@
   poll_answer(soft_state& aSoft,
               const cell_state& aState,
               worker_slot aSlot,
-              const worker_poll& aPoll)
+              const worker_poll& aPoll,
+              time_point aNow)
     : mSoft(aSoft)
     , mState(aState)
     , mSlot(aSlot)
     , mPoll(aPoll)
+    , mNow(aNow)
     , mWorker(aState.Workers()[aSlot])
   {
   }
@@ -46,6 +49,10 @@
     for (const running_task& running : mPoll.mRunning) {
       TakeRunning(running);
     }
+    if (mHidden != mSoft.mWorkers[mSlot].mHidden) {
+      mSoft.mWorkers[mSlot].mHidden = mHidden;
+      mSoft.Refresh(mState, mSlot, mNow);
+    }
     for (const task_id& task : mWorker.mTasks) {
       if (!mShown.contains(task)) {
         StartOrStop(task, *mState.FindTask(task));
@@ -94,6 +101,7 @@
       return;
     }
     mShown.emplace(aRunning.mTask, aRunning.mAttempt);
+    NoteUsage(aRunning, *task);
     switch (task->mStop) {
       case stop_mode::Stop:
         Command(worker_command_kind::Stop, aRunning.mTask, aRunning.mAttempt);
@@ -108,6 +116,15 @@
     }
   }
 
+  // Use above the booking is offered to nobody; use below it changes nothing.
+  void NoteUsage(const running_task& aRunning, const task_record& aTask)
+  {
+    const job_spec& spec = mState.FindJob(aRunning.mTask.mJob)->mSpec;
+    mSoft.mLearning.NoteUsage(spec, aRunning.mUsage);
+    const resources booking = Booking(spec, aTask);
+    mHidden += Largest(aRunning.mUsage, booking) - booking;
+  }
+
   void KeepLimit(const running_task& aRunning, const task_record& aTask)
   {
     const job_spec& spec = mState.FindJob(aRunning.mTask.mJob)->mSpec;
@@ -148,9 +165,11 @@
   const cell_state& mState;
   worker_slot mSlot;
   const worker_poll& mPoll;
+  time_point mNow;
   const worker_record& mWorker;
   std::unordered_map<task_id, std::uint32_t> mShown;
   worker_reply mReply;
+  resources mHidden;
 };
 
 } // namespace
@@ -175,7 +194,7 @@
   if (!mSoft->mIndex.Contains(slot)) {
     mSoft->Refresh(aState, slot, aNow.mNow);
   }
-  return poll_answer(*mSoft, aState, slot, aPoll).Take();
+  return poll_answer(*mSoft, aState, slot, aPoll, aNow.mNow).Take();
 }
 
 } // namespace oriolewalk::cell
--- /dev/null
+++ b/oriolewalk/cell/room.cc
@@ -0,0 +1,436 @@
+// Room for a job that found none: preemption and reservation.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/reservations.h"
+#include "oriolewalk/cell/resources.h"
+#include "oriolewalk/cell/soft_state.h"
+#include "oriolewalk/cell/stages.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+constexpr std::int64_t kNever = std::numeric_limits<std::int64_t>::max();
+// Places that one job gets made in one Plan; the next Plan goes on.
+constexpr std::uint32_t kMostPlaces = 16;
+// Work that was moved this often on average is left alone, so that it does
+// not go back and forth; a checkpoint loses less, and may come more often.
+constexpr std::uint32_t kMostStops = 2;
+constexpr std::uint32_t kMostCheckpoints = 8;
+// One way of ending is always dearer than any loss under the one before.
+constexpr double kStepCost = 1e15;
+
+struct victim
+{
+  task_id mTask;
+  stop_mode mMode = stop_mode::Stop;
+  resources mGain;
+  double mCost = 0;
+};
+
+// One worker's answer: whom to end there, and what it costs.
+struct eviction
+{
+  worker_slot mWorker = kNoWorker;
+  std::vector<victim> mVictims;
+  double mCost = 0;
+};
+
+// Finds the cheapest room for the tasks of one job. The load it answers: an
+// urgent request for a cell that a night batch has filled. Without it the
+// request waits for the batch's next natural end.
+class room_search
+{
+public:
+  room_search(plan_context& aPlan, const job_record& aJob)
+    : mPlan(aPlan)
+    , mJob(aJob)
+  {
+  }
+
+  // Cost: at most mMostScanned workers and their tasks, twice.
+  std::optional<eviction> Cheapest()
+  {
+    mThrottles = true;
+    auto best = Scan();
+    if (!best) {
+      mThrottles = false; // Processors alone aren't what is short.
+      best = Scan();
+    }
+    mPlan.mSoft.mScanFrom += mPlan.mSoft.mOptions.mMostScanned;
+    return best;
+  }
+
+  // The place is taken: later searches of this job see it so.
+  void Take(const eviction& aRoom)
+  {
+    resources& taken = mTaken[aRoom.mWorker];
+    taken += mJob.mSpec.mEach;
+    for (const victim& each : aRoom.mVictims) {
+      taken -= each.mGain;
+      mVictims.insert(each.mTask);
+    }
+  }
+
+private:
+  [[nodiscard]] std::optional<eviction> Scan() const
+  {
+    const auto workers = mPlan.mState.Workers();
+    const std::size_t scans =
+      std::min<std::size_t>(workers.size(), mPlan.mSoft.mOptions.mMostScanned);
+    std::optional<eviction> best;
+    for (std::size_t scan = 0; scan < scans; ++scan) {
+      const auto slot = static_cast<worker_slot>(
+        (mPlan.mSoft.mScanFrom + scan) % workers.size());
+      auto found = On(slot);
+      if (found && (!best || found->mCost < best->mCost)) {
+        best = std::move(found);
+      }
+      if (best && best->mCost < kStepCost && best->mVictims.size() <= 1) {
+        break; // Nothing is lost but one checkpoint: good enough.
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] std::optional<eviction> On(worker_slot aSlot) const
+  {
+    const worker_record& worker = mPlan.mState.Workers()[aSlot];
+    const resources& size = mJob.mSpec.mEach;
+    if (!mPlan.mSoft.mIndex.Contains(aSlot) || !size.FitsIn(worker.mCapacity)) {
+      return std::nullopt;
+    }
+    resources room = mPlan.mSoft.Free(mPlan.mState, aSlot);
+    if (const auto held = mPlan.mSoft.mBook.HeldOn(aSlot, job_number(0))) {
+      room -= held->mAmount;
+    }
+    if (const auto taken = mTaken.find(aSlot); taken != mTaken.end()) {
+      room -= taken->second;
+    }
+    std::vector<victim> candidates;
+    for (const task_id& id : worker.mTasks) {
+      room += Consider(id, candidates);
+    }
+    return Choose(aSlot, room, std::move(candidates));
+  }
+
+  // Adds the task to the candidates, or gives what it is about to free.
+  resources Consider(const task_id& aTask,
+                     std::vector<victim>& aCandidates) const
+  {
+    const job_record& job = *mPlan.mState.FindJob(aTask.mJob);
+    const task_record& task = job.mTasks[aTask.mIndex];
+    if (task.mStop >= stop_mode::Checkpoint) {
+      return Booking(job.mSpec, task);
+    }
+    if (job.mSpec.mClass <= mJob.mSpec.mClass || mVictims.contains(aTask)) {
+      return {};
+    }
+    if (auto each = AsVictim(aTask, job, task)) {
+      aCandidates.push_back(*each);
+    }
+    return {};
+  }
+
+  [[nodiscard]] std::optional<victim> AsVictim(const task_id& aTask,
+                                               const job_record& aJob,
+                                               const task_record& aRecord) const
+  {
+    const job_spec& spec = aJob.mSpec;
+    const std::size_t tasks = aJob.mTasks.size();
+    const auto ran =
+      static_cast<double>(mPlan.mNow.mWallMs - aRecord.mPlacedMs);
+    const double loss = std::max(1.0, ran) *
+                        DominantShare(spec.mEach, mPlan.mState.TotalCapacity());
+    // Heavy work goes before normal work.
+    const double classCost =
+      spec.mClass == job_class::Heavy ? 0 : kStepCost / 2;
+    const resources whole = Booking(spec, aRecord);
+    if (spec.mCheckpointable && aJob.mMoves < kMostCheckpoints * tasks) {
+      return victim{ aTask, stop_mode::Checkpoint, whole, classCost + loss };
+    }
+    if (mThrottles && !aRecord.mThrottledOnce) {
+      return victim{
+        aTask,
+        stop_mode::Throttle,
+        { spec.mEach.mMilliProcessors - ThrottledMilliProcessors(spec), 0, 0 },
+        kStepCost + classCost + loss
+      };
+    }
+    const bool again = spec.mKind == job_kind::Service || spec.mRepeatable;
+    if (again && aJob.mMoves < kMostStops * tasks) {
+      return victim{
+        aTask, stop_mode::Stop, whole, 2 * kStepCost + classCost + loss
+      };
+    }
+    return std::nullopt;
+  }
+
+  // The cheapest first, until it fits; then those that weren't needed after
+  // all are let off, the dearest first.
+  [[nodiscard]] std::optional<eviction> Choose(
+    worker_slot aSlot,
+    resources aRoom,
+    std::vector<victim> aCandidates) const
+  {
+    const resources& size = mJob.mSpec.mEach;
+    std::ranges::sort(aCandidates, {}, &victim::mCost);
+    eviction answer{ aSlot, {}, 0 };
+    for (const victim& each : aCandidates) {
+      if (size.FitsIn(aRoom)) {
+        break;
+      }
+      aRoom += each.mGain;
+      answer.mVictims.push_back(each);
+    }
+    if (!size.FitsIn(aRoom)) {
+      return std::nullopt;
+    }
+    for (std::size_t at = answer.mVictims.size(); at-- > 0;) {
+      if (size.FitsIn(aRoom - answer.mVictims[at].mGain)) {
+        aRoom -= answer.mVictims[at].mGain;
+        answer.mVictims.erase(answer.mVictims.begin() +
+                              static_cast<std::ptrdiff_t>(at));
+      }
+    }
+    for (const victim& each : answer.mVictims) {
+      answer.mCost += each.mCost;
+    }
+    return answer;
+  }
+
+  plan_context& mPlan;
+  const job_record& mJob;
+  // A throttle frees processors only, and is asked for before any stop.
+  bool mThrottles = true;
+  std::map<worker_slot, resources> mTaken;
+  std::set<task_id> mVictims;
+};
+
+std::uint32_t
+TasksToStart(const plan_context& aPlan, const job_record& aJob)
+{
+  std::uint32_t tasks = 0;
+  auto at = NextTask(aPlan, aJob, 0);
+  while (at && (aJob.mSpec.mKind == job_kind::Gang || tasks < kMostPlaces)) {
+    ++tasks;
+    at = NextTask(aPlan, aJob, *at + 1);
+  }
+  return tasks;
+}
+
+} // namespace
+
+std::int64_t
+WaitedMs(const plan_context& aPlan, const job_record& aJob)
+{
+  return aPlan.mNow.mWallMs - std::max(aJob.mSubmittedMs, aJob.mLatestStartMs);
+}
+
+bool
+IsAged(const plan_context& aPlan, const job_record& aJob)
+{
+  const scheduler_options& options = aPlan.mSoft.mOptions;
+  switch (aJob.mSpec.mClass) {
+    case job_class::Urgent:
+      return false;
+    case job_class::Normal:
+      return WaitedMs(aPlan, aJob) > options.mNormalBound.count();
+    case job_class::Heavy:
+      break;
+  }
+  return WaitedMs(aPlan, aJob) > options.mHeavyBound.count();
+}
+
+stop_mode
+GentlestEnd(const job_spec& aSpec)
+{
+  return aSpec.mCheckpointable ? stop_mode::Checkpoint : stop_mode::Stop;
+}
+
+std::int64_t
+ExpectedEndMs(const plan_context& aPlan,
+              const job_record& aJob,
+              const task_record& aTask)
+{
+  const std::int64_t now = aPlan.mNow.mWallMs;
+  if (aTask.mStop >= stop_mode::Checkpoint) {
+    return now;
+  }
+  if (aJob.mSpec.mKind == job_kind::Service) {
+    return kNever;
+  }
+  const std::int64_t expected =
+    aTask.mPlacedMs + aPlan.mSoft.mLearning.ExpectedMs(aJob.mSpec);
+  // What overran its time is taken to be half done.
+  return expected > now ? expected : now + (now - aTask.mPlacedMs);
+}
+
+void
+ProposeStop(plan_context& aPlan,
+            const task_id& aTask,
+            stop_mode aMode,
+            stop_reason aReason)
+{
+  const task_record* task = aPlan.mState.FindTask(aTask);
+  if (task == nullptr || task->mState != task_state::Placed ||
+      task->mStop >= aMode || aMode == stop_mode::None) {
+    return;
+  }
+  const proposal_kind kind =
+    aMode == stop_mode::Throttle
+      ? proposal_kind::Throttle
+      : (aMode == stop_mode::Checkpoint ? proposal_kind::Checkpoint
+                                        : proposal_kind::Stop);
+  if (aPlan.mSoft.Propose(kind, aTask)) {
+    aPlan.mCommands.emplace_back(
+      stop_task{ aTask, task->mAttempt, aMode, aReason });
+  }
+}
+
+bool
+TryPreempt(plan_context& aPlan, const job_record& aJob, std::uint32_t aNeeded)
+{
+  room_search search(aPlan, aJob);
+  std::vector<eviction> rooms;
+  while (rooms.size() < aNeeded) {
+    auto room = search.Cheapest();
+    if (!room) {
+      break;
+    }
+    search.Take(*room);
+    rooms.push_back(std::move(*room));
+  }
+  const bool whole = rooms.size() == aNeeded;
+  if (rooms.empty() || (aJob.mSpec.mKind == job_kind::Gang && !whole)) {
+    return false; // It wouldn't help: nobody is ended.
+  }
+  reservation held{ aJob.mNumber,       job_class::Urgent,
+                    aJob.mSpec.mEach,   {},
+                    aPlan.mNow.mWallMs, true,
+                    aPlan.mNow.mNow };
+  held.mClass = aJob.mSpec.mClass;
+  for (const eviction& room : rooms) {
+    ++held.mPlaces[room.mWorker];
+    for (const victim& each : room.mVictims) {
+      ProposeStop(aPlan, each.mTask, each.mMode, stop_reason::Preempted);
+    }
+  }
+  aPlan.mSoft.mBook.Add(std::move(held));
+  return true;
+}
+
+namespace {
+
+using place = std::pair<std::int64_t, worker_slot>; // When there is room.
+
+// When each of the next aNeeded tasks finds room on one worker.
+void
+AddPlaces(const plan_context& aPlan,
+          const job_record& aJob,
+          worker_slot aSlot,
+          std::uint32_t aNeeded,
+          std::vector<place>& aPlaces)
+{
+  const worker_record& worker = aPlan.mState.Workers()[aSlot];
+  std::vector<std::pair<std::int64_t, resources>> ends;
+  for (const task_id& id : worker.mTasks) {
+    const job_record& job = *aPlan.mState.FindJob(id.mJob);
+    const task_record& task = job.mTasks[id.mIndex];
+    ends.emplace_back(ExpectedEndMs(aPlan, job, task),
+                      Booking(job.mSpec, task));
+  }
+  std::ranges::sort(ends, {}, &std::pair<std::int64_t, resources>::first);
+  resources room = aPlan.mSoft.Free(aPlan.mState, aSlot);
+  std::int64_t when = aPlan.mNow.mWallMs;
+  std::int64_t found = 0;
+  const auto add = [&] {
+    const std::int64_t fits =
+      std::min<std::int64_t>(aJob.mSpec.mEach.TimesIn(room), aNeeded);
+    for (; found < fits; ++found) {
+      aPlaces.emplace_back(when, aSlot);
+    }
+  };
+  add();
+  for (const auto& [end, booking] : ends) {
+    if (end == kNever || found >= aNeeded) {
+      break;
+    }
+    when = end;
+    room += booking;
+    add();
+  }
+}
+
+} // namespace
+
+bool
+TryReserve(plan_context& aPlan, const job_record& aJob, std::uint32_t aNeeded)
+{
+  const auto workers = aPlan.mState.Workers();
+  const std::size_t scans = std::min<std::size_t>(
+    workers.size(),
+    std::max<std::size_t>(aPlan.mSoft.mOptions.mMostScanned,
+                          std::size_t{ 2 } * aNeeded));
+  std::vector<place> places;
+  for (std::size_t scan = 0; scan < scans; ++scan) {
+    const auto slot =
+      static_cast<worker_slot>((aPlan.mSoft.mScanFrom + scan) % workers.size());
+    if (aPlan.mSoft.mIndex.Contains(slot) && !aPlan.mSoft.mBook.IsHeld(slot)) {
+      AddPlaces(aPlan, aJob, slot, aNeeded, places);
+    }
+  }
+  aPlan.mSoft.mScanFrom += static_cast<worker_slot>(scans);
+  if (places.size() < aNeeded) {
+    return false;
+  }
+  std::ranges::sort(places);
+  places.resize(aNeeded);
+  reservation held{ aJob.mNumber,        aJob.mSpec.mClass,
+                    aJob.mSpec.mEach,    {},
+                    places.back().first, false,
+                    aPlan.mNow.mNow };
+  held.mClass = IsAged(aPlan, aJob) ? job_class::Urgent : aJob.mSpec.mClass;
+  for (const auto& [when, slot] : places) {
+    ++held.mPlaces[slot];
+  }
+  aPlan.mSoft.mBook.Add(std::move(held));
+  return true;
+}
+
+void
+MakeRoom(plan_context& aPlan, const job_record& aJob)
+{
+  soft_state& soft = aPlan.mSoft;
+  if (soft.mBook.Find(aJob.mNumber) != nullptr ||
+      aPlan.mState.Workers().empty()) {
+    return;
+  }
+  const job_class jobClass = aJob.mSpec.mClass;
+  const bool preempts =
+    jobClass == job_class::Urgent ||
+    (jobClass == job_class::Normal &&
+     WaitedMs(aPlan, aJob) > soft.mOptions.mNormalPatience.count());
+  if (preempts && soft.mBook.Count(true) < soft.mOptions.mMostReservations &&
+      TryPreempt(aPlan, aJob, TasksToStart(aPlan, aJob))) {
+    return;
+  }
+  if (soft.mBook.Count(false) < soft.mOptions.mMostQuietReservations) {
+    const bool gang = aJob.mSpec.mKind == job_kind::Gang;
+    TryReserve(aPlan, aJob, gang ? TasksToStart(aPlan, aJob) : 1);
+  }
+}
+
+} // namespace oriolewalk::cell
--- a/oriolewalk/cell/scheduler.cc
+++ b/oriolewalk/cell/scheduler.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -15,6 +16,8 @@
 #include "oriolewalk/base/overloaded.h"
 #include "oriolewalk/cell/cell_state.h"
 #include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/learning.h"
 #include "oriolewalk/cell/policy.h"
 #include "oriolewalk/cell/records.h"
 #include "oriolewalk/cell/soft_state.h"
@@ -96,6 +99,56 @@
   // run under them. Polls get no lease until it is resolved.
 }
 
+std::string
+HealthKey(const job_record& aJob)
+{
+  return aJob.mSpec.mFamily.empty() ? ToString(aJob.mNumber)
+                                    : FamilyKey(aJob.mSpec);
+}
+
+// What the ends of attempts say of families and workers.
+void
+Learn(soft_state& aSoft,
+      const cell_state& aState,
+      const apply_outcome& aOutcome,
+      const instant& aNow)
+{
+  for (const ended_attempt& end : aOutcome.mEnded) {
+    aSoft.mBackfilled.erase(end.mTask);
+    const job_record* job = aState.FindJob(end.mTask.mJob);
+    const bool failed = end.mResult == attempt_result::Failed;
+    const bool succeeded = end.mResult == attempt_result::Succeeded;
+    if (job == nullptr || (!failed && !succeeded)) {
+      continue;
+    }
+    aSoft.mHealth.SetWorkers(aState.Workers().size());
+    aSoft.mHealth.Note(end.mWorker, HealthKey(*job), failed, aNow.mNow);
+    if (succeeded) {
+      aSoft.mLearning.NoteRun(job->mSpec, end.mRanMs);
+    }
+    const bool again = failed && !IsFinal(job->mTasks[end.mTask.mIndex].mState);
+    if (again) {
+      aSoft.mFailedOn[end.mTask].push_back(end.mWorker);
+    } else {
+      aSoft.mFailedOn.erase(end.mTask);
+    }
+    aSoft.Refresh(aState, end.mWorker, aNow.mNow);
+  }
+}
+
+// Throttles that an earlier leader asked for.
+void
+FindThrottled(soft_state& aSoft, const cell_state& aState)
+{
+  for (const worker_record& worker : aState.Workers()) {
+    for (const task_id& id : worker.mTasks) {
+      if (aState.FindTask(id)->mStop == stop_mode::Throttle) {
+        aSoft.mThrottled.insert(id);
+      }
+    }
+  }
+}
+
 } // namespace
 
 cell_scheduler::cell_scheduler(const scheduler_options& aOptions,
@@ -118,7 +171,9 @@
   mSoft->mLeading = true;
   mSoft->mNextHousekeeping = aNow.mNow;
   mSoft->mOrganisationInFlight.resize(aState.Organisations().size());
+  mSoft->mRecoveryAt = aNow.mNow;
   mSoft->RefreshAll(aState, aNow.mNow);
+  FindThrottled(*mSoft, aState);
 }
 
 void
@@ -155,6 +210,12 @@
   for (const worker_slot slot : aOutcome.mWorkers) {
     soft.Refresh(aState, slot, aNow.mNow);
   }
+  Learn(soft, aState, aOutcome, aNow);
+  if (const auto* stopped = std::get_if<stop_task>(&aCommand);
+      stopped != nullptr && !aOutcome.mRefusal &&
+      stopped->mMode == stop_mode::Throttle) {
+    soft.mThrottled.insert(stopped->mTask);
+  }
 }
 
 void
--- a/oriolewalk/cell/soft_state.cc
+++ b/oriolewalk/cell/soft_state.cc
@@ -26,7 +26,8 @@
 {
   const worker_view& view = mWorkers[aSlot];
   return aState.Workers()[aSlot].TakesWork() && view.mSeen &&
-         !view.mLossProposed && aNow - view.mHeard <= mOptions.mQuiet;
+         !view.mLossProposed && aNow - view.mHeard <= mOptions.mQuiet &&
+         mHealth.Standing(aSlot, aNow) != worker_standing::Out;
 }
 
 void
@@ -39,10 +40,20 @@
   }
   const worker_record& worker = aState.Workers()[aSlot];
   if (mWorkers[aSlot].mId != worker.mId) {
+    const worker_view& former = mWorkers[aSlot];
+    mRacks[former.mDataCentre][former.mRack].erase(aSlot);
     mWorkers[aSlot] = {};
     mWorkers[aSlot].mId = worker.mId;
     mWorkers[aSlot].mHeard = aNow;
+    mHealth.Reset(aSlot);
   }
+  worker_view& view = mWorkers[aSlot];
+  if (view.mRack != worker.mRack || view.mDataCentre != worker.mDataCentre) {
+    mRacks[view.mDataCentre][view.mRack].erase(aSlot);
+    view.mRack = worker.mRack;
+    view.mDataCentre = worker.mDataCentre;
+  }
+  mRacks[view.mDataCentre][view.mRack].insert(aSlot);
   if (!MayTakeWork(aState, aSlot, aNow)) {
     mIndex.Erase(aSlot);
     return;
@@ -97,24 +108,37 @@
 }
 
 bool
-soft_state::IsKnownToLackRoom(const resources& aRequest) const
+soft_state::IsKnownToLackRoom(const no_room& aRequest) const
 {
-  return std::ranges::any_of(mNoRoom, [&](const resources& aTooLarge) {
-    return aTooLarge.FitsIn(aRequest);
-  });
+  return std::ranges::any_of(
+    mNoRoom, [&](const no_room& aKnown) { return aKnown.Covers(aRequest); });
 }
 
 void
-soft_state::NoteNoRoom(const resources& aRequest)
+soft_state::NoteNoRoom(const no_room& aRequest)
 {
-  std::erase_if(mNoRoom, [&](const resources& aTooLarge) {
-    return aRequest.FitsIn(aTooLarge);
-  });
+  std::erase_if(mNoRoom,
+                [&](const no_room& aKnown) { return aRequest.Covers(aKnown); });
   if (mNoRoom.size() < kMostNoRoom) {
     mNoRoom.push_back(aRequest);
   }
 }
 
+bool
+soft_state::TakeRecoveryToken(time_point aNow)
+{
+  const std::chrono::duration<double> passed = aNow - mRecoveryAt;
+  mRecoveryAt = aNow;
+  mRecoveryTokens = std::min<double>(
+    mOptions.mRecoveryBurst,
+    mRecoveryTokens + passed.count() * mOptions.mRecoveryPerSecond);
+  if (mRecoveryTokens < 1) {
+    return false;
+  }
+  mRecoveryTokens -= 1;
+  return true;
+}
+
 void
 soft_state::AddStart(const cell_state& aState,
                      const task_id& aTask,
--- /dev/null
+++ b/oriolewalk/cell/upkeep.cc
@@ -0,0 +1,169 @@
+// What is due by time: reservations that lapse or overrun, throttles that are
+// taken back, workers that drain.
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/cell/cell_state.h"
+#include "oriolewalk/cell/command.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/records.h"
+#include "oriolewalk/cell/reservations.h"
+#include "oriolewalk/cell/resources.h"
+#include "oriolewalk/cell/soft_state.h"
+#include "oriolewalk/cell/stages.h"
+
+namespace oriolewalk::cell {
+namespace {
+
+// A reservation whose room is this late is made anew, where room comes first
+// by now.
+constexpr std::int64_t kLateMs = 10'000;
+// Made room that isn't there after this many escalations is sought elsewhere.
+constexpr int kEscalations = 3;
+
+bool
+MayRunAgain(const job_spec& aSpec)
+{
+  return aSpec.mKind == job_kind::Service || aSpec.mRepeatable;
+}
+
+bool
+IsOver(const plan_context& aPlan, const reservation& aHeld)
+{
+  const job_record* job = aPlan.mState.FindJob(aHeld.mJob);
+  if (job == nullptr || job->mWaiting == 0 || job->mCancelled ||
+      !NextTask(aPlan, *job, 0)) {
+    return true;
+  }
+  const bool lost = std::ranges::any_of(aHeld.mPlaces, [&](const auto& aPlace) {
+    return !aPlan.mSoft.mIndex.Contains(aPlace.first);
+  });
+  if (aHeld.mPreempts) {
+    return lost || aPlan.mNow.mNow - aHeld.mMade >
+                     aPlan.mSoft.mOptions.mEscalateAfter * kEscalations;
+  }
+  return lost || aPlan.mNow.mWallMs > aHeld.mStartMs + kLateMs;
+}
+
+// A checkpoint that takes too long becomes a stop, where nothing but time is
+// lost by it.
+void
+Escalate(plan_context& aPlan, worker_slot aSlot)
+{
+  for (const task_id& id : aPlan.mState.Workers()[aSlot].mTasks) {
+    const job_record& job = *aPlan.mState.FindJob(id.mJob);
+    const task_record& task = job.mTasks[id.mIndex];
+    if (task.mStop == stop_mode::Checkpoint &&
+        task.mStopReason == stop_reason::Preempted && MayRunAgain(job.mSpec)) {
+      ProposeStop(aPlan, id, stop_mode::Stop, stop_reason::Preempted);
+    }
+  }
+}
+
+// Who backfilled a place that is due now goes: the reservation isn't late for
+// a task that took longer than it said.
+void
+EndBackfill(plan_context& aPlan, worker_slot aSlot)
+{
+  for (const task_id& id : aPlan.mState.Workers()[aSlot].mTasks) {
+    if (aPlan.mSoft.mBackfilled.contains(id)) {
+      const job_spec& spec = aPlan.mState.FindJob(id.mJob)->mSpec;
+      ProposeStop(aPlan, id, GentlestEnd(spec), stop_reason::Overrun);
+    }
+  }
+}
+
+void
+KeepReservation(plan_context& aPlan, const reservation& aHeld)
+{
+  const bool late =
+    aPlan.mNow.mNow - aHeld.mMade >= aPlan.mSoft.mOptions.mEscalateAfter;
+  for (const auto& [slot, count] : aHeld.mPlaces) {
+    if (aHeld.mPreempts && late) {
+      Escalate(aPlan, slot);
+    } else if (!aHeld.mPreempts && aPlan.mNow.mWallMs >= aHeld.mStartMs) {
+      EndBackfill(aPlan, slot);
+    }
+  }
+}
+
+// Replicas move one at a time, each when all others of its service run; work
+// with checkpoints goes on elsewhere; the rest may finish until the deadline.
+// What must not run twice is never stopped.
+void
+DrainTask(plan_context& aPlan, const worker_record& aWorker, const task_id& aId)
+{
+  const job_record& job = *aPlan.mState.FindJob(aId.mJob);
+  const bool due = aWorker.mDrainDeadlineMs != 0 &&
+                   aPlan.mNow.mWallMs >= aWorker.mDrainDeadlineMs;
+  if (job.mSpec.mKind == job_kind::Service) {
+    const bool moving = std::ranges::any_of(job.mTasks, [](const auto& aTask) {
+      return aTask.mState == task_state::Placed &&
+             aTask.mStop == stop_mode::Stop;
+    });
+    if (due || (job.mWaiting == 0 && !moving)) {
+      ProposeStop(aPlan, aId, stop_mode::Stop, stop_reason::Drained);
+    }
+  } else if (job.mSpec.mCheckpointable) {
+    ProposeStop(aPlan, aId, stop_mode::Checkpoint, stop_reason::Drained);
+  } else if (due && job.mSpec.mRepeatable) {
+    ProposeStop(aPlan, aId, stop_mode::Stop, stop_reason::Drained);
+  }
+}
+
+} // namespace
+
+void
+KeepReservations(plan_context& aPlan)
+{
+  std::vector<job_number> over;
+  for (const auto& [job, held] : aPlan.mSoft.mBook.All()) {
+    if (IsOver(aPlan, held)) {
+      over.push_back(job);
+    } else {
+      KeepReservation(aPlan, held);
+    }
+  }
+  for (const job_number job : over) {
+    aPlan.mSoft.DropReservation(job);
+  }
+}
+
+void
+KeepThrottles(plan_context& aPlan)
+{
+  soft_state& soft = aPlan.mSoft;
+  std::erase_if(soft.mThrottled, [&](const task_id& aTask) {
+    const task_record* task = aPlan.mState.FindTask(aTask);
+    return task == nullptr || task->mState != task_state::Placed ||
+           task->mStop != stop_mode::Throttle;
+  });
+  for (const task_id& id : soft.mThrottled) {
+    const job_record& job = *aPlan.mState.FindJob(id.mJob);
+    const task_record& task = job.mTasks[id.mIndex];
+    const resources more = job.mSpec.mEach - Booking(job.mSpec, task);
+    if (task.mThrottled && !soft.mBook.IsHeld(task.mWorker) &&
+        more.FitsIn(soft.Free(aPlan.mState, task.mWorker)) &&
+        soft.Propose(proposal_kind::Resume, id)) {
+      aPlan.mCommands.emplace_back(resume_task{ id, task.mAttempt });
+    }
+  }
+}
+
+void
+KeepDrains(plan_context& aPlan)
+{
+  for (const worker_record& worker : aPlan.mState.Workers()) {
+    if (worker.mKnown && worker.mPresent && worker.mDraining) {
+      for (const task_id& id : worker.mTasks) {
+        DrainTask(aPlan, worker, id);
+      }
+    }
+  }
+}
+
+} // namespace oriolewalk::cell
--- a/testing/cell/cell_state_test.cc
+++ b/testing/cell/cell_state_test.cc
@@ -184,6 +184,22 @@
   CHECK(cell.mState.FindWorker(worker_id("w0"))->mBoot == boot_id("2"));
 }
 
+TEST_CASE("a late announcement of a life that was never seen is refused")
+{
+  // Life 2 restarts before its announcement arrives; life 3's comes first.
+  // The copy of life 2 must not end life 3's work nor lock it out.
+  small_cell cell(1);
+  register_worker announce{ worker_id("w0"),
+                            boot_id("10"),
+                            data_centre_id("a"),
+                            rack_id("a1"),
+                            { 2000, 2048, 0 } };
+  CHECK_FALSE(cell.Do(announce).mRefusal);
+  announce.mBoot = boot_id("9");
+  CHECK(cell.Do(announce).mRefusal);
+  CHECK(cell.mState.FindWorker(worker_id("w0"))->mBoot == boot_id("10"));
+}
+
 TEST_CASE("a job that can never fit is refused with the dimension")
 {
   small_cell cell(2);
