--- a/oriolewalk/http/client.cc
+++ b/oriolewalk/http/client.cc
@@ -19,29 +19,57 @@
 
 namespace oriolewalk::http {
 
+namespace {
+
+bool
+IsControl(char aLetter)
+{
+  return static_cast<unsigned char>(aLetter) < ' ';
+}
+
+// A line end in a header, or a space in the target, would end our request
+// early and begin another one of the bytes' own (request splitting).
+bool
+IsWellFormed(const request& aRequest)
+{
+  const auto plain = [](char aLetter) {
+    return aLetter > ' ' || static_cast<unsigned char>(aLetter) > '\x7f';
+  };
+  return !aRequest.mMethod.empty() &&
+         std::ranges::all_of(aRequest.mMethod, plain) &&
+         aRequest.mTarget.starts_with('/') &&
+         std::ranges::all_of(aRequest.mTarget, plain) &&
+         std::ranges::all_of(aRequest.mHeaders, [&](const header& aOne) {
+           return !aOne.mName.empty() &&
+                  std::ranges::all_of(aOne.mName, plain) &&
+                  std::ranges::none_of(aOne.mValue, IsControl);
+         });
+}
+
+} // namespace
+
 void
 client::core::Launch(std::unique_ptr<call> aCall)
 {
   std::shared_ptr<connection> chosen;
   std::string refusal;
+  error_code code = error_code::Busy;
   {
     const std::scoped_lock lock(mLock);
-    pool& there = mPools[aCall->mTo];
-    if (mClosed) {
+    if (!IsWellFormed(aCall->mRequest)) {
+      code = error_code::InvalidArgument;
+      refusal = "the method, target or a header has a character that can't "
+                "be sent";
+    } else if (mClosed) {
       refusal = "the client is closed";
-    } else if (!there.mIdle.empty()) {
-      chosen = std::move(there.mIdle.back());
-      there.mIdle.pop_back();
-    } else if (there.mOpen >= mLimits.mMaxConnections) {
-      refusal = "all " + std::to_string(there.mOpen) + " connections are busy";
     } else {
-      ++there.mOpen;
+      refusal = Choose(aCall->mTo, chosen);
     }
   }
   if (!refusal.empty()) {
     boost::asio::post(mContext,
                       [done = std::move(aCall->mDone),
-                       problem = error{ error_code::Busy,
+                       problem = error{ code,
                                         "choosing a connection",
                                         aCall->mTo.ToString(),
                                         std::move(refusal) }] {
@@ -56,6 +84,23 @@
   chosen->Start(std::move(aCall));
 }
 
+std::string
+client::core::Choose(const settings::address& aTo,
+                     std::shared_ptr<connection>& aChosen)
+{
+  pool& there = mPools[aTo];
+  if (!there.mIdle.empty()) {
+    aChosen = std::move(there.mIdle.back());
+    there.mIdle.pop_back();
+    return {};
+  }
+  if (there.mOpen >= mLimits.mMaxConnections) {
+    return "all " + std::to_string(there.mOpen) + " connections are busy";
+  }
+  ++there.mOpen;
+  return {};
+}
+
 bool
 client::core::Return(const std::shared_ptr<connection>& aConnection)
 {
--- a/oriolewalk/http/client_core.h
+++ b/oriolewalk/http/client_core.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -59,6 +60,11 @@
     std::size_t mOpen = 0;
   };
 
+  // Under mLock: an idle connection, none where one may be opened (it is
+  // counted), or why not.
+  std::string Choose(const settings::address& aTo,
+                     std::shared_ptr<connection>& aChosen);
+
   boost::asio::io_context& mContext;
   const client_limits mLimits;
   std::mutex mLock;
--- a/testing/http/client_test.cc
+++ b/testing/http/client_test.cc
@@ -237,6 +237,24 @@
   go.set_value();
 }
 
+TEST_CASE("a request that would split into two is not sent")
+{
+  running_context context;
+  const raw_target target(AnswerWith(kOk, true));
+  client caller(context.Get(), {});
+  for (const request& bad : { request{ .mTarget = "/a b" },
+                              request{ .mTarget = "/a\r\nX: y" },
+                              request{ .mTarget = "a" },
+                              request{ .mMethod = "GET /x" },
+                              request{ .mHeaders = { { "A", "b\r\nC: d" } } },
+                              request{ .mHeaders = { { "A b", "c" } } } }) {
+    const send_outcome outcome = SendTo(caller, target.Address(), bad).get();
+    REQUIRE(std::holds_alternative<never_started>(outcome));
+    CHECK(std::get<never_started>(outcome).mError.mCode ==
+          error_code::InvalidArgument);
+  }
+}
+
 TEST_CASE("100 Continue and HEAD are followed, and the connection is kept")
 {
   running_context context;
