Traffic: scenarios, baselines and their measurements

Conclusion: dynamic threshold for queue bounds, a floor for heavy within the cap of long work, a cap for work never measured, and patience while targets announce themselves to a new leader.

--- /dev/null
+++ b/bench/traffic_baselines.h
@@ -0,0 +1,145 @@
+#pragma once
+
+// The policies that scenarios compare, behind one variant: the project's own,
+// and four that are often met.
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/base/random.h"
+#include "oriolewalk/traffic/dispatcher.h"
+#include "oriolewalk/traffic/options.h"
+#include "oriolewalk/traffic/policy.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::bench {
+
+enum class policy_kind : std::uint8_t
+{
+  Own,
+  Fifo,             // one queue for all, slots kept, no deadline looked at
+  Random,           // to any target at once; the target queues
+  LeastOutstanding, // to the least busy one at once; the target queues
+  NoLimit,          // own order and placement, but everything is admitted
+  LentCredits,      // seven own dispatchers with lent slots
+};
+
+std::string_view
+ToString(policy_kind aKind);
+
+// Targets as the two simple kinds of baseline know them.
+class plain_targets
+{
+public:
+  void Up(const traffic::target_state& aTarget);
+  void Leave(const target_id& aTarget);
+  void Hold(const target_id& aTarget);
+  void Release(const target_id& aTarget);
+  [[nodiscard]] std::size_t Size() const { return mTargets.size(); }
+  [[nodiscard]] const target_id& At(std::size_t aIndex) const
+  {
+    return mTargets.at(aIndex).first.mId;
+  }
+  // The index of the least busy one, if there is any.
+  [[nodiscard]] std::optional<std::size_t> Least() const;
+  [[nodiscard]] bool HasSlot(std::size_t aIndex) const
+  {
+    return mTargets.at(aIndex).second < mTargets.at(aIndex).first.mSlots;
+  }
+
+private:
+  std::vector<std::pair<traffic::target_state, std::uint32_t>> mTargets;
+};
+
+class fifo_policy
+{
+public:
+  void TargetUp(const traffic::target_state& aTarget, time_point aNow);
+  void TargetLeaving(const target_id& aTarget, time_point aNow);
+  void Arrive(const traffic::arrival& aArrival, time_point aNow);
+  void Finished(traffic::request_id aId,
+                const target_id& aTarget,
+                const traffic::finish& aFinish,
+                time_point aNow);
+  std::vector<traffic::decision> TakeDecisions();
+
+private:
+  void Place();
+
+  plain_targets mTargets;
+  std::deque<traffic::request_id> mQueue;
+  std::vector<traffic::decision> mDecisions;
+};
+
+// Random, or least outstanding.
+class direct_policy
+{
+public:
+  direct_policy(bool aLeast, std::uint64_t aSeed)
+    : mLeast(aLeast)
+    , mRandom(aSeed)
+  {
+  }
+  void TargetUp(const traffic::target_state& aTarget, time_point aNow);
+  void TargetLeaving(const target_id& aTarget, time_point aNow);
+  void Arrive(const traffic::arrival& aArrival, time_point aNow);
+  void Finished(traffic::request_id aId,
+                const target_id& aTarget,
+                const traffic::finish& aFinish,
+                time_point aNow);
+  std::vector<traffic::decision> TakeDecisions();
+
+private:
+  bool mLeast;
+  random_source mRandom;
+  plain_targets mTargets;
+  std::vector<traffic::decision> mDecisions;
+};
+
+// Seven entries with a dispatcher each; each target's slots are lent to them
+// anew every 100 ms, free ones in proportion to what each has queued or runs.
+class credit_policy
+{
+public:
+  static constexpr std::size_t kEntries = 7;
+
+  credit_policy(double aSkew, std::uint64_t aSeed);
+  void SetPolicy(const traffic::share_policy& aPolicy, time_point aNow);
+  void TargetUp(const traffic::target_state& aTarget, time_point aNow);
+  void TargetLeaving(const target_id& aTarget, time_point aNow);
+  void Arrive(const traffic::arrival& aArrival, time_point aNow);
+  void Finished(traffic::request_id aId,
+                const target_id& aTarget,
+                const traffic::finish& aFinish,
+                time_point aNow);
+  void Tick(time_point aNow);
+  [[nodiscard]] std::optional<time_point> NextWake() const;
+  std::vector<traffic::decision> TakeDecisions();
+
+private:
+  void Lend(time_point aNow);
+
+  std::vector<traffic::dispatcher> mEntries;
+  std::vector<traffic::target_state> mTargets;
+  std::unordered_map<traffic::request_id, std::size_t> mOwner;
+  random_source mRandom;
+  double mSkew;
+  time_point mNextLend{};
+};
+
+using any_policy =
+  std::variant<traffic::dispatcher, fifo_policy, direct_policy, credit_policy>;
+
+any_policy
+MakePolicy(policy_kind aKind, double aSkew, std::uint64_t aSeed);
+
+} // namespace oriolewalk::bench
--- /dev/null
+++ b/bench/traffic_bench.cc
@@ -0,0 +1,191 @@
+// Scenarios of docs/POLICY.md, under the project's own policy and baselines.
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bench/report.h"
+#include "bench/traffic_baselines.h"
+#include "bench/traffic_driver.h"
+#include "bench/traffic_scenario.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::bench {
+namespace {
+
+constexpr double kMilli = 1000;
+constexpr double kPercent = 100;
+
+void
+AddTimes(bench_report& aReport,
+         const std::string& aName,
+         const std::vector<double>& aSeries)
+{
+  if (aSeries.empty()) {
+    return;
+  }
+  aReport.Add(aName + "_p50", Percentile(aSeries, 0.5) * kMilli, "ms");
+  aReport.Add(aName + "_p99", Percentile(aSeries, 0.99) * kMilli, "ms");
+  aReport.Add(aName + "_worst", Percentile(aSeries, 1) * kMilli, "ms");
+}
+
+void
+AddRefusals(bench_report& aReport,
+            const std::string& aName,
+            const caller_outcome& aSeen)
+{
+  for (std::size_t kind = 0; kind < traffic::kRefusalCount; ++kind) {
+    if (aSeen.mRefused.at(kind) > 0) {
+      std::string word(ToString(static_cast<traffic::refusal>(kind)));
+      for (char& letter : word) {
+        letter = letter == ' ' ? '_' : letter;
+      }
+      aReport.Add(aName + ".refused." + word,
+                  static_cast<double>(aSeen.mRefused.at(kind)),
+                  "requests");
+    }
+  }
+}
+
+void
+AddCallers(bench_report& aReport,
+           const std::string& aName,
+           const caller_outcome& aSeen,
+           double aAllSlotSeconds)
+{
+  AddTimes(aReport, aName + ".response", aSeen.mResponses);
+  aReport.Add(
+    aName + ".share", aSeen.mSlotSeconds / aAllSlotSeconds * kPercent, "%");
+  aReport.Add(aName + ".in_time",
+              static_cast<double>(aSeen.mInTime) /
+                static_cast<double>(aSeen.mOffered) * kPercent,
+              "%");
+}
+
+void
+AddOutcome(bench_report& aReport,
+           const std::string& aName,
+           const outcome& aSeen)
+{
+  double slotSeconds = 1e-9; // none is no share, not a division by zero
+  for (const traffic::work_class each : traffic::kClasses) {
+    const caller_outcome& seen = aSeen.mByClass.at(traffic::IndexOf(each));
+    const std::string name = aName + "." + std::string(ToString(each));
+    AddTimes(aReport, name + ".wait", seen.mWaits);
+    AddRefusals(aReport, name, seen);
+    if (seen.mPending > 0) {
+      aReport.Add(name + ".still_waiting",
+                  static_cast<double>(seen.mPending),
+                  "requests");
+    }
+    slotSeconds += seen.mSlotSeconds;
+  }
+  for (const auto& [label, seen] : aSeen.mByLabel) {
+    AddCallers(aReport, aName + ".callers." + label, seen, slotSeconds);
+  }
+  aReport.Add(aName + ".goodput", aSeen.mGoodput * kPercent, "%");
+  aReport.Add(aName + ".wasted", aSeen.mWastedSeconds, "slot_s");
+  aReport.Add(
+    aName + ".overbooked", static_cast<double>(aSeen.mOverbooked), "attempts");
+  aReport.Add(aName + ".decision", aSeen.mDecisionMicros, "us");
+}
+
+bool
+Compares(const scenario& aScenario, policy_kind aKind)
+{
+  // The others have no state that a leader change could lose.
+  return aScenario.mLeaderLost < 0 || aKind == policy_kind::Own;
+}
+
+void
+RunScenarios(bench_report& aReport)
+{
+  constexpr std::array kKinds = { policy_kind::Own,
+                                  policy_kind::Fifo,
+                                  policy_kind::Random,
+                                  policy_kind::LeastOutstanding,
+                                  policy_kind::NoLimit };
+  for (const scenario& each : AllScenarios()) {
+    for (const policy_kind kind : kKinds) {
+      if (Compares(each, kind)) {
+        AddOutcome(aReport,
+                   each.mName + "." + std::string(ToString(kind)),
+                   Run(each, kind));
+      }
+    }
+  }
+}
+
+// One placer with committed claims against lent slot credits. A claim must be
+// committed in both, since "at most once" rests on it; the credits are also
+// shown without, as the best that they could be.
+void
+RunPlacers(bench_report& aReport)
+{
+  constexpr double kLeast = 0.001;
+  constexpr double kMost = 0.003;
+  for (const double times : { 0.8, 1.5, 3.0 }) {
+    for (const double skew : { 0.0, 0.4 }) {
+      scenario with = Overload(times);
+      with.mName += skew > 0 ? ".skewed" : ".even";
+      with.mSkew = skew;
+      scenario without = with;
+      with.mLeastCommit = kLeast;
+      with.mMostCommit = kMost;
+      AddOutcome(aReport,
+                 "placer." + with.mName + ".one_placer",
+                 Run(with, policy_kind::Own));
+      AddOutcome(aReport,
+                 "placer." + with.mName + ".credits",
+                 Run(with, policy_kind::LentCredits));
+      AddOutcome(aReport,
+                 "placer." + with.mName + ".credits_no_commit",
+                 Run(without, policy_kind::LentCredits));
+    }
+  }
+}
+
+// Decision cost against the number of targets and organisations.
+void
+RunSizes(bench_report& aReport)
+{
+  struct size
+  {
+    std::size_t mTargets;
+    int mOrganisations;
+  };
+  for (const size each : { size{ 50, 7 },
+                           size{ 480, 69 },
+                           size{ 2125, 690 },
+                           size{ 4800, 690 } }) {
+    for (const double times : { 0.7, 3.0 }) {
+      scenario made;
+      made.mName = "size." + std::to_string(each.mTargets) + "_targets_" +
+                   std::to_string(each.mOrganisations) + "_organisations_" +
+                   std::to_string(times).substr(0, 3) + "x";
+      made.mTargets = each.mTargets;
+      made.mSeconds = each.mTargets > 1000 ? 1 : 3;
+      made.mWarmUp = 0;
+      for (int count = 0; count < each.mOrganisations; ++count) {
+        source one;
+        one.mLabel = "all";
+        one.mOrganisation = organisation_id(std::to_string(count));
+        one.mPerSecond = FullLoad(made, 0.02) * times / each.mOrganisations;
+        made.mSources.push_back(one);
+      }
+      const outcome seen = Run(made, policy_kind::Own);
+      aReport.Add(made.mName + ".decision", seen.mDecisionMicros, "us");
+      aReport.Add(made.mName + ".goodput", seen.mGoodput * kPercent, "%");
+    }
+  }
+}
+
+const registered_bench kTraffic("traffic", RunScenarios);
+const registered_bench kPlacer("traffic-placer", RunPlacers);
+const registered_bench kSize("traffic-size", RunSizes);
+
+} // namespace
+} // namespace oriolewalk::bench
--- /dev/null
+++ b/bench/traffic_scenario.h
@@ -0,0 +1,111 @@
+#pragma once
+
+// What arrives, and what happens to targets, in one traffic scenario. A
+// scenario is data: the same seeded arrivals are given to each policy.
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/policy.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::bench {
+
+// Independent arrivals (Poisson) with exponential service times.
+struct source
+{
+  std::string mLabel; // outcomes are gathered by it
+  organisation_id mOrganisation;
+  traffic::work_class mClass = traffic::work_class::Normal;
+  double mPerSecond = 0;
+  double mMeanSeconds = 0.02;
+  duration mDeadline = seconds(2);
+  std::uint32_t mCallers = 20; // it spreads evenly over so many caller keys
+  bool mRepeatable = false;
+  double mFrom = 0; // seconds
+  double mTo = 1e9;
+};
+
+enum class target_change : std::uint8_t
+{
+  Slow,  // service times are multiplied by mFactor
+  Fail,  // every request fails in a millisecond
+  Mend,  // neither any more
+  Leave, // says so; ends when idle
+};
+
+struct target_event
+{
+  double mAt = 0;
+  std::size_t mTarget = 0;
+  target_change mChange = target_change::Mend;
+  double mFactor = 1;
+};
+
+enum class resend_rule : std::uint8_t
+{
+  Never,
+  AfterRefusal, // when the answer says so; five times at most
+  AtOnce,       // 20 ms after any failure or refusal; ten times at most
+};
+
+struct scenario
+{
+  std::string mName;
+  std::vector<source> mSources;
+  std::vector<target_event> mEvents;
+  traffic::share_policy mPolicy;
+  std::size_t mTargets = 50;
+  std::uint32_t mSlots = 8;
+  std::uint32_t mDataCentres = 4;
+  double mSeconds = 14;
+  double mWarmUp = 2; // outcomes of earlier arrivals do not count
+  resend_rule mResend = resend_rule::Never;
+  double mLeaderLost = -1; // seconds; < 0: never
+  // Between a decision and its effect: the commit of the claim, uniform.
+  double mLeastCommit = 0;
+  double mMostCommit = 0;
+  // Extra share of all arrivals that the first of seven entries gets.
+  double mSkew = 0;
+  std::uint64_t mSeed = 1;
+};
+
+// Requests per second that fill the slots with work of this mean.
+inline double
+FullLoad(const scenario& aScenario, double aMeanSeconds)
+{
+  return static_cast<double>(aScenario.mTargets * aScenario.mSlots) /
+         aMeanSeconds;
+}
+
+// The scenarios of docs/POLICY.md.
+std::vector<scenario>
+AllScenarios();
+scenario
+Overload(double aTimes);
+scenario
+SharesUnderOverload();
+scenario
+HotCaller(bool aHot);
+scenario
+HotKey(bool aHot);
+scenario
+SlowTarget();
+scenario
+FailingTarget();
+scenario
+LongAmongShort();
+scenario
+Burst();
+scenario
+RetryStorm();
+scenario
+ThirdLeaves();
+scenario
+LeaderChange();
+
+} // namespace oriolewalk::bench
--- a/oriolewalk/traffic/class_order.cc
+++ b/oriolewalk/traffic/class_order.cc
@@ -74,9 +74,26 @@
 }
 
 bool
-class_order::LongMayStart(std::uint32_t aLongHeld, std::uint32_t aSlots) const
+class_order::LongMayStart(work_class aClass,
+                          std::uint32_t aLongHeld,
+                          const class_loads& aLoads,
+                          std::uint32_t aSlots) const
 {
-  return aLongHeld < std::max(1.0, std::floor(aSlots * mOptions.mLongCap));
+  const double cap = std::max(1.0, std::floor(aSlots * mOptions.mLongCap));
+  const std::uint32_t heavy = aLoads.at(IndexOf(work_class::Heavy)).mHeld;
+  const double floor = FloorSlots(work_class::Heavy, aSlots);
+  if (aClass == work_class::Heavy) {
+    return aLongHeld < cap;
+  }
+  return aLongHeld - heavy < std::max(1.0, std::floor(cap - floor)) &&
+         aLongHeld < cap;
+}
+
+bool
+class_order::UnprovenMayStart(std::uint32_t aHeld, std::uint32_t aSlots) const
+{
+  return aSlots < mOptions.mUnprovenFrom ||
+         aHeld < aSlots * mOptions.mUnprovenCap;
 }
 
 double
--- a/oriolewalk/traffic/class_order.h
+++ b/oriolewalk/traffic/class_order.h
@@ -11,7 +11,9 @@
 //   it while it waits, and pays while it runs.
 // - Then urgent before normal before heavy.
 // - Cap: long work (heavy, or measured to be long) holds at most its cap, also
-//   when the rest is idle: it cannot be taken back before it ends.
+//   when the rest is idle: it cannot be taken back before it ends. Long work
+//   of other classes leaves the heavy class its floor within the cap, and work
+//   that was never measured is held to a cap of its own.
 // - Reserve: where slots come free too seldom to start urgent work in time,
 //   some are kept for it, as long as urgent work has been seen lately.
 //
@@ -60,8 +62,13 @@
                               const class_loads& aLoads,
                               std::uint32_t aSlots,
                               time_point aNow) const;
-  [[nodiscard]] bool LongMayStart(std::uint32_t aLongHeld,
+  // aLongHeld: slots held by long work, of the heavy class or not.
+  [[nodiscard]] bool LongMayStart(work_class aClass,
+                                  std::uint32_t aLongHeld,
+                                  const class_loads& aLoads,
                                   std::uint32_t aSlots) const;
+  [[nodiscard]] bool UnprovenMayStart(std::uint32_t aHeld,
+                                      std::uint32_t aSlots) const;
   // Slots that the class can count on for the work it has queued.
   [[nodiscard]] double Drain(work_class aClass,
                              const class_loads& aLoads,
--- a/oriolewalk/traffic/class_queue.cc
+++ b/oriolewalk/traffic/class_queue.cc
@@ -162,11 +162,8 @@
                           const std::string& aCallerKey,
                           double aDrain) const
 {
-  const auto caller = aFlow.mCallers.find(aCallerKey);
-  const std::size_t own =
-    caller == aFlow.mCallers.end() ? 0 : caller->second.mWaiting.size();
   return WaitBehind(aFlow,
-                    static_cast<double>(own),
+                    static_cast<double>(WaitingOf(aFlow, aCallerKey)),
                     static_cast<double>(aFlow.mWaiting),
                     aDrain);
 }
@@ -206,6 +203,13 @@
   return ahead * Estimate(aFlow) / std::max(drain, kLeastDrain);
 }
 
+std::size_t
+class_queue::WaitingOf(const flow& aFlow, const std::string& aCallerKey)
+{
+  const auto caller = aFlow.mCallers.find(aCallerKey);
+  return caller == aFlow.mCallers.end() ? 0 : caller->second.mWaiting.size();
+}
+
 double
 class_queue::Estimate(const flow& aFlow) const
 {
--- a/oriolewalk/traffic/class_queue.h
+++ b/oriolewalk/traffic/class_queue.h
@@ -119,6 +119,8 @@
   [[nodiscard]] double ExpectedWaitOfLast(const flow& aFlow,
                                           const caller_queue& aCaller,
                                           double aDrain) const;
+  [[nodiscard]] static std::size_t WaitingOf(const flow& aFlow,
+                                             const std::string& aCallerKey);
   // Measured mean of the flow, else of the class, else a first guess.
   [[nodiscard]] double Estimate(const flow& aFlow) const;
 
--- a/oriolewalk/traffic/options.h
+++ b/oriolewalk/traffic/options.h
@@ -15,10 +15,10 @@
 {
   // Longest wait of an admitted request, by class.
   std::array<duration, kClassCount> mMaxWait = { milliseconds(200),
-                                                 milliseconds(1000),
+                                                 milliseconds(500),
                                                  seconds(60) };
   // Queued requests of one organisation, unless its rule says otherwise.
-  std::uint32_t mMaxWaiting = 4096;
+  std::uint32_t mMaxWaiting = 16384;
   // Queued requests of one class of a service: bounds memory.
   std::size_t mMaxWaitingOfClass = 65536;
   // Organisations remembered in one class of a service.
@@ -35,6 +35,12 @@
   double mLongCap = 0.5;
   // Measured mean from which work counts as long, whatever its class says.
   duration mLongAfter = seconds(1);
+  // Share of the slots that an organisation's work may hold in a class before
+  // its first answer tells how long it takes; in pools of at least
+  // mUnprovenFrom slots, since half of a few would hold back a single
+  // organisation that has the pool for itself.
+  double mUnprovenCap = 0.5;
+  std::uint32_t mUnprovenFrom = 16;
   // Slots kept for urgent work where slots come free more seldom than this.
   duration mUrgentStart = milliseconds(10);
   double mUrgentReserve = 0.1;
--- a/oriolewalk/traffic/service_pool.cc
+++ b/oriolewalk/traffic/service_pool.cc
@@ -134,7 +134,7 @@
     mNextReview = aNow + mOptions.mQueue.mReviewEvery;
     if (!mTargets.HasTargets() && !aAwaitTargets) {
       RefuseAll(refusal::NoTarget, aNow);
-    } else if (mTargets.HasTargets()) {
+    } else if (!aAwaitTargets) {
       Review(aNow);
     }
     std::ranges::for_each(mQueues,
@@ -210,9 +210,12 @@
   if (!mOrder.MayStart(aClass, Loads(), slots, aNow)) {
     return false;
   }
-  const bool longMayStart = mOrder.LongMayStart(mLongHeld, slots);
-  const queue_position next = Queue(aClass).Next(
-    [&](const flow& aFlow) { return longMayStart || !IsLong(aClass, aFlow); });
+  const bool longMayStart =
+    mOrder.LongMayStart(aClass, mLongHeld, Loads(), slots);
+  const queue_position next = Queue(aClass).Next([&](const flow& aFlow) {
+    return (longMayStart || !IsLong(aClass, aFlow)) &&
+           (aFlow.mTime.Known() || mOrder.UnprovenMayStart(aFlow.mHeld, slots));
+  });
   if (next.mFlow == nullptr) {
     return false;
   }
--- a/oriolewalk/traffic/service_pool.h
+++ b/oriolewalk/traffic/service_pool.h
@@ -6,6 +6,10 @@
 // - Load pattern: more arrives than can be done. Without admission the queue
 //   grows until each request is served after its deadline: goodput falls to
 //   nothing while all targets are busy.
+// - Memory: a caller may queue no more than is left of its organisation's
+//   bound, an organisation no more than is left of its class's (dynamic
+//   threshold). A hot one alone fills half and is refused; the others find
+//   room. A plain bound is filled by the hot one, and refuses everybody.
 // - A request that must wait is admitted only if the expected wait fits its
 //   class's longest wait, and wait plus measured service time its deadline.
 // - What is queued has a latest start; at that moment it is refused, and it is
@@ -52,7 +56,8 @@
   void TargetLeaving(const target_id& aTarget, time_point aNow);
   void TargetGone(const target_id& aTarget, time_point aNow);
 
-  // aAwaitTargets: no target is known yet, but will be soon.
+  // aAwaitTargets: some targets have not announced themselves yet, but will
+  // soon; what they will drain cannot be estimated.
   void Arrive(const arrival& aArrival,
               const share_rule& aRule,
               bool aAwaitTargets,
@@ -104,12 +109,16 @@
   // Admission (service_pool_admission.cc).
   [[nodiscard]] admission Admit(const arrival& aArrival,
                                 const flow& aFlow,
+                                bool aAwaitTargets,
                                 time_point aNow);
+  [[nodiscard]] std::optional<refusal> AdmitByCount(const arrival& aArrival,
+                                                    const flow& aFlow) const;
   [[nodiscard]] admission AdmitByTime(const arrival& aArrival,
                                       const flow& aFlow,
                                       time_point aNow) const;
   [[nodiscard]] waiting_request Stamp(const arrival& aArrival,
                                       const flow& aFlow,
+                                      bool aAwaitTargets,
                                       time_point aNow) const;
   void Expire(time_point aNow);
   void Review(time_point aNow);
--- a/oriolewalk/traffic/service_pool_admission.cc
+++ b/oriolewalk/traffic/service_pool_admission.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -49,46 +51,68 @@
   class_queue& queue = Queue(aArrival.mClass);
   flow* owner = queue.FlowOf(
     aArrival.mOrganisation, aRule, mOptions.mQueue.mMaxFlows, aNow);
-  if (owner == nullptr ||
-      queue.Waiting() >= mOptions.mQueue.mMaxWaitingOfClass) {
+  if (owner == nullptr) {
     Refuse(aArrival.mId, refusal::Overloaded, kMostRetryAfter);
     return;
   }
-  const admission verdict = Admit(aArrival, *owner, aNow);
+  const admission verdict = Admit(aArrival, *owner, aAwaitTargets, aNow);
   if (verdict.mRefused) {
     Refuse(aArrival.mId, *verdict.mRefused, verdict.mRetryAfter);
     return;
   }
   owner->mBucket.Take(aNow);
-  const waiting_request request = Stamp(aArrival, *owner, aNow);
+  const waiting_request request = Stamp(aArrival, *owner, aAwaitTargets, aNow);
   mLatest.emplace(request.mLatestStart, aArrival.mId);
   mWaiting.emplace(aArrival.mId, queue.Push(*owner, request));
   Place(aNow);
 }
 
 service_pool::admission
-service_pool::Admit(const arrival& aArrival, const flow& aFlow, time_point aNow)
+service_pool::Admit(const arrival& aArrival,
+                    const flow& aFlow,
+                    bool aAwaitTargets,
+                    time_point aNow)
 {
   const duration wait = aFlow.mBucket.Wait(aNow);
   if (wait > duration::zero()) {
     return { refusal::LimitReached, wait };
   }
-  const std::uint32_t bound = aFlow.mRule.mMaxWaiting > 0
-                                ? aFlow.mRule.mMaxWaiting
-                                : mOptions.mQueue.mMaxWaiting;
-  if (aFlow.mWaiting >= bound) {
-    return { refusal::LimitReached,
-             FromSeconds(Queue(aArrival.mClass).Estimate(aFlow)) };
+  const auto full = AdmitByCount(aArrival, aFlow);
+  if (full) {
+    const double turn = Queue(aArrival.mClass).Estimate(aFlow);
+    return { full, FromSeconds(turn) };
   }
   // With a slot free and nobody before it a request is tried, whatever the
   // estimate says: else one wrong measurement would shut a flow out for good.
-  if (!mTargets.HasTargets() ||
+  if (aAwaitTargets ||
       (mTargets.HasFree() && Queue(aArrival.mClass).Waiting() == 0)) {
     return {};
   }
   return AdmitByTime(aArrival, aFlow, aNow);
 }
 
+std::optional<refusal>
+service_pool::AdmitByCount(const arrival& aArrival, const flow& aFlow) const
+{
+  const class_queue& queue = mQueues.at(IndexOf(aArrival.mClass));
+  const std::size_t ofClass = mOptions.mQueue.mMaxWaitingOfClass;
+  const std::size_t classLeft = ofClass - std::min(ofClass, queue.Waiting());
+  if (aFlow.mWaiting >= classLeft) {
+    return refusal::Overloaded;
+  }
+  const bool ownBound = aFlow.mRule.mMaxWaiting > 0;
+  const std::size_t bound =
+    ownBound ? aFlow.mRule.mMaxWaiting : mOptions.mQueue.mMaxWaiting;
+  if (aFlow.mWaiting >= bound) {
+    return ownBound ? refusal::LimitReached : refusal::Overloaded;
+  }
+  if (class_queue::WaitingOf(aFlow, aArrival.mCallerKey) >=
+      bound - aFlow.mWaiting) {
+    return refusal::Overloaded;
+  }
+  return std::nullopt;
+}
+
 service_pool::admission
 service_pool::AdmitByTime(const arrival& aArrival,
                           const flow& aFlow,
@@ -113,10 +137,15 @@
 waiting_request
 service_pool::Stamp(const arrival& aArrival,
                     const flow& aFlow,
+                    bool aAwaitTargets,
                     time_point aNow) const
 {
-  const duration longest =
+  // Entries held what came while there was no leader: refusing it for the wait
+  // until the targets are known again would make a wave of refusals.
+  const duration ordinary =
     mOptions.mQueue.mMaxWait.at(IndexOf(aArrival.mClass));
+  const duration longest =
+    aAwaitTargets ? std::max(ordinary, mOptions.mWarmUp) : ordinary;
   // At least a moment, so that it is offered to a free slot once.
   const time_point byDeadline =
     std::max(aArrival.mDeadline - FromSeconds(aFlow.mTime.Seconds()),
--- a/oriolewalk/traffic/target_health.cc
+++ b/oriolewalk/traffic/target_health.cc
@@ -85,8 +85,9 @@
   if (!Slow()) {
     return aSlots;
   }
-  return std::max(1U,
-                  static_cast<std::uint32_t>(std::lround(aSlots / mSlowness)));
+  const auto reduced =
+    static_cast<std::uint32_t>(std::lround(aSlots / mSlowness));
+  return std::min(aSlots, std::max(1U, reduced));
 }
 
 void
