--- a/fuzzing/cell_fuzz.cc
+++ b/fuzzing/cell_fuzz.cc
@@ -318,8 +318,12 @@
         continue;
       }
       const explanation why = mScheduler.Explain(mState, number, Now());
-      text += ToString(number) + " " + std::string(ToString(why.mState)) +
-              ": " + why.mReason + ";";
+      text += ToString(number) + " " + std::string(ToString(job.mSpec.mClass)) +
+              " " + std::string(ToString(job.mSpec.mKind)) + " of " +
+              std::to_string(job.mSpec.mTasks) + " each " +
+              std::to_string(job.mSpec.mEach.mMilliProcessors) + " " +
+              std::to_string(job.mSpec.mExpectedMs) + " ms " +
+              std::string(ToString(why.mState)) + ": " + why.mReason + ";";
       for (const worker_group& group : why.mWorkers) {
         text += " " + group.mExample.Value() + " " + group.mReason + ",";
       }
--- a/oriolewalk/cell/order.cc
+++ b/oriolewalk/cell/order.cc
@@ -104,7 +104,9 @@
       case start_result::Paced:
         return NextJob(aCursor);
       case start_result::NoRoom:
-        MakeRoom(mPlan, job);
+        if (MakeRoom(mPlan, job)) {
+          return NextJob(aCursor); // It has its place; it passes nobody by.
+        }
         return ++aCursor.mSkipped <= mPlan.mSoft.mOptions.mBackfillDepth &&
                NextJob(aCursor);
       case start_result::NoQuota:
--- a/oriolewalk/cell/packing.cc
+++ b/oriolewalk/cell/packing.cc
@@ -1,6 +1,7 @@
 #include "oriolewalk/cell/packing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 
@@ -36,9 +37,10 @@
       const resources& aFree,
       const resources& aCapacity)
 {
-  // Weights of what is lost: imbalance counts as much as emptiness; a free
-  // accelerator under a task that has no use for it counts more than both.
-  constexpr double kImbalance = 1.0;
+  // Tried on the fills and loads of `oriole-bench cell`, see docs/CELL.md:
+  // a step away from balance must outweigh emptiness, and an idle accelerator
+  // under a task that has no use for it a good part of both.
+  constexpr double kImbalance = 8.0;
   constexpr double kIdleAccelerator = 4.0;
   const resources left = aFree - aRequest;
   const double processors =
@@ -46,7 +48,9 @@
   const double memory = Share(left.mMemoryMb, aCapacity.mMemoryMb);
   const double emptiness = processors + memory;
   const double imbalance =
-    std::max(processors, memory) - std::min(processors, memory);
+    std::abs(processors - memory) -
+    std::abs(Share(aFree.mMilliProcessors, aCapacity.mMilliProcessors) -
+             Share(aFree.mMemoryMb, aCapacity.mMemoryMb));
   const double idle =
     aRequest.mAccelerators == 0
       ? Share(aFree.mAccelerators, aCapacity.mAccelerators)
--- a/oriolewalk/cell/placing.cc
+++ b/oriolewalk/cell/placing.cc
@@ -141,14 +141,21 @@
     const auto held = mSoft.mBook.HeldOn(aSlot, mJob.mNumber);
     if (!held || mJob.mSpec.mClass < held->mClass ||
         FitsBesideHeld(mPlan, aSize, aSlot, *held) ||
-        (IsEvictable(mJob.mSpec) && mExpectedMs > 0 &&
-         mPlan.mNow.mWallMs + mExpectedMs <= held->mFromMs)) {
+        (MayBackfill() && mPlan.mNow.mWallMs + mExpectedMs <= held->mFromMs)) {
       return true;
     }
     mRejectedForHeld = true;
     return false;
   }
 
+  // Who overran a held place once isn't taken at its word again: it would be
+  // started and ended there for ever.
+  [[nodiscard]] bool MayBackfill() const
+  {
+    return IsEvictable(mJob.mSpec) && mExpectedMs > 0 &&
+           mJob.mLatestMove != stop_reason::Overrun;
+  }
+
   // A suspect is tried with one task at a time, of the kind that may fail.
   [[nodiscard]] bool AcceptsProbe(worker_slot aSlot) const
   {
--- a/oriolewalk/cell/policy.h
+++ b/oriolewalk/cell/policy.h
@@ -42,7 +42,7 @@
   // How often silence, drains and overruns are looked for.
   milliseconds mHousekeeping{ 200 };
   // A Plan's most starts and most jobs looked at: bounds one decision.
-  std::uint32_t mMostStarts = 512;
+  std::uint32_t mMostStarts = 128;
   std::uint32_t mMostLooks = 4096;
   // Jobs of one organisation and class that are tried behind one that waits
   // for room.
@@ -53,13 +53,18 @@
   milliseconds mNormalBound{ 10 * 60 * 1000 };
   milliseconds mHeavyBound{ 60 * 60 * 1000 };
   // Places held for work that doesn't fit yet.
-  std::uint32_t mMostReservations = 64;
+  std::uint32_t mMostReservations = 8192;
   std::uint32_t mMostQuietReservations = 8; // For other than urgent work.
   // Preempted work that hasn't ended by then is asked for more: half of what
   // remains of 4.2 s after two polls.
   milliseconds mEscalateAfter{ 1200 };
   // A normal job may preempt heavy ones after this wait.
   milliseconds mNormalPatience{ 30'000 };
+  // A search for victims or a place to hold that found none is made again
+  // after this; and a Plan makes this many at most. Bounds what a full cell
+  // costs.
+  milliseconds mSeekAgain{ 500 };
+  std::uint32_t mMostSearches = 32;
   // Most workers that a search for victims or for a reservation looks at.
   std::uint32_t mMostScanned = 128;
   // Restarts of work that lost its worker, a second: a lost data centre must
--- a/oriolewalk/cell/reservations.cc
+++ b/oriolewalk/cell/reservations.cc
@@ -18,6 +18,7 @@
   for (const auto& [slot, count] : aReservation.mPlaces) {
     mOn[slot].push_back(job);
   }
+  Count(aReservation, true);
   mByJob.emplace(job, std::move(aReservation));
 }
 
@@ -35,6 +36,7 @@
       mOn.erase(slot);
     }
   }
+  Count(found->second, false);
   mByJob.erase(found);
 }
 
@@ -66,13 +68,24 @@
   return found == mByJob.end() ? nullptr : &found->second;
 }
 
-std::size_t
-reservation_book::Count(bool aPreempts) const
+bool
+reservation_book::Waits(organisation_slot aOrganisation) const
 {
-  return static_cast<std::size_t>(
-    std::ranges::count_if(mByJob, [&](const auto& aEach) {
-      return aEach.second.mPreempts == aPreempts;
-    }));
+  return mWaitingOf.contains(aOrganisation);
+}
+
+void
+reservation_book::Count(const reservation& aReservation, bool aAdded)
+{
+  if (aReservation.mPreempts) {
+    mPreempting += aAdded ? 1 : -1;
+    return;
+  }
+  std::uint32_t& waiting = mWaitingOf[aReservation.mOrganisation];
+  waiting += aAdded ? 1 : -1;
+  if (waiting == 0) {
+    mWaitingOf.erase(aReservation.mOrganisation);
+  }
 }
 
 std::optional<held_room>
--- a/oriolewalk/cell/reservations.h
+++ b/oriolewalk/cell/reservations.h
@@ -23,12 +23,14 @@
 struct reservation
 {
   job_number mJob;
+  organisation_slot mOrganisation = 0;
   job_class mClass = job_class::Normal; // Urgent also for aged work.
   resources mEach;
   std::map<worker_slot, std::uint32_t> mPlaces;
   // When the room is expected (wall clock); others may run there until then.
   std::int64_t mStartMs = 0;
-  bool mPreempts = false; // The room is being made by ending other work.
+  std::int64_t mExpectedMs = 0; // How long it will run from then.
+  bool mPreempts = false;       // The room is being made by ending other work.
   time_point mMade;
 };
 
@@ -55,7 +57,18 @@
     return mByJob;
   }
   // Reservations that preempt, or that only wait.
-  [[nodiscard]] std::size_t Count(bool aPreempts) const;
+  [[nodiscard]] std::size_t Count(bool aPreempts) const
+  {
+    return aPreempts ? mPreempting : mByJob.size() - mPreempting;
+  }
+  // The organisation holds a place that only waits.
+  [[nodiscard]] bool Waits(organisation_slot aOrganisation) const;
+  // The jobs that hold places on the worker.
+  [[nodiscard]] std::vector<job_number> HoldersOn(worker_slot aSlot) const
+  {
+    const auto found = mOn.find(aSlot);
+    return found == mOn.end() ? std::vector<job_number>() : found->second;
+  }
   [[nodiscard]] bool IsHeld(worker_slot aSlot) const
   {
     return mOn.contains(aSlot);
@@ -65,7 +78,11 @@
                                                 job_number aJob) const;
 
 private:
+  void Count(const reservation& aReservation, bool aAdded);
+
   std::map<job_number, reservation> mByJob;
+  std::size_t mPreempting = 0;
+  std::map<organisation_slot, std::uint32_t> mWaitingOf;
   std::unordered_map<worker_slot, std::vector<job_number>> mOn;
 };
 
--- a/oriolewalk/cell/room.cc
+++ b/oriolewalk/cell/room.cc
@@ -317,11 +317,15 @@
   if (rooms.empty() || (aJob.mSpec.mKind == job_kind::Gang && !whole)) {
     return false; // It wouldn't help: nobody is ended.
   }
-  reservation held{ aJob.mNumber,       job_class::Urgent,
-                    aJob.mSpec.mEach,   {},
-                    aPlan.mNow.mWallMs, true,
-                    aPlan.mNow.mNow };
+  reservation held;
+  held.mJob = aJob.mNumber;
+  held.mOrganisation = aJob.mOrganisation;
   held.mClass = aJob.mSpec.mClass;
+  held.mEach = aJob.mSpec.mEach;
+  held.mStartMs = aPlan.mNow.mWallMs;
+  held.mExpectedMs = aPlan.mSoft.mLearning.ExpectedMs(aJob.mSpec);
+  held.mPreempts = true;
+  held.mMade = aPlan.mNow.mNow;
   for (const eviction& room : rooms) {
     ++held.mPlaces[room.mWorker];
     for (const victim& each : room.mVictims) {
@@ -352,8 +356,17 @@
     ends.emplace_back(ExpectedEndMs(aPlan, job, task),
                       Booking(job.mSpec, task));
   }
-  std::ranges::sort(ends, {}, &std::pair<std::int64_t, resources>::first);
   resources room = aPlan.mSoft.Free(aPlan.mState, aSlot);
+  // Those that hold places there run before; what they hold is free again
+  // when they end. Were held workers left out, small jobs' places would keep
+  // a gang from ever getting whole workers.
+  for (const job_number holder : aPlan.mSoft.mBook.HoldersOn(aSlot)) {
+    const reservation& held = *aPlan.mSoft.mBook.Find(holder);
+    const resources amount = held.mEach * held.mPlaces.at(aSlot);
+    room -= amount;
+    ends.emplace_back(held.mStartMs + held.mExpectedMs, amount);
+  }
+  std::ranges::sort(ends, {}, &std::pair<std::int64_t, resources>::first);
   std::int64_t when = aPlan.mNow.mWallMs;
   std::int64_t found = 0;
   const auto add = [&] {
@@ -388,7 +401,7 @@
   for (std::size_t scan = 0; scan < scans; ++scan) {
     const auto slot =
       static_cast<worker_slot>((aPlan.mSoft.mScanFrom + scan) % workers.size());
-    if (aPlan.mSoft.mIndex.Contains(slot) && !aPlan.mSoft.mBook.IsHeld(slot)) {
+    if (aPlan.mSoft.mIndex.Contains(slot)) {
       AddPlaces(aPlan, aJob, slot, aNeeded, places);
     }
   }
@@ -398,10 +411,13 @@
   }
   std::ranges::sort(places);
   places.resize(aNeeded);
-  reservation held{ aJob.mNumber,        aJob.mSpec.mClass,
-                    aJob.mSpec.mEach,    {},
-                    places.back().first, false,
-                    aPlan.mNow.mNow };
+  reservation held;
+  held.mJob = aJob.mNumber;
+  held.mOrganisation = aJob.mOrganisation;
+  held.mEach = aJob.mSpec.mEach;
+  held.mStartMs = places.back().first;
+  held.mExpectedMs = aPlan.mSoft.mLearning.ExpectedMs(aJob.mSpec);
+  held.mMade = aPlan.mNow.mNow;
   held.mClass = IsAged(aPlan, aJob) ? job_class::Urgent : aJob.mSpec.mClass;
   for (const auto& [when, slot] : places) {
     ++held.mPlaces[slot];
@@ -410,14 +426,19 @@
   return true;
 }
 
-void
+bool
 MakeRoom(plan_context& aPlan, const job_record& aJob)
 {
   soft_state& soft = aPlan.mSoft;
-  if (soft.mBook.Find(aJob.mNumber) != nullptr ||
-      aPlan.mState.Workers().empty()) {
-    return;
+  if (const reservation* held = soft.mBook.Find(aJob.mNumber)) {
+    return held->mPreempts;
+  }
+  if (aPlan.mSearches >= soft.mOptions.mMostSearches ||
+      soft.mSought.contains(aJob.mNumber) || aPlan.mState.Workers().empty()) {
+    return false;
   }
+  soft.mSought.emplace(aJob.mNumber, aPlan.mNow.mNow);
+  ++aPlan.mSearches;
   const job_class jobClass = aJob.mSpec.mClass;
   const bool preempts =
     jobClass == job_class::Urgent ||
@@ -425,12 +446,18 @@
      WaitedMs(aPlan, aJob) > soft.mOptions.mNormalPatience.count());
   if (preempts && soft.mBook.Count(true) < soft.mOptions.mMostReservations &&
       TryPreempt(aPlan, aJob, TasksToStart(aPlan, aJob))) {
-    return;
+    return true;
   }
-  if (soft.mBook.Count(false) < soft.mOptions.mMostQuietReservations) {
+  // One an organisation: small jobs of a busy one would use up all of them,
+  // and hold places that are free in a moment anyway.
+  const bool mayHold =
+    soft.mBook.Count(false) < soft.mOptions.mMostQuietReservations &&
+    !soft.mBook.Waits(aJob.mOrganisation);
+  if (mayHold || IsAged(aPlan, aJob)) {
     const bool gang = aJob.mSpec.mKind == job_kind::Gang;
     TryReserve(aPlan, aJob, gang ? TasksToStart(aPlan, aJob) : 1);
   }
+  return false;
 }
 
 } // namespace oriolewalk::cell
--- a/oriolewalk/cell/soft_state.h
+++ b/oriolewalk/cell/soft_state.h
@@ -119,6 +119,8 @@
   std::set<task_id> mThrottled;
   // Where a task's earlier attempts failed: it goes elsewhere first.
   std::unordered_map<task_id, std::vector<worker_slot>> mFailedOn;
+  // When room was sought for a job in vain; it isn't sought again at once.
+  std::unordered_map<job_number, time_point> mSought;
   worker_slot mScanFrom = 0; // Where the next search for victims begins.
   double mRecoveryTokens = 0;
   time_point mRecoveryAt;
--- a/oriolewalk/cell/stages.h
+++ b/oriolewalk/cell/stages.h
@@ -23,6 +23,7 @@
   const instant& mNow;
   start_tasks mStarts;                 // Becomes one command.
   std::vector<cell_command> mCommands; // All others.
+  std::uint32_t mSearches = 0;         // For room; see mMostSearches.
 };
 
 // What is due by time, every mHousekeeping: lost workers, drains, overruns,
@@ -63,8 +64,8 @@
          std::uint32_t aFrom);
 
 // For a job that found no room: makes room by ending lesser work, or holds
-// the places where room comes first.
-void
+// the places where room comes first. True, if room is being made.
+bool
 MakeRoom(plan_context& aPlan, const job_record& aJob);
 bool
 TryPreempt(plan_context& aPlan, const job_record& aJob, std::uint32_t aNeeded);
--- a/oriolewalk/cell/upkeep.cc
+++ b/oriolewalk/cell/upkeep.cc
@@ -131,6 +131,9 @@
   for (const job_number job : over) {
     aPlan.mSoft.DropReservation(job);
   }
+  std::erase_if(aPlan.mSoft.mSought, [&](const auto& aEach) {
+    return aPlan.mNow.mNow - aEach.second >= aPlan.mSoft.mOptions.mSeekAgain;
+  });
 }
 
 void
--- a/testing/cell/fake_cell.cc
+++ b/testing/cell/fake_cell.cc
@@ -128,10 +128,10 @@
   worker_poll poll;
   poll.mBoot = aWorker.mAnnounce.mBoot;
   for (const auto& [task, attempt] : aWorker.mRunning) {
-    poll.mRunning.push_back({ task,
-                              attempt.mAttempt,
-                              mState.FindJob(task.mJob)->mSpec.mEach,
-                              attempt.mLimitMilliProcessors });
+    resources usage = mState.FindJob(task.mJob)->mSpec.mEach;
+    usage.mMilliProcessors = attempt.mLimitMilliProcessors;
+    poll.mRunning.push_back(
+      { task, attempt.mAttempt, usage, attempt.mLimitMilliProcessors });
   }
   for (const auto& [task, end] : aWorker.mEnded) {
     poll.mEnded.push_back(end);
