--- a/oriolewalk/base/random.h
+++ b/oriolewalk/base/random.h
@@ -17,6 +17,9 @@
   {
   }
 
+  // 64 random bits.
+  std::uint64_t Bits() { return mEngine(); }
+
   // Uniform in [0, aBound); aBound must not be 0. The bias of the modulo is
   // below 2^-32 for bounds under 2^32, far under what jitter needs.
   std::uint64_t Below(std::uint64_t aBound) { return mEngine() % aBound; }
--- /dev/null
+++ b/oriolewalk/entry/entry_process.cc
@@ -0,0 +1,224 @@
+#include "oriolewalk/entry/entry_process.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <memory>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/timer.h"
+#include "oriolewalk/entry/control_link.h"
+#include "oriolewalk/entry/heartbeat_loop.h"
+#include "oriolewalk/entry/http_front.h"
+#include "oriolewalk/entry/live_call.h"
+#include "oriolewalk/entry/serving_state.h"
+#include "oriolewalk/observe/event_log.h"
+#include "oriolewalk/observe/log.h"
+#include "oriolewalk/observe/metrics.h"
+#include "oriolewalk/protocol/policy_map.h"
+
+namespace oriolewalk::entry {
+
+namespace {
+
+using observe::Log;
+using observe::log_level;
+
+constexpr milliseconds kStopPoll{ 20 };
+
+std::uint64_t
+DrawSeed()
+{
+  std::random_device device;
+  constexpr unsigned kHalf = 32;
+  return (std::uint64_t{ device() } << kHalf) | device();
+}
+
+std::vector<std::string>
+Texts(const std::vector<settings::address>& aAddresses)
+{
+  std::vector<std::string> texts;
+  std::ranges::transform(
+    aAddresses, std::back_inserter(texts), &settings::address::ToString);
+  return texts;
+}
+
+class entry_process
+{
+public:
+  entry_process(const entry_settings& aSettings,
+                std::unique_ptr<observe::event_log> aEvents)
+    : mSettings(aSettings)
+    , mEvents(std::move(aEvents))
+    , mSignals(mControl, SIGTERM, SIGINT)
+    , mStopTimer(mControl)
+    , mLink(mTraffic, *mEvents, Texts(aSettings.mControls), DrawSeed())
+    , mClient(mTraffic, {})
+    , mLimits(DrawSeed())
+    , mServices{ mLink,
+                 mClient,
+                 mLimits,
+                 *mEvents,
+                 mMetrics.Quantiles(
+                   "oriole_entry_added_ms",
+                   "milliseconds from arrival to answer less the target's"),
+                 mMetrics.Counter("oriole_entry_forwarded_total",
+                                  "attempts sent to targets"),
+                 mMetrics.Counter(
+                   "oriole_entry_late_reports_total",
+                   "ends of attempts reported after the caller's answer") }
+    , mFront({ Carrier(), data_centre_id(aSettings.mDataCentre) },
+             mServices,
+             mServing,
+             mMetrics,
+             DrawSeed())
+    , mServer(mTraffic,
+              aSettings.mListen,
+              {},
+              [this](http::request aRequest, http::responder aResponder) {
+                mFront.Handle(std::move(aRequest), aResponder);
+              })
+    , mHeartbeats(
+        mControl,
+        mLink,
+        mServing,
+        Beat(),
+        [this](const weights::weights_table& aTable) {
+          mLimits.SetPolicy(protocol::SharePolicy(aTable));
+        },
+        [this]() { return mServer.Active(); })
+  {
+  }
+
+  int Run()
+  {
+    if (const auto port = mServer.Start(); !port) {
+      Log(log_level::Error,
+          "cannot listen",
+          { { "problem", port.error().Describe() } });
+      return 1;
+    }
+    Log(log_level::Info,
+        "started",
+        { { "listen", mSettings.mListen.ToString() } });
+    mSignals.async_wait([this](const auto& aProblem, int /*aSignal*/) {
+      if (!aProblem) {
+        StartStopping();
+      }
+    });
+    mHeartbeats.Start();
+    const auto keep = boost::asio::make_work_guard(mTraffic);
+    std::vector<std::thread> threads;
+    for (std::uint64_t made = 0; made < mSettings.mThreads; ++made) {
+      threads.emplace_back([this]() { mTraffic.run(); });
+    }
+    mControl.run();
+    mServer.Close();
+    mLink.Stop();
+    mTraffic.stop();
+    std::ranges::for_each(threads, &std::thread::join);
+    Log(log_level::Info, "stopped", {});
+    return 0;
+  }
+
+private:
+  // The wall clock at the start tells one life of an instance from the next.
+  ledger::carrier Carrier()
+  {
+    if (mBoot == 0) {
+      mBoot = static_cast<std::uint64_t>(WallMilliseconds());
+    }
+    return { instance_id(mSettings.mInstance), mBoot };
+  }
+
+  protocol::heartbeat Beat()
+  {
+    protocol::heartbeat beat;
+    beat.mCarrier = Carrier();
+    beat.mAddress = mSettings.mListen.ToString();
+    beat.mDataCentre = data_centre_id(mSettings.mDataCentre);
+    return beat;
+  }
+
+  // The balancer must see it first: a connection refused before it looks away
+  // is a request that the caller loses.
+  void StartStopping()
+  {
+    Log(log_level::Info,
+        "stopping",
+        { { "in_progress", std::to_string(mServer.Active()) } });
+    mServing.StartDraining();
+    mStopTimer.expires_after(mSettings.mBalancerNotice);
+    mStopTimer.async_wait([this](const auto& aProblem) {
+      if (!aProblem) {
+        mServer.StopAccepting();
+        mStopAt = runtime_clock::now() + mSettings.mStopBound;
+        WaitForRequests();
+      }
+    });
+  }
+
+  void WaitForRequests()
+  {
+    const std::size_t active = mServer.Active();
+    if (active == 0 || runtime_clock::now() >= mStopAt) {
+      Log(active == 0 ? log_level::Info : log_level::Warning,
+          "requests ended",
+          { { "cut", std::to_string(active) } });
+      mControl.stop();
+      return;
+    }
+    mStopTimer.expires_after(kStopPoll);
+    mStopTimer.async_wait([this](const auto& aProblem) {
+      if (!aProblem) {
+        WaitForRequests();
+      }
+    });
+  }
+
+  entry_settings mSettings;
+  std::uint64_t mBoot = 0;
+  std::unique_ptr<observe::event_log> mEvents;
+  observe::metric_registry mMetrics;
+  serving_state mServing;
+  boost::asio::io_context mControl{ 1 };
+  boost::asio::io_context mTraffic;
+  boost::asio::signal_set mSignals;
+  runtime_timer mStopTimer;
+  time_point mStopAt{};
+  control_link mLink;
+  http::client mClient;
+  shared_limits mLimits;
+  call_services mServices;
+  http_front mFront;
+  http::server mServer;
+  heartbeat_loop mHeartbeats;
+};
+
+} // namespace
+
+int
+RunEntry(const entry_settings& aSettings)
+{
+  auto events =
+    observe::event_log::Open({ .mPath = aSettings.mEventFile,
+                               .mProcess = "oriole-entry",
+                               .mInstance = aSettings.mInstance });
+  if (!events) {
+    Log(log_level::Error,
+        "cannot start",
+        { { "problem", events.error().Describe() } });
+    return 1;
+  }
+  entry_process process(aSettings, std::move(*events));
+  return process.Run();
+}
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/heartbeat_loop.cc
@@ -0,0 +1,103 @@
+#include "oriolewalk/entry/heartbeat_loop.h"
+
+#include <utility>
+#include <variant>
+
+#include <boost/asio/post.hpp>
+
+#include "oriolewalk/observe/log.h"
+
+namespace oriolewalk::entry {
+
+namespace {
+
+// Twice the leader's hold: after that the heartbeat or its answer is lost.
+constexpr milliseconds kBeatTimeout{ 2 * protocol::kHeartbeatHoldMs };
+constexpr milliseconds kPause{ 20 };
+
+} // namespace
+
+heartbeat_loop::heartbeat_loop(boost::asio::io_context& aControl,
+                               control_link& aLink,
+                               serving_state& aServing,
+                               protocol::heartbeat aBeat,
+                               table_function aOnTable,
+                               load_function aInProgress)
+  : mControl(aControl)
+  , mLink(aLink)
+  , mServing(aServing)
+  , mBeat(std::move(aBeat))
+  , mOnTable(std::move(aOnTable))
+  , mInProgress(std::move(aInProgress))
+  , mTimer(aControl)
+{
+}
+
+void
+heartbeat_loop::Beat()
+{
+  const time_point now = runtime_clock::now();
+  mBeat.mWeightsVersion = mLease.Version();
+  mBeat.mDraining = mServing.IsDraining();
+  mBeat.mInProgress = mInProgress();
+  mLink.Ask(mBeat, now + kBeatTimeout, [this, now](control_answer aAnswer) {
+    boost::asio::post(mControl, [this, now, answer = std::move(aAnswer)]() {
+      OnAnswer(answer, now);
+    });
+  });
+}
+
+void
+heartbeat_loop::OnAnswer(const control_answer& aAnswer, time_point aSentAt)
+{
+  const auto* answer =
+    aAnswer ? std::get_if<protocol::heartbeat_answer>(&*aAnswer) : nullptr;
+  if (answer == nullptr) {
+    Again(kPause);
+    return;
+  }
+  if (answer->mGranted) {
+    // The lease counts from the sending, and only for the version that was
+    // confirmed. The link may have asked twice; the earlier time is safe.
+    mLease.Confirmed(mBeat.mWeightsVersion, aSentAt);
+    mServing.SetLease(mLease.Until(), mLease.Version());
+  } else if (!Adopt(*answer)) {
+    // An older or unreadable table: asking at once would only spin.
+    Again(kPause);
+    return;
+  }
+  Beat();
+}
+
+bool
+heartbeat_loop::Adopt(const protocol::heartbeat_answer& aAnswer)
+{
+  if (!aAnswer.mTable) {
+    return false;
+  }
+  const auto table = weights::weights_table::Parse(*aAnswer.mTable);
+  if (!table) {
+    observe::Log(observe::log_level::Error,
+                 "weights table cannot be read",
+                 { { "version", std::to_string(aAnswer.mVersion) } });
+    return false;
+  }
+  if (!mLease.Adopt(aAnswer.mVersion)) {
+    return false;
+  }
+  mOnTable(*table);
+  return true;
+}
+
+void
+heartbeat_loop::Again(duration aPause)
+{
+  mTimer.expires_after(aPause);
+  mTimer.async_wait([this](const auto& aProblem) {
+    if (!aProblem) {
+      Beat();
+    }
+  });
+}
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/http_front.cc
@@ -0,0 +1,275 @@
+#include "oriolewalk/entry/http_front.h"
+
+#include <chrono>
+#include <ranges>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/base/random.h"
+#include "oriolewalk/entry/answers.h"
+#include "oriolewalk/entry/platform_api.h"
+
+namespace oriolewalk::entry {
+
+namespace {
+
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+// Renewals are useless later than the lease that they renew.
+constexpr seconds kRenewPatience{ 2 };
+// An operator's change waits up to 4 s for "in force everywhere".
+constexpr seconds kOperatorPatience{ 8 };
+
+std::vector<std::string>
+Parts(std::string_view aPath)
+{
+  std::vector<std::string> parts;
+  for (const auto piece : std::views::split(aPath, '/')) {
+    if (!piece.empty()) {
+      parts.emplace_back(piece.begin(), piece.end());
+    }
+  }
+  return parts;
+}
+
+// Without the quotes that an ETag stands in.
+std::string
+Unquoted(std::string_view aText)
+{
+  const bool quoted =
+    aText.size() >= 2 && aText.front() == '"' && aText.back() == '"';
+  return std::string(quoted ? aText.substr(1, aText.size() - 2) : aText);
+}
+
+http::response
+LinkError(const error& aError)
+{
+  // Timeout: a change may or may not have been heard.
+  const unsigned status =
+    aError.mCode == error_code::Timeout ? kGatewayTimeout : kUnavailable;
+  http::response answer = ErrorAnswer(status, aError);
+  answer.mHeaders.push_back({ "Retry-After", "1" });
+  return answer;
+}
+
+http::response
+OperatorResponse(const protocol::operator_answer& aAnswer)
+{
+  http::response response;
+  response.mStatus = aAnswer.mStatus;
+  response.mHeaders = { { "Content-Type", aAnswer.mContentType } };
+  if (!aAnswer.mETag.empty()) {
+    response.mHeaders.push_back({ "ETag", '"' + aAnswer.mETag + '"' });
+  }
+  if (aAnswer.mStatus == kUnavailable) {
+    response.mHeaders.push_back({ "Retry-After", "1" });
+  }
+  response.mBody = aAnswer.mBody;
+  return response;
+}
+
+http::response
+ToResponse(const protocol::answer_body& aBody)
+{
+  return std::visit(
+    overloaded{
+      [](const protocol::target_answer& aAnswer) {
+        return TargetResponse(aAnswer);
+      },
+      [](const protocol::worker_answer& aAnswer) {
+        return WorkerResponse(aAnswer);
+      },
+      [](const protocol::operator_answer& aAnswer) {
+        return OperatorResponse(aAnswer);
+      },
+      [](const auto&) {
+        return ErrorAnswer(
+          kUnavailable,
+          { error_code::Internal, "answer", {}, "a strange answer" });
+      },
+    },
+    aBody);
+}
+
+} // namespace
+
+http_front::http_front(front_identity aIdentity,
+                       call_services& aServices,
+                       serving_state& aServing,
+                       observe::metric_registry& aMetrics,
+                       std::uint64_t aSeed)
+  : mIdentity(std::move(aIdentity))
+  , mServices(aServices)
+  , mServing(aServing)
+  , mMetrics(aMetrics)
+  , mSeed(aSeed)
+  , mCalls(aMetrics.Counter("oriole_entry_calls_total",
+                            "callers' requests that arrived"))
+  , mRefusedHere(aMetrics.Counter(
+      "oriole_entry_refused_total",
+      "callers' requests that the entry refused by itself"))
+{
+}
+
+void
+http_front::Handle(http::request aRequest, const http::responder& aResponder)
+{
+  if (IsServicePath(aRequest.mTarget)) {
+    HandleCaller(std::move(aRequest), aResponder);
+    return;
+  }
+  const std::string path(aRequest.Path());
+  if (path == "/healthz") {
+    HandleHealth(aResponder);
+    return;
+  }
+  if (path == "/metrics") {
+    http::response page;
+    page.mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } };
+    page.mBody = mMetrics.Render();
+    aResponder.Send(std::move(page));
+    return;
+  }
+  const std::vector<std::string> parts = Parts(path);
+  const bool api = parts.size() >= 2 && parts[0] == "v1";
+  const std::string& method = aRequest.mMethod;
+  if (!api) {
+    aResponder.Send(ErrorAnswer(
+      kNotFound, { error_code::NotFound, "route", {}, "no such path" }));
+  } else if (parts[1] == "targets" && parts.size() == 3 && method != "GET") {
+    HandleTarget(aRequest, parts[2], aResponder);
+  } else if (parts[1] == "workers" && parts.size() == 3 && method == "PUT") {
+    HandleWorker(aRequest, parts[2], false, aResponder);
+  } else if (parts[1] == "workers" && parts.size() == 4 && parts[3] == "poll") {
+    HandleWorker(aRequest, parts[2], true, aResponder);
+  } else {
+    HandleOperator(aRequest, aResponder);
+  }
+}
+
+void
+http_front::HandleCaller(http::request aRequest,
+                         const http::responder& aResponder)
+{
+  mCalls.Add();
+  const time_point now = runtime_clock::now();
+  if (!mServing.HasLease(now)) {
+    mRefusedHere.Add();
+    aResponder.Send(BusyAnswer("no contact with the leader", seconds(1)));
+    return;
+  }
+  random_source random(mSeed + mLast.fetch_add(1));
+  const std::uint64_t token = random.Bits();
+  const std::string madeKey =
+    mIdentity.mCarrier.mInstance.Value() + "-" + std::to_string(token);
+  auto call = ParseCall(aRequest, madeKey);
+  if (!call) {
+    aResponder.Send(ErrorAnswer(kBadRequest, call.error()));
+    return;
+  }
+  call->mClaim.mCarrier = mIdentity.mCarrier;
+  call->mClaim.mOrigin = mIdentity.mDataCentre;
+  call->mClaim.mToken = token;
+  const traffic::entry_verdict verdict =
+    mServices.mLimits.Admit(call->mClaim, now);
+  if (verdict.mRefused) {
+    mRefusedHere.Add();
+    aResponder.Send(
+      BusyAnswer(ToString(*verdict.mRefused), verdict.mRetryAfter));
+    return;
+  }
+  std::make_shared<live_call>(mServices,
+                              std::move(aRequest),
+                              std::move(*call),
+                              aResponder,
+                              random.Bits(),
+                              now)
+    ->Start();
+}
+
+void
+http_front::HandleTarget(const http::request& aRequest,
+                         const std::string& aTarget,
+                         const http::responder& aResponder)
+{
+  if (aRequest.mMethod == "DELETE") {
+    Pass(protocol::target_leaving{ target_id(aTarget) },
+         kRenewPatience,
+         aResponder);
+    return;
+  }
+  auto announced = ParseTarget(aTarget, aRequest.mBody);
+  if (!announced) {
+    aResponder.Send(ErrorAnswer(kBadRequest, announced.error()));
+    return;
+  }
+  Pass(std::move(*announced), kRenewPatience, aResponder);
+}
+
+void
+http_front::HandleWorker(const http::request& aRequest,
+                         const std::string& aWorker,
+                         bool aPoll,
+                         const http::responder& aResponder)
+{
+  if (aPoll) {
+    auto poll = ParsePoll(aWorker, aRequest.mBody);
+    if (!poll) {
+      aResponder.Send(ErrorAnswer(kBadRequest, poll.error()));
+      return;
+    }
+    const duration patience = kRenewPatience + milliseconds(poll->mWaitMs);
+    Pass(std::move(*poll), patience, aResponder);
+    return;
+  }
+  auto announced = ParseWorker(aWorker, aRequest.mBody);
+  if (!announced) {
+    aResponder.Send(ErrorAnswer(kBadRequest, announced.error()));
+    return;
+  }
+  Pass(std::move(*announced), kRenewPatience, aResponder);
+}
+
+void
+http_front::HandleOperator(const http::request& aRequest,
+                           const http::responder& aResponder)
+{
+  protocol::operator_request asked;
+  asked.mMethod = aRequest.mMethod;
+  asked.mPath = aRequest.mTarget;
+  asked.mBody = aRequest.mBody;
+  asked.mKey = std::string(aRequest.Find("Oriole-Change-Id")
+                             .value_or(aRequest.Find("Idempotency-Key")
+                                         .value_or("")));
+  asked.mIfMatch = Unquoted(aRequest.Find("If-Match").value_or(""));
+  Pass(std::move(asked), kOperatorPatience, aResponder);
+}
+
+void
+http_front::HandleHealth(const http::responder& aResponder) const
+{
+  const std::string_view unhealthy = mServing.Unhealthy(runtime_clock::now());
+  http::response answer;
+  answer.mStatus = unhealthy.empty() ? 200 : kUnavailable;
+  answer.mBody = unhealthy.empty() ? "ok\n" : std::string(unhealthy) + "\n";
+  aResponder.Send(std::move(answer));
+}
+
+void
+http_front::Pass(protocol::request_body aBody,
+                 duration aPatience,
+                 const http::responder& aResponder)
+{
+  mServices.mLink.Ask(std::move(aBody),
+                      runtime_clock::now() + aPatience,
+                      [aResponder](const control_answer& aAnswer) {
+                        aResponder.Send(aAnswer ? ToResponse(*aAnswer)
+                                                : LinkError(aAnswer.error()));
+                      });
+}
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/http_front.h
@@ -0,0 +1,63 @@
+#pragma once
+
+// What the entry does with each HTTP request: callers' requests become live
+// calls, the rest questions to the leader.
+//
+// Owned by the entry process; called on any traffic thread.
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+#include "oriolewalk/entry/live_call.h"
+#include "oriolewalk/entry/serving_state.h"
+#include "oriolewalk/http/server.h"
+#include "oriolewalk/observe/metrics.h"
+
+namespace oriolewalk::entry {
+
+struct front_identity
+{
+  ledger::carrier mCarrier;
+  data_centre_id mDataCentre;
+};
+
+class http_front
+{
+public:
+  http_front(front_identity aIdentity,
+             call_services& aServices,
+             serving_state& aServing,
+             observe::metric_registry& aMetrics,
+             std::uint64_t aSeed);
+
+  void Handle(http::request aRequest, const http::responder& aResponder);
+
+private:
+  void HandleCaller(http::request aRequest, const http::responder& aResponder);
+  void HandleTarget(const http::request& aRequest,
+                    const std::string& aTarget,
+                    const http::responder& aResponder);
+  void HandleWorker(const http::request& aRequest,
+                    const std::string& aWorker,
+                    bool aPoll,
+                    const http::responder& aResponder);
+  void HandleOperator(const http::request& aRequest,
+                      const http::responder& aResponder);
+  void HandleHealth(const http::responder& aResponder) const;
+  // Asks the leader and answers with what it says, by the kind of the answer.
+  void Pass(protocol::request_body aBody,
+            duration aPatience,
+            const http::responder& aResponder);
+
+  front_identity mIdentity;
+  call_services& mServices;
+  serving_state& mServing;
+  observe::metric_registry& mMetrics;
+  std::uint64_t mSeed;
+  std::atomic<std::uint64_t> mLast = 0;
+  observe::counter& mCalls;
+  observe::counter& mRefusedHere;
+};
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/live_call.cc
@@ -0,0 +1,230 @@
+#include "oriolewalk/entry/live_call.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/entry/answers.h"
+#include "oriolewalk/settings/address.h"
+
+namespace oriolewalk::entry {
+
+namespace {
+
+traffic::entry_request
+ToLimiter(const protocol::claim_request& aClaim)
+{
+  return { aClaim.mRef.mOrganisation, aClaim.mCallerKey, aClaim.mClass };
+}
+
+milliseconds
+Left(time_point aUntil, time_point aNow)
+{
+  return std::max(std::chrono::duration_cast<milliseconds>(aUntil - aNow),
+                  milliseconds(1));
+}
+
+} // namespace
+
+shared_limits::shared_limits(std::uint64_t aSeed)
+  : mLimiter({}, aSeed)
+{
+}
+
+void
+shared_limits::SetPolicy(const traffic::share_policy& aPolicy)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.SetPolicy(aPolicy);
+}
+
+traffic::entry_verdict
+shared_limits::Admit(const protocol::claim_request& aClaim, time_point aNow)
+{
+  const std::lock_guard lock(mMutex);
+  return mLimiter.Admit(ToLimiter(aClaim), aNow);
+}
+
+void
+shared_limits::Finished(const protocol::claim_request& aClaim,
+                        const traffic::control_call& aCall,
+                        time_point aNow)
+{
+  const std::lock_guard lock(mMutex);
+  mLimiter.Finished(ToLimiter(aClaim), aCall, aNow);
+}
+
+void
+shared_limits::Succeeded(const service_id& aService)
+{
+  const std::lock_guard lock(mMutex);
+  mBudgets[aService].Succeeded();
+}
+
+bool
+shared_limits::SpendRetry(const service_id& aService, time_point aNow)
+{
+  const std::lock_guard lock(mMutex);
+  return mBudgets[aService].Spend(aNow);
+}
+
+live_call::live_call(call_services& aServices,
+                     http::request aRequest,
+                     parsed_call aCall,
+                     http::responder aResponder,
+                     std::uint64_t aSeed,
+                     time_point aNow)
+  : mServices(aServices)
+  , mRequest(std::move(aRequest))
+  , mCall(std::move(aCall))
+  , mResponder(std::move(aResponder))
+  , mFlow(mCall.mClaim, aNow + mCall.mDeadline, aSeed)
+  , mArrivedAt(aNow)
+{
+}
+
+void
+live_call::Start()
+{
+  mResponder.OnDisconnected(
+    [weak = weak_from_this()]() {
+      if (const auto self = weak.lock()) {
+        self->OnHangUp();
+      }
+    });
+  Do(mFlow.Start(mArrivedAt));
+}
+
+void
+live_call::Do(flow_step aStep)
+{
+  std::visit(
+    overloaded{ [this](const ask_control& aAsk) { Ask(aAsk); },
+                [this](const forward& aForward) { Forward(aForward); },
+                [this](answer_caller& aAnswer) { Answer(std::move(aAnswer)); } },
+    aStep);
+}
+
+void
+live_call::Ask(const ask_control& aAsk)
+{
+  mClaiming = std::holds_alternative<protocol::claim_request>(aAsk.mBody);
+  const time_point now = runtime_clock::now();
+  mServices.mLink.Ask(aAsk.mBody,
+                      aAsk.mUntil,
+                      [self = shared_from_this(), now](control_answer aAnswer) {
+                        self->OnControl(aAnswer, now);
+                      });
+}
+
+void
+live_call::OnControl(const control_answer& aAnswer, time_point aAskedAt)
+{
+  const time_point now = runtime_clock::now();
+  if (std::exchange(mClaiming, false)) {
+    NoteClaim(aAnswer, now - aAskedAt, now);
+  }
+  Do(mFlow.OnControl(aAnswer, now));
+}
+
+// Tells the limiter how control fares: its latency without the time that the
+// request waited for its turn, which says nothing of control itself.
+void
+live_call::NoteClaim(const control_answer& aAnswer,
+                     duration aTook,
+                     time_point aNow)
+{
+  traffic::control_call call{ traffic::call_result::Lost, aTook };
+  const auto* claimed =
+    aAnswer ? std::get_if<protocol::claim_answer>(&*aAnswer) : nullptr;
+  if (claimed != nullptr) {
+    const bool busy = std::holds_alternative<protocol::claim_busy>(*claimed);
+    call.mResult =
+      busy ? traffic::call_result::Refused : traffic::call_result::Accepted;
+    const auto* granted = std::get_if<protocol::claim_granted>(claimed);
+    // A refusal may come after a wait that its answer doesn't tell.
+    call.mLatency = granted != nullptr
+                      ? aTook - milliseconds(granted->mWaitedMs)
+                      : duration{};
+  }
+  mServices.mLimits.Finished(mCall.mClaim, call, aNow);
+}
+
+void
+live_call::Forward(const forward& aForward)
+{
+  const time_point now = runtime_clock::now();
+  const auto address = settings::ParseAddress(aForward.mAddress);
+  if (!address) {
+    OnTarget(http::never_started{ address.error() });
+    return;
+  }
+  mServices.mForwarded.Add();
+  mSentAt = now;
+  const milliseconds left = Left(aForward.mUntil, now);
+  http::send_options options;
+  options.mTotalTimeout = left;
+  options.mConnectTimeout = std::min(options.mConnectTimeout, left);
+  options.mMustMatch = {
+    { "Oriole-Request", mCall.mClaim.mRef.ToString() },
+    { "Oriole-Attempt", std::to_string(aForward.mAttempt) }
+  };
+  mServices.mClient.Send(
+    *address,
+    ForTarget(mRequest, mCall, aForward.mAttempt, left),
+    options,
+    [self = shared_from_this()](http::send_outcome aOutcome) {
+      self->OnTarget(std::move(aOutcome));
+    });
+}
+
+void
+live_call::OnTarget(http::send_outcome aOutcome)
+{
+  const time_point now = runtime_clock::now();
+  mTargetTook += now - mSentAt;
+  const service_id& service = mCall.mClaim.mService;
+  bool mayRetry = false;
+  if (std::holds_alternative<http::answered>(aOutcome)) {
+    mServices.mLimits.Succeeded(service);
+  } else if (std::holds_alternative<http::never_started>(aOutcome)) {
+    mayRetry = mServices.mLimits.SpendRetry(service, now);
+  }
+  Do(mFlow.OnTarget(std::move(aOutcome), mayRetry, now));
+}
+
+void
+live_call::Answer(answer_caller aAnswer)
+{
+  const duration whole = runtime_clock::now() - mArrivedAt;
+  mServices.mAdded.Add(
+    std::chrono::duration<double, std::milli>(whole - mTargetTook).count());
+  mServices.mEvents.Write(
+    { .mKind = "answered",
+      .mRequest = mCall.mClaim.mRef.ToString(),
+      .mOrganisation = mCall.mClaim.mRef.mOrganisation.Value(),
+      .mDetail = std::string(
+        aAnswer.mResponse.Find(kOutcomeHeader).value_or("error")) });
+  mResponder.Send(std::move(aAnswer.mResponse));
+  if (aAnswer.mReport) {
+    mServices.mGivenBack.Add();
+    mServices.mLink.Ask(aAnswer.mReport->mBody,
+                        aAnswer.mReport->mUntil,
+                        [](const control_answer&) {});
+  }
+}
+
+// Only what waits can be taken back; the leader answers the claim itself.
+void
+live_call::OnHangUp()
+{
+  constexpr seconds kPatience{ 2 };
+  mServices.mLink.Ask(
+    protocol::cancel_request{ mFlow.Claim().mRef, mFlow.Claim().mToken },
+    runtime_clock::now() + kPatience,
+    [](const control_answer&) {});
+}
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/request_flow.h
@@ -0,0 +1,123 @@
+#pragma once
+
+// One caller's request, from its arrival to its answer.
+//
+//   claim -> granted -> forward to the target -> report -> answer
+//         -> known / busy / not run / mismatch -> answer
+//
+// A state machine without I/O: the shell tells it what came back, and carries
+// out the step that it returns. It keeps these rules:
+//  - nothing is sent to a target without a grant, nor after the deadline;
+//  - another attempt only where the last one surely did not start;
+//  - the end of every granted attempt is reported, and a claim whose grant was
+//    lost is given back, so that no slot stays taken;
+//  - the caller is told "completed" once that is recorded, so that whoever
+//    asks again hears the same; but a whole answer is not kept from its caller
+//    for longer than kReportPatience where control can't be reached.
+//
+// One thread at a time; owned by the shell's call.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/client.h"
+#include "oriolewalk/http/message.h"
+#include "oriolewalk/protocol/messages.h"
+
+namespace oriolewalk::entry {
+
+// Covers a leader change (under 1.5 s), after which the report goes through.
+constexpr milliseconds kReportPatience{ 2500 };
+// A report that its caller doesn't wait for any more is tried so long: past
+// the carrier grace somebody else has recorded the attempt's end.
+constexpr seconds kBackgroundPatience{ 15 };
+constexpr std::uint32_t kMostAttempts = 3;
+
+// Ask control; give up at mUntil.
+struct ask_control
+{
+  protocol::request_body mBody;
+  time_point mUntil;
+};
+
+// Send the request to the target; give up at mUntil.
+struct forward
+{
+  std::string mAddress;
+  std::uint32_t mAttempt = 0;
+  time_point mUntil;
+};
+
+// Answer the caller. mReport is a report that goes on in the background.
+struct answer_caller
+{
+  http::response mResponse;
+  std::optional<ask_control> mReport;
+};
+
+using flow_step = std::variant<ask_control, forward, answer_caller>;
+
+class request_flow
+{
+public:
+  // aClaim.mToken is the first attempt's; aSeed gives the later ones'.
+  request_flow(protocol::claim_request aClaim,
+               time_point aDeadline,
+               std::uint64_t aSeed);
+
+  flow_step Start(time_point aNow);
+  // An answer to the last ask_control.
+  flow_step OnControl(const result<protocol::answer_body>& aAnswer,
+                      time_point aNow);
+  // aMayRetry: the retry budget allows another attempt if this one did not
+  // start.
+  flow_step OnTarget(http::send_outcome aOutcome,
+                     bool aMayRetry,
+                     time_point aNow);
+
+  [[nodiscard]] const protocol::claim_request& Claim() const { return mClaim; }
+  // What came of the last claim, for the entry limiter.
+  [[nodiscard]] bool IsForwarding() const
+  {
+    return mStage == stage::Forwarding;
+  }
+
+private:
+  enum class stage : std::uint8_t
+  {
+    Claiming,
+    Forwarding,
+    Reporting,
+  };
+
+  flow_step AskClaim(time_point aNow);
+  flow_step OnClaimAnswer(const protocol::claim_answer& aAnswer,
+                          time_point aNow);
+  flow_step OnGranted(const protocol::claim_granted& aGranted, time_point aNow);
+  flow_step GiveBack(http::response aResponse, time_point aNow);
+  flow_step Report(protocol::finish_request aReport,
+                   http::response aThen,
+                   bool aRetry,
+                   time_point aNow);
+  [[nodiscard]] protocol::finish_request FinishAs(
+    ledger::attempt_result aResult,
+    traffic::finish_result aQuality,
+    time_point aNow) const;
+  flow_step OnAnswered(http::response aResponse, time_point aNow);
+
+  protocol::claim_request mClaim;
+  time_point mDeadline;
+  std::uint64_t mSeed;
+  stage mStage = stage::Claiming;
+  std::uint32_t mAttempts = 0;
+  time_point mSentAt{};
+  protocol::finish_request mReport;
+  http::response mThen; // for the caller, once reported
+  bool mRetry = false;  // claim again once reported
+};
+
+} // namespace oriolewalk::entry
--- /dev/null
+++ b/oriolewalk/entry/serving_state.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// What traffic threads ask before they admit a request, and the control thread
+// sets: the serving lease, and whether the entry is stopping.
+//
+// An entry that can't confirm its weights version within the lease admits
+// nothing: a cut-off entry would otherwise act on an old table for as long as
+// the cut lasts. Any thread.
+
+#include <atomic>
+#include <cstdint>
+#include <string_view>
+
+#include "oriolewalk/base/clock.h"
+
+namespace oriolewalk::entry {
+
+class serving_state
+{
+public:
+  void SetLease(time_point aUntil, std::uint64_t aVersion)
+  {
+    mVersion.store(aVersion);
+    mUntil.store(aUntil.time_since_epoch().count());
+  }
+  void StartDraining() { mDraining.store(true); }
+
+  [[nodiscard]] bool HasLease(time_point aNow) const
+  {
+    return aNow.time_since_epoch().count() < mUntil.load();
+  }
+  [[nodiscard]] bool IsDraining() const { return mDraining.load(); }
+  [[nodiscard]] std::uint64_t Version() const { return mVersion.load(); }
+  // Empty if the balancer may send work here.
+  [[nodiscard]] std::string_view Unhealthy(time_point aNow) const
+  {
+    if (IsDraining()) {
+      return "stopping";
+    }
+    return HasLease(aNow) ? "" : "no contact with the leader";
+  }
+
+private:
+  std::atomic<std::int64_t> mUntil = 0;
+  std::atomic<std::uint64_t> mVersion = 0;
+  std::atomic<bool> mDraining = false;
+};
+
+} // namespace oriolewalk::entry
--- a/oriolewalk/ledger/records.h
+++ b/oriolewalk/ledger/records.h
@@ -57,20 +57,35 @@
   }
 };
 
+// Who sends an attempt, and where to.
+struct placement
+{
+  carrier mCarrier;
+  service_id mService;
+  target_id mTarget;
+  // Where the target was when it was chosen: a grant that is asked for again
+  // from a new leader must not wait for the target's next renewal.
+  std::string mAddress;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mCarrier, mService, mTarget, mAddress);
+  }
+};
+
 // "This key runs on this target now." Committed before anything is sent.
 struct claim
 {
   request_ref mRef;
   // Hash of method, path, class and body: the same key must mean the same work.
   std::uint64_t mFingerprint = 0;
-  carrier mCarrier;
+  placement mPlacement;
   // Made by the carrier for each claim that it makes, unique among all
   // carriers (random): a claim sent again after a lost answer bears the same
   // token, and gets the same grant.
   std::uint64_t mToken = 0;
-  service_id mService;
-  target_id mTarget;
-  std::uint8_t mClass = 0;
+  std::uint8_t mClass = 0; // the proposer's enumeration; opaque here
   bool mRepeatable = false;
   std::int64_t mDeadlineWallMs = 0;
 
@@ -79,10 +94,8 @@
   {
     aArchive(mRef,
              mFingerprint,
-             mCarrier,
+             mPlacement,
              mToken,
-             mService,
-             mTarget,
              mClass,
              mRepeatable,
              mDeadlineWallMs);
@@ -163,8 +176,7 @@
   std::int64_t mEndedWallMs = 0;
   std::int64_t mDeadlineWallMs = 0;
   std::uint64_t mToken = 0;
-  carrier mCarrier;  // emptied at the end, to keep ended records small
-  target_id mTarget; // emptied at the end
+  placement mPlacement; // emptied at the end, to keep ended records small
   bytes mAnswer;
 
   template<class Archive>
@@ -180,8 +192,7 @@
              mEndedWallMs,
              mDeadlineWallMs,
              mToken,
-             mCarrier,
-             mTarget,
+             mPlacement,
              mAnswer);
   }
 };
--- a/oriolewalk/ledger/request_ledger.cc
+++ b/oriolewalk/ledger/request_ledger.cc
@@ -87,8 +87,7 @@
   // The same claim again, after its grant was lost on the way: the carrier has
   // not sent it yet (it waits for the grant), so the same grant is right. The
   // recorded target counts, not the one proposed now.
-  const bool sameClaim =
-    aRecord.mCarrier == aClaim.mCarrier && aRecord.mToken == aClaim.mToken;
+  const bool sameClaim = aRecord.mToken == aClaim.mToken;
   return { sameClaim ? verdict::Granted : verdict::InProgress,
            aRecord.mAttempt,
            aRecord };
@@ -104,9 +103,8 @@
   aRecord.mClass = aClaim.mClass;
   aRecord.mDeadlineWallMs = aClaim.mDeadlineWallMs;
   aRecord.mToken = aClaim.mToken;
-  aRecord.mCarrier = aClaim.mCarrier;
-  aRecord.mTarget = aClaim.mTarget;
-  mRunning[aClaim.mCarrier].insert(aClaim.mRef);
+  aRecord.mPlacement = aClaim.mPlacement;
+  mRunning[aClaim.mPlacement.mCarrier].insert(aClaim.mRef);
 }
 
 ledger_outcome
@@ -195,7 +193,7 @@
                     request_state aState)
 {
   const bool endedBefore = aRecord.mEndedWallMs != 0;
-  if (const auto running = mRunning.find(aRecord.mCarrier);
+  if (const auto running = mRunning.find(aRecord.mPlacement.mCarrier);
       running != mRunning.end()) {
     running->second.erase(aRef);
     if (running->second.empty()) {
@@ -203,8 +201,7 @@
     }
   }
   aRecord.mState = aState;
-  aRecord.mCarrier = {};
-  aRecord.mTarget = {};
+  aRecord.mPlacement = {};
   aRecord.mEndedWallMs = std::max<std::int64_t>(mLastWallMs, 1);
   if (!endedBefore) {
     mEnded.push_back(aRef);
@@ -291,7 +288,7 @@
   mAnswerBytes = 0;
   for (const auto& [ref, record] : mRecords) {
     if (record.mState == request_state::Running) {
-      mRunning[record.mCarrier].insert(ref);
+      mRunning[record.mPlacement.mCarrier].insert(ref);
     }
     mAnswerBytes += record.mAnswer.size();
   }
--- a/oriolewalk/ledger/request_ledger.h
+++ b/oriolewalk/ledger/request_ledger.h
@@ -43,8 +43,9 @@
   std::int64_t mWindowMs = 24LL * 3600 * 1000;
   // The same for repeatable keys: running again does no harm, only costs.
   std::int64_t mRepeatableWindowMs = 600'000;
-  // Nothing is forgotten earlier than this, full or not: 20 times the longest
-  // deadline that an entry accepts (30 s).
+  // Nothing is forgotten earlier than this, full or not: as long as the longest
+  // deadline that an entry accepts, so that no copy of a request that is still
+  // under way finds its key forgotten.
   std::int64_t mMinimumWindowMs = 600'000;
   // At about 200 bytes a record 400,000 stay under 80 MB of the 128 MB.
   std::size_t mMaxRecords = 400'000;
--- /dev/null
+++ b/oriolewalk/protocol/messages.h
@@ -0,0 +1,374 @@
+#pragma once
+
+// What entries ask of the control processes, and the answers. Every question
+// is safe to ask again of any control process: claims bear a token, edits a
+// change id, jobs a key; the rest says what is, not what to change.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/codec.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/cell/job.h"
+#include "oriolewalk/cell/protocol.h"
+#include "oriolewalk/cell/resources.h"
+#include "oriolewalk/ledger/records.h"
+#include "oriolewalk/observe/hybrid_clock.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::protocol {
+
+// NOLINTBEGIN(readability-identifier-naming): cereal's serialize
+
+// An entry is there and acts on this version of the weights table. The answer
+// is held until there is a newer version, or for kHeartbeatHold.
+struct heartbeat
+{
+  ledger::carrier mCarrier;
+  std::string mAddress; // where it takes callers, for status pages
+  data_centre_id mDataCentre;
+  std::uint64_t mWeightsVersion = 0;
+  bool mDraining = false;
+  std::uint64_t mInProgress = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mCarrier,
+             mAddress,
+             mDataCentre,
+             mWeightsVersion,
+             mDraining,
+             mInProgress);
+  }
+};
+
+// mGranted: the serving lease is renewed from when the heartbeat was sent.
+// Otherwise mTable has the version to act on.
+struct heartbeat_answer
+{
+  bool mGranted = false;
+  std::uint64_t mVersion = 0;
+  std::optional<std::string> mTable; // CSV
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mGranted, mVersion, mTable);
+  }
+};
+
+// A caller's request asks for a target. Held until it is placed or refused.
+struct claim_request
+{
+  ledger::request_ref mRef;
+  std::uint64_t mFingerprint = 0;
+  ledger::carrier mCarrier;
+  std::uint64_t mToken = 0;
+  service_id mService;
+  std::string mCallerKey; // shares the organisation's share fairly
+  traffic::work_class mClass = traffic::work_class::Normal;
+  bool mRepeatable = false;
+  data_centre_id mOrigin;
+  std::uint32_t mDeadlineMs = 0; // what is left of it
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRef,
+             mFingerprint,
+             mCarrier,
+             mToken,
+             mService,
+             mCallerKey,
+             mClass,
+             mRepeatable,
+             mOrigin,
+             mDeadlineMs);
+  }
+};
+
+// Send this attempt there; nobody else will.
+struct claim_granted
+{
+  std::uint32_t mAttempt = 0;
+  target_id mTarget;
+  std::string mAddress;
+  // How long it waited for its turn, so that the entry can tell a slow control
+  // process from a full cell.
+  std::uint32_t mWaitedMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAttempt, mTarget, mAddress, mWaitedMs);
+  }
+};
+
+// The key has ended, or another attempt of it waits or runs.
+struct claim_known
+{
+  ledger::request_state mState = ledger::request_state::Running;
+  std::uint16_t mStatus = 0;
+  bool mAnswerKept = false;
+  bytes mAnswer;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mState, mStatus, mAnswerKept, mAnswer);
+  }
+};
+
+// Nothing was started and nothing is asserted about the key.
+struct claim_busy
+{
+  std::string mReason;
+  std::uint32_t mRetryAfterMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mReason, mRetryAfterMs);
+  }
+};
+
+// A tombstone is committed: it did not run and never will.
+struct claim_not_run
+{
+  std::string mReason;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mReason);
+  }
+};
+
+// The key belongs to other work.
+struct claim_mismatch
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/)
+  {
+  }
+};
+
+using claim_answer = std::variant<claim_granted,
+                                  claim_known,
+                                  claim_busy,
+                                  claim_not_run,
+                                  claim_mismatch>;
+
+// How the granted attempt ended. With NotStarted for a token whose grant never
+// arrived, it gives the claim back.
+struct finish_request
+{
+  ledger::finish mFinish;
+  traffic::finish_result mQuality = traffic::finish_result::Answered;
+  std::uint32_t mLatencyUs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFinish, mQuality, mLatencyUs);
+  }
+};
+
+// The caller hung up. What waits leaves its queue; what runs goes on.
+struct cancel_request
+{
+  ledger::request_ref mRef;
+  std::uint64_t mToken = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRef, mToken);
+  }
+};
+
+struct target_announcement
+{
+  target_id mTarget;
+  service_id mService;
+  std::string mAddress;
+  data_centre_id mDataCentre;
+  std::uint32_t mSlots = 1;
+  std::uint32_t mConnections = 1;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(
+      mTarget, mService, mAddress, mDataCentre, mSlots, mConnections);
+  }
+};
+
+struct target_leaving
+{
+  target_id mTarget;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mTarget);
+  }
+};
+
+struct target_answer
+{
+  std::uint32_t mRenewMs = 0;
+  std::uint32_t mLeaseMs = 0;
+  std::uint32_t mInProgress = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRenewMs, mLeaseMs, mInProgress);
+  }
+};
+
+struct worker_announcement
+{
+  worker_id mWorker;
+  cell::boot_id mBoot;
+  data_centre_id mDataCentre;
+  rack_id mRack;
+  cell::resources mCapacity;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorker, mBoot, mDataCentre, mRack, mCapacity);
+  }
+};
+
+struct worker_poll
+{
+  worker_id mWorker;
+  std::uint32_t mWaitMs = 0;
+  cell::worker_poll mPoll;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mWorker, mWaitMs, mPoll);
+  }
+};
+
+struct worker_answer
+{
+  std::uint32_t mLeaseMs = 0;
+  bool mAnnounceAgain = false;
+  std::vector<cell::worker_command> mCommands;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLeaseMs, mAnnounceAgain, mCommands);
+  }
+};
+
+// An operator's HTTP request, passed to the leader as it came.
+struct operator_request
+{
+  std::string mMethod;
+  std::string mPath; // with the query
+  std::string mBody;
+  std::string mKey;     // Idempotency-Key or Oriole-Change-Id
+  std::string mIfMatch; // as in the header, without quotes
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mMethod, mPath, mBody, mKey, mIfMatch);
+  }
+};
+
+struct operator_answer
+{
+  std::uint16_t mStatus = 0;
+  std::string mContentType = "application/json";
+  std::string mETag;
+  std::string mBody;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mStatus, mContentType, mETag, mBody);
+  }
+};
+
+struct done
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/)
+  {
+  }
+};
+
+using request_body = std::variant<heartbeat,
+                                  claim_request,
+                                  finish_request,
+                                  cancel_request,
+                                  target_announcement,
+                                  target_leaving,
+                                  worker_announcement,
+                                  worker_poll,
+                                  operator_request>;
+using answer_body = std::variant<done,
+                                 heartbeat_answer,
+                                 claim_answer,
+                                 target_answer,
+                                 worker_answer,
+                                 operator_answer>;
+
+// The stamps keep the time line in causal order over processes.
+struct request
+{
+  observe::stamp mStamp;
+  request_body mBody;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mStamp, mBody);
+  }
+};
+
+struct answer
+{
+  observe::stamp mStamp;
+  answer_body mBody;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mStamp, mBody);
+  }
+};
+
+// NOLINTEND(readability-identifier-naming)
+
+// Kind of the RPC call that carries a request.
+constexpr std::uint16_t kControlCall = 1;
+
+// How long the leader holds a heartbeat: a third of the serving lease, less a
+// round trip, so that two lost heartbeats still leave the lease alive.
+constexpr std::uint32_t kHeartbeatHoldMs = 500;
+// Targets renew four times in a lease; a silent one gets nothing new within
+// 2 s, as the brief asks for "a few seconds".
+constexpr std::uint32_t kTargetRenewMs = 500;
+constexpr std::uint32_t kTargetLeaseMs = 2000;
+// Longest time for which a worker's poll is held.
+constexpr std::uint32_t kMostPollMs = 1000;
+// Longest deadline that a caller may ask for.
+constexpr std::uint32_t kMostDeadlineMs = 600'000;
+// Answers up to this size are kept in the ledger.
+constexpr std::size_t kMostKeptAnswer = 16 * 1024;
+
+} // namespace oriolewalk::protocol
--- /dev/null
+++ b/oriolewalk/protocol/policy_map.cc
@@ -0,0 +1,85 @@
+#include "oriolewalk/protocol/policy_map.h"
+
+#include <limits>
+#include <set>
+
+#include "oriolewalk/weights/weights_row.h"
+
+namespace oriolewalk::protocol {
+
+namespace {
+
+constexpr std::int64_t kNoQuota = std::numeric_limits<std::int64_t>::max() / 4;
+
+traffic::share_rule
+Rule(const weights::weights_row& aRow)
+{
+  traffic::share_rule rule;
+  rule.mWeight = aRow.mWeight;
+  rule.mMaxSlots = aRow.mMaxSlots.value_or(0);
+  rule.mMaxWaiting = aRow.mMaxWaiting.value_or(0);
+  rule.mRatePerSecond = aRow.mRequestsPerSecond.value_or(0);
+  rule.mBurst = aRow.mBurst.value_or(0);
+  return rule;
+}
+
+traffic::work_class
+ToTraffic(weights::work_class aClass)
+{
+  return static_cast<traffic::work_class>(aClass);
+}
+
+std::set<organisation_id>
+Named(const weights::weights_table& aTable)
+{
+  std::set<organisation_id> named;
+  for (const weights::weights_row& row : aTable.Rows()) {
+    if (row.mOrganisation.Value() != weights::kAnyone) {
+      named.insert(row.mOrganisation);
+    }
+  }
+  return named;
+}
+
+} // namespace
+
+traffic::share_policy
+SharePolicy(const weights::weights_table& aTable)
+{
+  traffic::share_policy policy;
+  const organisation_id anyone{ std::string(weights::kAnyone) };
+  const std::set<organisation_id> named = Named(aTable);
+  for (const weights::work_class workClass : weights::kWorkClasses) {
+    const traffic::work_class mapped = ToTraffic(workClass);
+    policy.SetDefault(mapped, Rule(aTable.Find(anyone, workClass)));
+    for (const organisation_id& organisation : named) {
+      policy.Set(organisation, mapped, Rule(aTable.Find(organisation, workClass)));
+    }
+  }
+  return policy;
+}
+
+// The cell has one weight and one quota for each organisation: those of its
+// heavy row, the class of batch work.
+cell::cell_policy
+CellPolicy(const weights::weights_table& aTable, std::uint64_t aVersion)
+{
+  cell::cell_policy policy;
+  policy.mVersion = aVersion;
+  for (const organisation_id& organisation : Named(aTable)) {
+    const weights::weights_row& row =
+      aTable.Find(organisation, weights::work_class::Heavy);
+    policy.mWeights[organisation] = row.mWeight;
+    if (row.mMilliProcessors || row.mMemoryMb || row.mAccelerators) {
+      const auto limit = [](const std::optional<std::uint64_t>& aValue) {
+        return aValue ? static_cast<std::int64_t>(*aValue) : kNoQuota;
+      };
+      policy.mQuotas[organisation] = { limit(row.mMilliProcessors),
+                                       limit(row.mMemoryMb),
+                                       limit(row.mAccelerators) };
+    }
+  }
+  return policy;
+}
+
+} // namespace oriolewalk::protocol
--- a/testing/ledger/request_ledger_test.cc
+++ b/testing/ledger/request_ledger_test.cc
@@ -25,9 +25,9 @@
   claim made;
   made.mRef = Ref(aKey);
   made.mFingerprint = kWork;
-  made.mCarrier = { instance_id(aInstance), 1 };
+  made.mPlacement.mCarrier = { instance_id(aInstance), 1 };
   made.mToken = aToken;
-  made.mTarget = target_id("t-" + aInstance);
+  made.mPlacement.mTarget = target_id("t-" + aInstance);
   return made;
 }
 
@@ -69,11 +69,11 @@
   request_ledger ledger;
   const auto first = ledger.Apply(Claim("k"), kStart);
   claim resent = Claim("k");
-  resent.mTarget = target_id("another");
+  resent.mPlacement.mTarget = target_id("another");
   const auto second = ledger.Apply(resent, kStart);
   CHECK(second.mVerdict == verdict::Granted);
   CHECK(second.mAttempt == first.mAttempt);
-  CHECK(second.mRecord->mTarget == target_id("t-e1"));
+  CHECK(second.mRecord->mPlacement.mTarget == target_id("t-e1"));
 }
 
 TEST_CASE("not run is final: a late claim of the same key is never granted")
