--- a/oriolewalk/control/control_core.cc
+++ b/oriolewalk/control/control_core.cc
@@ -50,8 +50,8 @@
 {
 }
 
-control_core::control_core(const control_config& aConfig, std::uint64_t aSeed)
-  : mConfig(aConfig)
+control_core::control_core(control_config aConfig, std::uint64_t aSeed)
+  : mConfig(std::move(aConfig))
   , mSeed(aSeed)
   , mOperators(*this)
 {
@@ -443,13 +443,12 @@
 }
 
 void
-control_core::SnapshotStored(
-  std::shared_ptr<const consensus::snapshot> aSnapshot)
+control_core::SnapshotStored(const consensus::snapshot& aSnapshot)
 {
   ++mCounters.mSnapshots;
   mSnapshotUnderWay = false;
-  mSnapshotAt = aSnapshot->mIndex;
-  mRaft->Compact(*aSnapshot);
+  mSnapshotAt = aSnapshot.mIndex;
+  mRaft->Compact(aSnapshot);
 }
 
 } // namespace oriolewalk::control
--- a/oriolewalk/control/control_core.h
+++ b/oriolewalk/control/control_core.h
@@ -103,7 +103,7 @@
            std::int64_t aWallMs);
   void Tick(time_point aNow, std::int64_t aWallMs);
   void Persisted(consensus::ticket_t aTicket, time_point aNow);
-  void SnapshotStored(std::shared_ptr<const consensus::snapshot> aSnapshot);
+  void SnapshotStored(const consensus::snapshot& aSnapshot);
   control_effects TakeEffects(time_point aNow, std::int64_t aWallMs);
 
   // A planned stop: leadership goes to the voter that is furthest along.
@@ -140,7 +140,7 @@
     weights_desk mWeights;
   };
 
-  control_core(const control_config& aConfig, std::uint64_t aSeed);
+  control_core(control_config aConfig, std::uint64_t aSeed);
 
   void Collect(control_effects& aOut, time_point aNow, std::int64_t aWallMs);
   void ApplyEntry(const consensus::log_entry& aEntry,
--- a/oriolewalk/control/control_process.cc
+++ b/oriolewalk/control/control_process.cc
@@ -68,11 +68,11 @@
 class control_process
 {
 public:
-  control_process(const control_settings& aSettings,
+  control_process(control_settings aSettings,
                   std::unique_ptr<control_core> aCore,
                   std::unique_ptr<storage::data_folder> aFolder,
                   std::unique_ptr<observe::event_log> aEvents)
-    : mSettings(aSettings)
+    : mSettings(std::move(aSettings))
     , mTimer(mContext)
     , mSignals(mContext, SIGTERM, SIGINT)
     , mCore(std::move(aCore))
@@ -117,14 +117,17 @@
   {
     return mRpc.Listen(
       mSettings.mListen.ToString(),
-      [this](std::uint16_t aKind, bytes aBody, wire::reply_function aReply) {
-        OnCall(aKind, std::move(aBody), std::move(aReply));
+      [this](
+        std::uint16_t aKind, const bytes& aBody, wire::reply_function aReply) {
+        OnCall(aKind, aBody, std::move(aReply));
       },
-      [this](bytes aMessage) { OnDeliver(std::move(aMessage)); });
+      [this](const bytes& aMessage) { OnDeliver(aMessage); });
   }
 
   // The RPC node's thread: decodes there, so that the control thread need not.
-  void OnCall(std::uint16_t aKind, bytes aBody, wire::reply_function aReply)
+  void OnCall(std::uint16_t aKind,
+              const bytes& aBody,
+              wire::reply_function aReply)
   {
     if (aKind != protocol::kControlCall) {
       aReply(Fail(error_code::InvalidArgument, "call", "unknown kind"));
@@ -146,7 +149,7 @@
       });
   }
 
-  void OnDeliver(bytes aMessage)
+  void OnDeliver(const bytes& aMessage)
   {
     auto received = Decode<peer_message>(aMessage, "deliver");
     if (!received) {
@@ -169,7 +172,7 @@
       mCore->Persisted(aDone.mTicket, runtime_clock::now());
     }
     if (aDone.mSnapshot) {
-      mCore->SnapshotStored(aDone.mSnapshot);
+      mCore->SnapshotStored(*aDone.mSnapshot);
     }
     SchedulePump();
   }
@@ -290,7 +293,7 @@
     }
   }
 
-  bool MayStop() const
+  [[nodiscard]] bool MayStop() const
   {
     return !mCore->Raft().IsLeader() || runtime_clock::now() >= mStopAt;
   }
--- a/oriolewalk/control/held_calls.h
+++ b/oriolewalk/control/held_calls.h
@@ -53,7 +53,9 @@
     std::vector<std::pair<Key, held>> due;
     while (!mDue.empty() && mDue.begin()->first <= aNow) {
       const Key key = mDue.begin()->second;
-      due.emplace_back(key, *Take(key));
+      if (auto taken = Take(key)) {
+        due.emplace_back(key, std::move(*taken));
+      }
     }
     return due;
   }
--- a/oriolewalk/control/live_requests.cc
+++ b/oriolewalk/control/live_requests.cc
@@ -356,7 +356,7 @@
     return;
   }
   const waiting_claim& waiting = found->second;
-  if (aOutcome.mVerdict == ledger::verdict::Granted) {
+  if (aOutcome.mVerdict == ledger::verdict::Granted && aOutcome.mRecord) {
     mRunning.emplace(aClaim.mToken,
                      running_claim{ waiting.mId,
                                     aClaim.mRef,
@@ -378,7 +378,7 @@
   } else if (aOutcome.mVerdict == ledger::verdict::Mismatch) {
     mOutput.mAnswer(waiting.mCall,
                     protocol::claim_answer(protocol::claim_mismatch{}));
-  } else {
+  } else if (aOutcome.mRecord) {
     mOutput.mAnswer(waiting.mCall, KnownAnswer(*aOutcome.mRecord));
   }
   Drop(aClaim.mToken);
--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -143,19 +143,18 @@
 {
   const weights::weights_register& table = mCore.State().Weights();
   const std::string part = aPath.mParts.size() > 2 ? aPath.mParts[2] : "";
+  const bool reads = aRequest.mMethod == "GET";
   if (part.empty() && aRequest.mMethod == "PUT") {
     EditWeights(aCall, aRequest, aNow, aWallMs);
-  } else if (aRequest.mMethod != "GET") {
-    NotFound(aCall, aRequest);
-  } else if (part == "history") {
+  } else if (reads && part == "history") {
     Answer(aCall, JsonAnswer(kOk, HistoryJson(table)));
-  } else if (part == "diff") {
+  } else if (reads && part == "diff") {
     const auto diff =
       table.Diff(QueryNumber(aPath, "from").value_or(table.Version() - 1),
                  QueryNumber(aPath, "to").value_or(table.Version()));
     Answer(aCall,
            diff ? JsonAnswer(kOk, DiffJson(*diff)) : ErrorAnswer(diff.error()));
-  } else if (part.empty()) {
+  } else if (reads && part.empty()) {
     const std::uint64_t version =
       QueryNumber(aPath, "version").value_or(table.Version());
     const auto found = table.At(version);
@@ -218,11 +217,13 @@
                     std::int64_t aWallMs)
 {
   const cell::cell_state& cells = mCore.State().Cell();
-  if (aPath.mParts.size() == 2 && aRequest.mMethod == "POST") {
+  const std::size_t parts = aPath.mParts.size();
+  const std::string& method = aRequest.mMethod;
+  if (parts == 2 && method == "POST") {
     SubmitJob(aCall, aRequest);
     return;
   }
-  if (aPath.mParts.size() == 2 && aRequest.mMethod == "GET") {
+  if (parts == 2 && method == "GET") {
     json::array jobs;
     for (const cell::job_record& job : cells.Jobs() | std::views::values) {
       jobs.push_back(JobJson(cells, job));
@@ -230,35 +231,41 @@
     Answer(aCall, JsonAnswer(kOk, jobs));
     return;
   }
-  const auto number =
-    aPath.mParts.size() > 2 ? cell::ParseJob(aPath.mParts[2]) : std::nullopt;
-  const cell::job_record* job = number ? cells.FindJob(*number) : nullptr;
-  if (job == nullptr) {
-    NotFound(aCall, aRequest);
-  } else if (aPath.mParts.size() == 4 && aPath.mParts[3] == "explain") {
-    Answer(
-      aCall,
-      JsonAnswer(
-        kOk, ExplainJson(mCore.Workers().Explain(*number, { aNow, aWallMs }))));
-  } else if (aRequest.mMethod == "GET") {
+  const cell::job_number number =
+    (parts > 2 ? cell::ParseJob(aPath.mParts[2]) : std::nullopt)
+      .value_or(cell::job_number{});
+  const cell::job_record* job = cells.FindJob(number);
+  if (job != nullptr && parts == 4 && aPath.mParts[3] == "explain") {
+    const cell::explanation why =
+      mCore.Workers().Explain(number, { aNow, aWallMs });
+    Answer(aCall, JsonAnswer(kOk, ExplainJson(why)));
+  } else if (job != nullptr && method == "GET") {
     Answer(aCall, JsonAnswer(kOk, JobJson(cells, *job)));
-  } else if (aRequest.mMethod == "DELETE") {
-    const bool taken = mCore.Propose(
-      cell::cell_command(cell::cancel_job{ *number }),
-      [this, aCall, number](const applied& /*aOutcome*/, time_point) {
-        const cell::cell_state& now = mCore.State().Cell();
-        if (const auto* ended = now.FindJob(*number)) {
-          Answer(aCall, JsonAnswer(kOk, JobJson(now, *ended)));
-        }
-      });
-    if (!taken) {
-      Answer(aCall, ErrorAnswer(NotTaken("cancelling a job")));
-    }
+  } else if (job != nullptr && method == "DELETE") {
+    CancelJob(aCall, number);
   } else {
     NotFound(aCall, aRequest);
   }
 }
 
+// The answer is the job's state after the cancellation: a race against a start
+// or an end has one true outcome.
+void
+operator_desk::CancelJob(call_id aCall, cell::job_number aJob)
+{
+  const bool taken =
+    mCore.Propose(cell::cell_command(cell::cancel_job{ aJob }),
+                  [this, aCall, aJob](const applied& /*aOutcome*/, time_point) {
+                    const cell::cell_state& cells = mCore.State().Cell();
+                    if (const auto* job = cells.FindJob(aJob)) {
+                      Answer(aCall, JsonAnswer(kOk, JobJson(cells, *job)));
+                    }
+                  });
+  if (!taken) {
+    Answer(aCall, ErrorAnswer(NotTaken("cancelling a job")));
+  }
+}
+
 void
 operator_desk::SubmitJob(call_id aCall,
                          const protocol::operator_request& aRequest)
--- a/oriolewalk/control/operator_desk.h
+++ b/oriolewalk/control/operator_desk.h
@@ -59,6 +59,7 @@
             time_point aNow,
             std::int64_t aWallMs);
   void SubmitJob(call_id aCall, const protocol::operator_request& aRequest);
+  void CancelJob(call_id aCall, cell::job_number aJob);
   void Workers(call_id aCall,
                const protocol::operator_request& aRequest,
                const parsed_path& aPath);
--- a/oriolewalk/control/operator_json.cc
+++ b/oriolewalk/control/operator_json.cc
@@ -340,8 +340,8 @@
   spec.mCheckpointable = fields.Flag("checkpointable");
   spec.mFamily = fields.Text("family", "");
   fields.RefuseOthers();
-  if (fields.Problem()) {
-    return Fail(*fields.Problem());
+  if (const auto& problem = fields.Problem()) {
+    return Fail(*problem);
   }
   if (const auto sensible = cell::CheckSpec(spec); !sensible) {
     return Fail(sensible.error());
@@ -371,8 +371,8 @@
     fields.Complain("op", "must be add, remove, replace or transfer");
   }
   fields.RefuseOthers();
-  if (fields.Problem()) {
-    return Fail(*fields.Problem());
+  if (const auto& problem = fields.Problem()) {
+    return Fail(*problem);
   }
   return change;
 }
--- a/oriolewalk/control/replicated_state.cc
+++ b/oriolewalk/control/replicated_state.cc
@@ -56,7 +56,7 @@
     return Fail(saved.error());
   }
   weights::weights_register table;
-  if (const auto restored = table.Restore(saved->mWeights); !restored) {
+  if (auto restored = table.Restore(saved->mWeights); !restored) {
     return restored;
   }
   mWeights = std::move(table);
--- a/oriolewalk/control/worker_desk.cc
+++ b/oriolewalk/control/worker_desk.cc
@@ -36,7 +36,8 @@
 }
 
 void
-worker_desk::Propose(cell::cell_command aCommand, const cell::instant& aNow)
+worker_desk::Propose(const cell::cell_command& aCommand,
+                     const cell::instant& aNow)
 {
   if (!mOutput.mPropose(aCommand)) {
     mScheduler.OnDropped(mState, aCommand, aNow);
@@ -87,8 +88,8 @@
 {
   cell::worker_reply reply =
     mScheduler.Poll(mState, aPoll.mWorker, aPoll.mPoll, aNow);
-  for (cell::cell_command& proposal : reply.mProposals) {
-    Propose(std::move(proposal), aNow);
+  for (const cell::cell_command& proposal : reply.mProposals) {
+    Propose(proposal, aNow);
   }
   const bool quiet = reply.mCommands.empty() && !reply.mAnnounceAgain;
   if (quiet && aMayHold && aNow.mNow < aUntil) {
@@ -138,8 +139,9 @@
 void
 worker_desk::Plan(const cell::instant& aNow)
 {
-  for (cell::cell_command& proposal : mScheduler.Plan(mState, mPolicy, aNow)) {
-    Propose(std::move(proposal), aNow);
+  for (const cell::cell_command& proposal :
+       mScheduler.Plan(mState, mPolicy, aNow)) {
+    Propose(proposal, aNow);
   }
 }
 
--- a/oriolewalk/control/worker_desk.h
+++ b/oriolewalk/control/worker_desk.h
@@ -61,7 +61,7 @@
 private:
   using polls = held_calls<worker_id, protocol::worker_poll>;
 
-  void Propose(cell::cell_command aCommand, const cell::instant& aNow);
+  void Propose(const cell::cell_command& aCommand, const cell::instant& aNow);
   // Answers, or holds while there is nothing to say and aMayHold.
   void AnswerPoll(call_id aCall,
                   const protocol::worker_poll& aPoll,
--- a/oriolewalk/entry/entry_process.cc
+++ b/oriolewalk/entry/entry_process.cc
@@ -79,12 +79,13 @@
              mServing,
              mMetrics,
              DrawSeed())
-    , mServer(mTraffic,
-              aSettings.mListen,
-              {},
-              [this](http::request aRequest, http::responder aResponder) {
-                mFront.Handle(std::move(aRequest), aResponder);
-              })
+    , mServer(
+        mTraffic,
+        aSettings.mListen,
+        {},
+        [this](http::request aRequest, const http::responder& aResponder) {
+          mFront.Handle(std::move(aRequest), aResponder);
+        })
     , mHeartbeats(
         mControl,
         mLink,
--- a/oriolewalk/entry/live_call.cc
+++ b/oriolewalk/entry/live_call.cc
@@ -111,11 +111,12 @@
 {
   mClaiming = std::holds_alternative<protocol::claim_request>(aAsk.mBody);
   const time_point now = runtime_clock::now();
-  mServices.mLink.Ask(aAsk.mBody,
-                      aAsk.mUntil,
-                      [self = shared_from_this(), now](control_answer aAnswer) {
-                        self->OnControl(aAnswer, now);
-                      });
+  mServices.mLink.Ask(
+    aAsk.mBody,
+    aAsk.mUntil,
+    [self = shared_from_this(), now](const control_answer& aAnswer) {
+      self->OnControl(aAnswer, now);
+    });
 }
 
 void
--- a/oriolewalk/entry/platform_api.cc
+++ b/oriolewalk/entry/platform_api.cc
@@ -46,8 +46,8 @@
 result<Value>
 Finish(const json_fields& aReader, Value aValue)
 {
-  if (aReader.Problem()) {
-    return Fail(*aReader.Problem());
+  if (const auto& problem = aReader.Problem()) {
+    return Fail(*problem);
   }
   return aValue;
 }
--- a/oriolewalk/protocol/messages.h
+++ b/oriolewalk/protocol/messages.h
@@ -364,6 +364,6 @@
 // Longest deadline that a caller may ask for.
 constexpr std::uint32_t kMostDeadlineMs = 600'000;
 // Answers up to this size are kept in the ledger.
-constexpr std::size_t kMostKeptAnswer = 16 * 1024;
+constexpr std::size_t kMostKeptAnswer = 16UL * 1024;
 
 } // namespace oriolewalk::protocol
--- a/oriolewalk/wire/peer_link.h
+++ b/oriolewalk/wire/peer_link.h
@@ -30,7 +30,7 @@
   reply_function mReply;
 };
 
-class peer_link : private kj::TaskSet::ErrorHandler
+class peer_link final : private kj::TaskSet::ErrorHandler
 {
 public:
   peer_link(std::string aPeer,
@@ -66,7 +66,7 @@
   void Send(outgoing_call aCall);
   void Drop(std::uint64_t aGeneration);
   void NoteTimeout(std::uint64_t aGeneration);
-  error Problem(error_code aCode, std::string aMessage) const;
+  [[nodiscard]] error Problem(error_code aCode, std::string aMessage) const;
 
   const std::string mPeer;
   const rpc_options& mOptions;
--- a/testing/system/fake_cell.cc
+++ b/testing/system/fake_cell.cc
@@ -225,7 +225,7 @@
       std::erase_if(disk.mEntries, [&](const consensus::log_entry& aEntry) {
         return aEntry.mIndex <= batch.mSnapshot->mIndex;
       });
-      aControl.mCore->SnapshotStored(batch.mSnapshot);
+      aControl.mCore->SnapshotStored(*batch.mSnapshot);
     }
     if (batch.mTicket != 0) {
       aControl.mCore->Persisted(batch.mTicket, mNow);
