--- a/oriolewalk/entry/entry_process.cc
+++ b/oriolewalk/entry/entry_process.cc
@@ -60,7 +60,7 @@
     , mSignals(mControl, SIGTERM, SIGINT)
     , mStopTimer(mControl)
     , mLink(mTraffic, *mEvents, Texts(aSettings.mControls), DrawSeed())
-    , mClient(mTraffic, {})
+    , mClient(mTraffic, { .mMaxConnections = aSettings.mTargetConnections })
     , mLimits(DrawSeed())
     , mServices{ mLink,
                  mClient,
--- a/oriolewalk/entry/entry_process.h
+++ b/oriolewalk/entry/entry_process.h
@@ -24,6 +24,9 @@
   std::vector<settings::address> mControls;
   std::string mEventFile;
   std::uint64_t mThreads = 2;
+  // To one target, busy and idle: seven entries together stay under the 60
+  // that a target takes, and one can still fill its 8 slots.
+  std::uint64_t mTargetConnections = 8;
   // A planned stop: how long the balancer has to see that /healthz fails
   // before new connections are refused.
   milliseconds mBalancerNotice{ 2000 };
--- a/programs/oriole_entry.cc
+++ b/programs/oriole_entry.cc
@@ -15,6 +15,7 @@
   using std::chrono::milliseconds;
   constexpr milliseconds kMostNotice{ 600'000 };
   constexpr std::uint64_t kMostThreads = 64;
+  constexpr std::uint64_t kMostConnections = 1024;
   aParser.Text("instance",
                aSettings.mInstance,
                "name",
@@ -36,6 +37,11 @@
                  { 1, kMostThreads },
                  "number",
                  "threads for traffic");
+  aParser.Number("target-connections",
+                 aSettings.mTargetConnections,
+                 { 1, kMostConnections },
+                 "connections",
+                 "most that are kept to one target");
   aParser.Duration("balancer-notice",
                    aSettings.mBalancerNotice,
                    { milliseconds(0), kMostNotice },
