oriolectl: plain cells for numbers, objects and times

A nested object stood in a table cell as JSON, a failure rate as 0E0 and a change's time as milliseconds; seen in a trial against a running cell.

--- a/programs/oriolectl_print.cc
+++ b/programs/oriolectl_print.cc
@@ -1,9 +1,13 @@
 #include "programs/oriolectl.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <cstdio>
+#include <ctime>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/json/array.hpp>
@@ -17,18 +21,11 @@
 
 namespace json = boost::json;
 
-bool
-IsScalar(const json::value& aValue)
-{
-  return !aValue.is_object() && !aValue.is_array();
-}
-
-// A list of plain values in one cell, as "a, b".
 std::string
-ToCell(const json::value& aValue)
+ScalarToCell(const json::value& aValue)
 {
   if (aValue.is_string()) {
-    return std::string(aValue.get_string());
+    return aValue.get_string().empty() ? "-" : std::string(aValue.get_string());
   }
   if (aValue.is_null()) {
     return "-";
@@ -36,18 +33,55 @@
   if (aValue.is_bool()) {
     return aValue.get_bool() ? "yes" : "no";
   }
-  if (!aValue.is_array() ||
-      !std::ranges::all_of(aValue.get_array(), IsScalar)) {
-    return json::serialize(aValue);
+  if (aValue.is_double()) {
+    constexpr std::size_t kRoom = 32;
+    std::array<char, kRoom> text{};
+    std::snprintf(text.data(), text.size(), "%.3g", aValue.get_double());
+    return text.data();
   }
+  return json::serialize(aValue);
+}
+
+// One cell: a list as "a, b", an object as "name=value name=value".
+std::string
+ToCell(const json::value& aValue)
+{
   std::string text;
-  for (const json::value& one : aValue.get_array()) {
-    text += text.empty() ? "" : ", ";
-    text += ToCell(one);
+  if (aValue.is_object()) {
+    for (const auto& field : aValue.get_object()) {
+      text += text.empty() ? "" : " ";
+      text.append(field.key()).append("=").append(ToCell(field.value()));
+    }
+  } else if (aValue.is_array()) {
+    for (const json::value& one : aValue.get_array()) {
+      text += text.empty() ? "" : ", ";
+      text += ToCell(one);
+    }
+  } else {
+    text = ScalarToCell(aValue);
   }
   return text.empty() ? "-" : text;
 }
 
+// A time by the wall clock is told as one; 0 stands for none.
+std::string
+FieldToCell(std::string_view aName, const json::value& aValue)
+{
+  if (aName != "wall_ms" || !aValue.is_int64()) {
+    return ToCell(aValue);
+  }
+  const std::time_t whole = aValue.get_int64() / 1000;
+  if (whole == 0) {
+    return "-";
+  }
+  std::tm parts{};
+  gmtime_r(&whole, &parts);
+  constexpr std::size_t kRoom = 32;
+  std::array<char, kRoom> text{};
+  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text.data();
+}
+
 using text_row = std::vector<std::string>;
 
 // Letters, not bytes: continuation bytes of UTF-8 take no place.
@@ -107,7 +141,7 @@
     text_row row;
     for (const std::string& name : header) {
       const json::value* cell = one.get_object().if_contains(name);
-      row.push_back(cell == nullptr ? "-" : ToCell(*cell));
+      row.push_back(cell == nullptr ? "-" : FieldToCell(name, *cell));
     }
     rows.push_back(std::move(row));
   }
@@ -140,7 +174,7 @@
       tables.append("\n").append(name).append(":\n");
       tables += ToTables(field.value());
     } else {
-      plain.push_back({ name, ToCell(field.value()) });
+      plain.push_back({ name, FieldToCell(name, field.value()) });
     }
   }
   return Align(plain) + tables;
