Members: a learner can be given its vote by hand

members add made a learner that nothing ever promoted, as a trial with a fourth control process showed: it had all of the log and no vote. POST /v1/members takes promote, and oriolectl has members promote; transfer without an id goes to the voter that is furthest along.

--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -401,7 +401,8 @@
                             : raft.TransferLeadership(id, aNow);
   } else {
     const consensus::node_id old(change->mOld);
-    const auto place = change->mOp == "remove" ? raft.Remove(id, aNow)
+    const auto place = change->mOp == "remove"    ? raft.Remove(id, aNow)
+                       : change->mOp == "promote" ? raft.Promote(id, aNow)
                        : change->mOp == "replace"
                          ? raft.Replace(old, id, change->mAddress, aNow)
                          : raft.AddLearner(id, change->mAddress, aNow);
--- a/oriolewalk/control/operator_json.cc
+++ b/oriolewalk/control/operator_json.cc
@@ -354,8 +354,8 @@
 {
   constexpr std::string_view kStep = "reading the membership change";
   constexpr std::int64_t kMostId = 1'000'000;
-  constexpr std::array<std::string_view, 4> kOps = {
-    "add", "remove", "replace", "transfer"
+  constexpr std::array<std::string_view, 5> kOps = {
+    "add", "promote", "remove", "replace", "transfer"
   };
   const auto body = protocol::ParseJson(aBody, kStep);
   if (!body) {
@@ -368,7 +368,7 @@
   change.mOld = static_cast<std::uint64_t>(fields.Number("old", 0, kMostId, 0));
   change.mAddress = fields.Text("address", "");
   if (std::ranges::find(kOps, change.mOp) == kOps.end()) {
-    fields.Complain("op", "must be add, remove, replace or transfer");
+    fields.Complain("op", "must be add, promote, remove, replace or transfer");
   }
   fields.RefuseOthers();
   if (const auto& problem = fields.Problem()) {
--- a/programs/oriolectl_cell.cc
+++ b/programs/oriolectl_cell.cc
@@ -139,6 +139,12 @@
   return Change(aOptions, "remove", aOptions.mOperands[0], nullptr, nullptr);
 }
 
+int
+Promote(options& aOptions)
+{
+  return Change(aOptions, "promote", aOptions.mOperands[0], nullptr, nullptr);
+}
+
 int
 Replace(options& aOptions)
 {
@@ -149,6 +155,9 @@
 int
 Transfer(options& aOptions)
 {
+  if (aOptions.mOperands.empty()) {
+    return ChangeMembers(aOptions, { { "op", "transfer" } });
+  }
   return Change(aOptions, "transfer", aOptions.mOperands[0], nullptr, nullptr);
 }
 
@@ -173,9 +182,16 @@
              "ID IP:PORT",
              2,
              2,
-             "adds a control process",
+             "adds a control process as a learner",
              nullptr,
              Add },
+    command{ "members promote",
+             "ID",
+             1,
+             1,
+             "gives a learner that has caught up its vote",
+             nullptr,
+             Promote },
     command{ "members remove", "ID", 1, 1, "removes one", nullptr, Remove },
     command{ "members replace",
              "OLD-ID ID IP:PORT",
@@ -185,8 +201,13 @@
              nullptr,
              Replace },
     command{ "members", "", 0, 0, "all control processes", nullptr, Members },
-    command{
-      "transfer", "ID", 1, 1, "hands the leadership to it", nullptr, Transfer },
+    command{ "transfer",
+             "[ID]",
+             0,
+             1,
+             "hands the leadership to it, or to who is furthest along",
+             nullptr,
+             Transfer },
   };
   return sCommands;
 }
--- a/programs/oriolectl_exchange.cc
+++ b/programs/oriolectl_exchange.cc
@@ -61,6 +61,25 @@
   return *std::move(outcome);
 }
 
+// The answer's words for a person: its "error", or its "errors" by cell.
+std::string
+RefusalText(const http::response& aResponse)
+{
+  try {
+    const boost::json::value value = boost::json::parse(aResponse.mBody);
+    const auto& object = value.as_object();
+    if (const auto* errors = object.if_contains("errors")) {
+      return "the table was refused:\n" + ToTables(*errors);
+    }
+    if (const auto* text = object.if_contains("error")) {
+      return std::string(text->as_string());
+    }
+  } catch (const std::exception&) {
+    return aResponse.mBody;
+  }
+  return aResponse.mBody;
+}
+
 // One command's tries.
 class exchange
 {
@@ -149,25 +168,6 @@
   std::optional<exchange_result> mFinal;
 };
 
-// The answer's words for a person: its "error", or its "errors" by cell.
-std::string
-RefusalText(const http::response& aResponse)
-{
-  try {
-    const boost::json::value value = boost::json::parse(aResponse.mBody);
-    const auto& object = value.as_object();
-    if (const auto* errors = object.if_contains("errors")) {
-      return "the table was refused:\n" + ToTables(*errors);
-    }
-    if (const auto* text = object.if_contains("error")) {
-      return std::string(text->as_string());
-    }
-  } catch (const std::exception&) {
-    return aResponse.mBody;
-  }
-  return aResponse.mBody;
-}
-
 } // namespace
 
 exchange_result
