--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -379,6 +379,33 @@
                       { "in_progress", mCore.Live().InProgressAt(target) } }));
 }
 
+namespace {
+
+// Proposes what the operator asked for; it ends later.
+result<void>
+ChangeMembers(consensus::raft_node& aRaft,
+              const member_change& aChange,
+              time_point aNow)
+{
+  const consensus::node_id id(aChange.mId);
+  if (aChange.mOp == "transfer") {
+    return aChange.mId == 0 ? aRaft.TransferLeadership(aNow)
+                            : aRaft.TransferLeadership(id, aNow);
+  }
+  const consensus::node_id old(aChange.mOld);
+  const auto place = aChange.mOp == "remove"    ? aRaft.Remove(id, aNow)
+                     : aChange.mOp == "promote" ? aRaft.Promote(id, aNow)
+                     : aChange.mOp == "replace"
+                       ? aRaft.Replace(old, id, aChange.mAddress, aNow)
+                       : aRaft.AddLearner(id, aChange.mAddress, aNow);
+  if (!place) {
+    return Fail(place.error());
+  }
+  return {};
+}
+
+} // namespace
+
 void
 operator_desk::Members(call_id aCall,
                        const protocol::operator_request& aRequest,
@@ -394,22 +421,7 @@
     Answer(aCall, ErrorAnswer(change.error()));
     return;
   }
-  const consensus::node_id id(change->mId);
-  result<void> done;
-  if (change->mOp == "transfer") {
-    done = change->mId == 0 ? raft.TransferLeadership(aNow)
-                            : raft.TransferLeadership(id, aNow);
-  } else {
-    const consensus::node_id old(change->mOld);
-    const auto place = change->mOp == "remove"    ? raft.Remove(id, aNow)
-                       : change->mOp == "promote" ? raft.Promote(id, aNow)
-                       : change->mOp == "replace"
-                         ? raft.Replace(old, id, change->mAddress, aNow)
-                         : raft.AddLearner(id, change->mAddress, aNow);
-    if (!place) {
-      done = Fail(place.error());
-    }
-  }
+  const result<void> done = ChangeMembers(raft, *change, aNow);
   Answer(aCall,
          done ? JsonAnswer(kOk, MembersJson(raft)) : ErrorAnswer(done.error()));
 }
