--- a/oriolewalk/ledger/request_ledger.cc
+++ b/oriolewalk/ledger/request_ledger.cc
@@ -13,6 +13,11 @@
   return mOrganisation.Value() + "/" + mKey.Value();
 }
 
+request_ledger::request_ledger()
+  : request_ledger(ledger_options{})
+{
+}
+
 request_ledger::request_ledger(ledger_options aOptions)
   : mOptions(aOptions)
 {
@@ -87,8 +92,7 @@
   // The same claim again, after its grant was lost on the way: the carrier has
   // not sent it yet (it waits for the grant), so the same grant is right. The
   // recorded target counts, not the one proposed now.
-  const bool sameClaim =
-    aRecord.mCarrier == aClaim.mCarrier && aRecord.mToken == aClaim.mToken;
+  const bool sameClaim = aRecord.mToken == aClaim.mToken;
   return { sameClaim ? verdict::Granted : verdict::InProgress,
            aRecord.mAttempt,
            aRecord };
@@ -104,9 +108,8 @@
   aRecord.mClass = aClaim.mClass;
   aRecord.mDeadlineWallMs = aClaim.mDeadlineWallMs;
   aRecord.mToken = aClaim.mToken;
-  aRecord.mCarrier = aClaim.mCarrier;
-  aRecord.mTarget = aClaim.mTarget;
-  mRunning[aClaim.mCarrier].insert(aClaim.mRef);
+  aRecord.mPlacement = aClaim.mPlacement;
+  mRunning[aClaim.mPlacement.mCarrier].insert(aClaim.mRef);
 }
 
 ledger_outcome
@@ -121,9 +124,11 @@
     return { verdict::Ignored, record.mAttempt, record };
   }
   const bool open = record.mState == request_state::Running;
-  const bool answerTurnedUp = record.mState == request_state::Unknown &&
-                              aFinish.mResult == attempt_result::Answered;
-  if (!open && !answerTurnedUp) {
+  // The carrier was taken for lost and wakes up: it alone knows what became of
+  // its attempt, and what it says replaces "unknown".
+  const bool turnedUp = record.mState == request_state::Unknown &&
+                        aFinish.mResult != attempt_result::Unknown;
+  if (!open && !turnedUp) {
     // The same report again, or one that adds nothing to what is known.
     return { verdict::Recorded, record.mAttempt, record };
   }
@@ -195,7 +200,7 @@
                     request_state aState)
 {
   const bool endedBefore = aRecord.mEndedWallMs != 0;
-  if (const auto running = mRunning.find(aRecord.mCarrier);
+  if (const auto running = mRunning.find(aRecord.mPlacement.mCarrier);
       running != mRunning.end()) {
     running->second.erase(aRef);
     if (running->second.empty()) {
@@ -203,8 +208,7 @@
     }
   }
   aRecord.mState = aState;
-  aRecord.mCarrier = {};
-  aRecord.mTarget = {};
+  aRecord.mPlacement = {};
   aRecord.mEndedWallMs = std::max<std::int64_t>(mLastWallMs, 1);
   if (!endedBefore) {
     mEnded.push_back(aRef);
@@ -291,7 +295,7 @@
   mAnswerBytes = 0;
   for (const auto& [ref, record] : mRecords) {
     if (record.mState == request_state::Running) {
-      mRunning[record.mCarrier].insert(ref);
+      mRunning[record.mPlacement.mCarrier].insert(ref);
     }
     mAnswerBytes += record.mAnswer.size();
   }
