Cell: what lacks room is remembered with the right to backfill

The note that a size found no room was keyed by evictable, while the search itself also refuses who overran before: a job without that right could have covered one that has it. Both now ask the same question.

--- a/oriolewalk/cell/placing.cc
+++ b/oriolewalk/cell/placing.cc
@@ -107,7 +107,7 @@
   std::optional<worker_slot> FindFor(const resources& aSize)
   {
     no_room request{
-      aSize, false, mExpectedMs, IsEvictable(mJob.mSpec), mJob.mSpec.mClass
+      aSize, false, mExpectedMs, MayBackfill(), mJob.mSpec.mClass
     };
     if (mSoft.IsKnownToLackRoom(request)) {
       return std::nullopt;
