--- a/oriolewalk/control/storage_thread.cc
+++ b/oriolewalk/control/storage_thread.cc
@@ -145,7 +145,7 @@
     outcome = mFolder->SaveVote(Encode(*aBatch.mHardState));
   }
   if (outcome && aBatch.mInstalled) {
-    outcome = mFolder->SaveSnapshot(ToRecord(*aBatch.mInstalled));
+    outcome = mFolder->InstallSnapshot(ToRecord(*aBatch.mInstalled));
   }
   if (outcome && aBatch.mTruncateFrom) {
     outcome = mFolder->TruncateFrom(*aBatch.mTruncateFrom);
--- a/oriolewalk/storage/data_folder.cc
+++ b/oriolewalk/storage/data_folder.cc
@@ -265,11 +265,7 @@
     return Fail(*mFailure);
   }
   if (aSnapshot.mIndex <= mSnapshotIndex) {
-    return Fail(error_code::InvalidArgument,
-                "save snapshot",
-                "index " + std::to_string(aSnapshot.mIndex) +
-                  " is not past the snapshot at " +
-                  std::to_string(mSnapshotIndex));
+    return {};
   }
   if (!mSegment.IsOpen()) {
     // A snapshot without any segment reads as a lost log: start one first.
@@ -295,6 +291,19 @@
   return {};
 }
 
+result<void>
+data_folder::InstallSnapshot(const snapshot_record& aSnapshot)
+{
+  // Durable before the snapshot is: a crash between the two leaves a shorter
+  // log of the old branch, from which the leader sends the snapshot again.
+  if (aSnapshot.mIndex > mSnapshotIndex) {
+    if (auto cut = TruncateFrom(aSnapshot.mIndex + 1); !cut) {
+      return cut;
+    }
+  }
+  return SaveSnapshot(aSnapshot);
+}
+
 result<void>
 data_folder::WriteSnapshotFile(const snapshot_record& aSnapshot)
 {
--- a/oriolewalk/storage/data_folder.h
+++ b/oriolewalk/storage/data_folder.h
@@ -91,11 +91,15 @@
   // segment starts or the buffer is larger than a block. Nothing to do: free.
   result<void> Sync();
   // Makes the snapshot durable (with all that is buffered), then removes the
-  // older one and the segments that it covers. A snapshot past the last record
-  // replaces the whole log. Errors: InvalidArgument (older than the present).
-  // Cost: the body is written once; two file syncs and up to one folder sync
-  // for each file removed.
+  // older one and the segments that it covers; records past it stay. One that
+  // is not past the present snapshot has nothing to add and is left out: it may
+  // have waited while a newer one was installed. Cost: the body is written
+  // once; two file syncs and up to one folder sync for each file removed.
   result<void> SaveSnapshot(const snapshot_record& aSnapshot);
+  // The same for a snapshot from the leader: it replaces the whole log, also
+  // the records past it. They belong to a branch that was never committed; were
+  // they kept, the leader's next records would not fit.
+  result<void> InstallSnapshot(const snapshot_record& aSnapshot);
 
   // The index of the last record or of the snapshot; 0 if there is none.
   [[nodiscard]] std::uint64_t LastIndex() const { return mLastIndex; }
