Entry limiter: first limit 512 instead of 64

Cause: 256 callers at one entry found nine of ten first tries refused by the entry while control was idle.

--- a/oriolewalk/entry/live_call.cc
+++ b/oriolewalk/entry/live_call.cc
@@ -19,6 +19,20 @@
   return { aClaim.mRef.mOrganisation, aClaim.mCallerKey, aClaim.mClass };
 }
 
+// A burst at one entry while control is idle belongs into the leader's queues,
+// where it is ordered by who pays; the entry refuses only what control could
+// not take. The leader carries about 4,000 requests a second, so 512 are an
+// eighth of a second of its work. Measured with 256 callers at one entry: with
+// a first limit of 64, nine of ten first tries were refused.
+traffic::entry_options
+LimiterOptions()
+{
+  constexpr double kFirstLimit = 512;
+  traffic::entry_options options;
+  options.mFirstLimit = kFirstLimit;
+  return options;
+}
+
 milliseconds
 Left(time_point aUntil, time_point aNow)
 {
@@ -29,7 +43,7 @@
 } // namespace
 
 shared_limits::shared_limits(std::uint64_t aSeed)
-  : mLimiter({}, aSeed)
+  : mLimiter(LimiterOptions(), aSeed)
 {
 }
 
