--- a/oriolewalk/control/live_requests.cc
+++ b/oriolewalk/control/live_requests.cc
@@ -28,17 +28,19 @@
 protocol::claim_answer
 KnownAnswer(const ledger::request_record& aRecord)
 {
-  return protocol::claim_known{
-    aRecord.mState, aRecord.mStatus, aRecord.mAnswerKept, aRecord.mAnswer
-  };
+  return protocol::claim_known{ aRecord.mState,
+                                aRecord.mStatus,
+                                aRecord.HasAnswer(),
+                                aRecord.HasAnswer() ? *aRecord.mAnswer
+                                                    : bytes{} };
 }
 
 protocol::claim_answer
 GrantAnswer(const ledger::request_record& aRecord, duration aWaited)
 {
   return protocol::claim_granted{ aRecord.mAttempt,
-                                  aRecord.mPlacement.mTarget,
-                                  aRecord.mPlacement.mAddress,
+                                  aRecord.mPlacement->mTarget,
+                                  aRecord.mPlacement->mAddress,
                                   ToMilliseconds(aWaited) };
 }
 
@@ -69,13 +71,13 @@
     mRunning.emplace(record.mToken,
                      running_claim{ id,
                                     ref,
-                                    record.mPlacement.mCarrier,
-                                    record.mPlacement.mTarget,
+                                    record.mPlacement->mCarrier,
+                                    record.mPlacement->mTarget,
                                     aNow + left });
-    ++mInProgress[record.mPlacement.mTarget];
+    ++mInProgress[record.mPlacement->mTarget];
     mDispatcher.Restore({ id,
-                          record.mPlacement.mService,
-                          record.mPlacement.mTarget,
+                          record.mPlacement->mService,
+                          record.mPlacement->mTarget,
                           ref.mOrganisation,
                           static_cast<traffic::work_class>(record.mClass) },
                         aNow);
--- a/oriolewalk/control/replicated_state.cc
+++ b/oriolewalk/control/replicated_state.cc
@@ -8,6 +8,21 @@
 
 namespace {
 
+// The same layout twice: written from the live state without a copy of it,
+// which would double the memory of the largest part, and read into a new one.
+struct state_view
+{
+  const bytes& mWeights;
+  const ledger::request_ledger& mLedger;
+  const cell::cell_state& mCell;
+
+  template<class Archive>
+  void save(Archive& aArchive) const // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWeights, mLedger, mCell);
+  }
+};
+
 struct saved_state
 {
   bytes mWeights;
@@ -45,7 +60,8 @@
 bytes
 replicated_state::Save() const
 {
-  return Encode(saved_state{ mWeights.Save(), mLedger, mCell });
+  const bytes table = mWeights.Save();
+  return Encode(state_view{ table, mLedger, mCell });
 }
 
 result<void>
--- a/oriolewalk/ledger/records.h
+++ b/oriolewalk/ledger/records.h
@@ -7,9 +7,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <variant>
 
+#include <cereal/types/memory.hpp>
+
 #include "oriolewalk/base/codec.h"
 #include "oriolewalk/base/id.h"
 
@@ -164,34 +167,36 @@
   Unknown,   // May have run; ends if the carrier turns up and tells.
 };
 
+// Kept for every key of the window, so it is small: who carries a running
+// attempt and a kept answer stand apart, and most records have neither.
 struct request_record
 {
   request_state mState = request_state::Running;
-  std::uint32_t mAttempt = 0;
-  std::uint64_t mFingerprint = 0;
   bool mRepeatable = false;
   std::uint8_t mClass = 0;
   std::uint16_t mStatus = 0;
-  bool mAnswerKept = false;
-  std::int64_t mEndedWallMs = 0;
-  std::int64_t mDeadlineWallMs = 0;
+  std::uint32_t mAttempt = 0;
+  std::uint64_t mFingerprint = 0;
   std::uint64_t mToken = 0;
-  placement mPlacement; // emptied at the end, to keep ended records small
-  bytes mAnswer;
+  std::int64_t mEndedWallMs = 0; // of the first end; 0 before it
+  std::int64_t mDeadlineWallMs = 0;
+  std::shared_ptr<placement> mPlacement; // only while an attempt runs
+  std::shared_ptr<bytes> mAnswer;        // only if one is kept
+
+  [[nodiscard]] bool HasAnswer() const { return mAnswer != nullptr; }
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
     aArchive(mState,
-             mAttempt,
-             mFingerprint,
              mRepeatable,
              mClass,
              mStatus,
-             mAnswerKept,
+             mAttempt,
+             mFingerprint,
+             mToken,
              mEndedWallMs,
              mDeadlineWallMs,
-             mToken,
              mPlacement,
              mAnswer);
   }
--- a/oriolewalk/ledger/request_ledger.cc
+++ b/oriolewalk/ledger/request_ledger.cc
@@ -7,6 +7,19 @@
 
 namespace oriolewalk::ledger {
 
+namespace {
+
+// The key once more in the order of answers, and two allocations.
+constexpr std::size_t kAnswerOverhead = 160;
+
+std::size_t
+AnswerCost(const request_record& aRecord)
+{
+  return aRecord.HasAnswer() ? aRecord.mAnswer->size() + kAnswerOverhead : 0;
+}
+
+} // namespace
+
 std::string
 request_ref::ToString() const
 {
@@ -108,7 +121,7 @@
   aRecord.mClass = aClaim.mClass;
   aRecord.mDeadlineWallMs = aClaim.mDeadlineWallMs;
   aRecord.mToken = aClaim.mToken;
-  aRecord.mPlacement = aClaim.mPlacement;
+  aRecord.mPlacement = std::make_shared<placement>(aClaim.mPlacement);
   mRunning[aClaim.mPlacement.mCarrier].insert(aClaim.mRef);
 }
 
@@ -134,14 +147,14 @@
   }
   switch (aFinish.mResult) {
     case attempt_result::Answered:
-      KeepAnswer(aFinish.mRef, record, aFinish);
-      End(aFinish.mRef, record, request_state::Completed);
+      KeepAnswer(record, aFinish);
+      End(found, request_state::Completed);
       break;
     case attempt_result::NotStarted:
-      End(aFinish.mRef, record, request_state::Ready);
+      End(found, request_state::Ready);
       break;
     case attempt_result::Unknown:
-      End(aFinish.mRef, record, request_state::Unknown);
+      End(found, request_state::Unknown);
       break;
   }
   return { verdict::Recorded, record.mAttempt, record };
@@ -155,10 +168,10 @@
     if (!MakeRoom()) {
       return { verdict::Full, 0, std::nullopt };
     }
-    request_record& record = mRecords[aRefusal.mRef];
-    record.mFingerprint = aRefusal.mFingerprint;
-    End(aRefusal.mRef, record, request_state::NotRun);
-    return { verdict::Recorded, 0, record };
+    const auto made = mRecords.emplace(aRefusal.mRef, request_record{}).first;
+    made->second.mFingerprint = aRefusal.mFingerprint;
+    End(made, request_state::NotRun);
+    return { verdict::Recorded, 0, made->second };
   }
   request_record& record = found->second;
   if (record.mFingerprint != aRefusal.mFingerprint) {
@@ -166,7 +179,7 @@
   }
   switch (record.mState) {
     case request_state::Ready:
-      End(aRefusal.mRef, record, request_state::NotRun);
+      End(found, request_state::NotRun);
       return { verdict::Recorded, record.mAttempt, record };
     case request_state::NotRun:
       return { verdict::Recorded, record.mAttempt, record };
@@ -189,56 +202,65 @@
   // End() erases from the set that is walked here.
   const std::set<request_ref> refs = found->second;
   for (const request_ref& ref : refs) {
-    End(ref, mRecords.at(ref), request_state::Unknown);
+    End(mRecords.find(ref), request_state::Unknown);
   }
   return { verdict::Recorded, 0, std::nullopt };
 }
 
 void
-request_ledger::End(const request_ref& aRef,
-                    request_record& aRecord,
-                    request_state aState)
+request_ledger::End(record_map::iterator aWhere, request_state aState)
 {
-  const bool endedBefore = aRecord.mEndedWallMs != 0;
-  if (const auto running = mRunning.find(aRecord.mPlacement.mCarrier);
-      running != mRunning.end()) {
-    running->second.erase(aRef);
+  const request_ref& ref = aWhere->first;
+  request_record& record = aWhere->second;
+  if (record.mPlacement) {
+    const auto running = mRunning.find(record.mPlacement->mCarrier);
+    running->second.erase(ref);
     if (running->second.empty()) {
       mRunning.erase(running);
     }
+    record.mPlacement.reset();
   }
-  aRecord.mState = aState;
-  aRecord.mPlacement = {};
-  aRecord.mEndedWallMs = std::max<std::int64_t>(mLastWallMs, 1);
+  const bool endedBefore = record.mEndedWallMs != 0;
+  record.mState = aState;
+  record.mEndedWallMs = std::max<std::int64_t>(mLastWallMs, 1);
   if (!endedBefore) {
-    mEnded.push_back(aRef);
+    mEnded.push_back(&ref);
   }
 }
 
 void
-request_ledger::KeepAnswer(const request_ref& aRef,
-                           request_record& aRecord,
-                           const finish& aFinish)
+request_ledger::KeepAnswer(request_record& aRecord, const finish& aFinish)
 {
   aRecord.mStatus = aFinish.mStatus;
   if (!aFinish.mAnswerKept) {
     return;
   }
-  aRecord.mAnswerKept = true;
-  aRecord.mAnswer = aFinish.mAnswer;
-  mAnswerBytes += aRecord.mAnswer.size();
-  mAnswered.push_back(aRef);
+  aRecord.mAnswer = std::make_shared<bytes>(aFinish.mAnswer);
+  mAnswerBytes += AnswerCost(aRecord);
+  mAnswered.push_back(aFinish.mRef);
   while (mAnswerBytes > mOptions.mMaxAnswerBytes && !mAnswered.empty()) {
     if (const auto oldest = mRecords.find(mAnswered.front());
-        oldest != mRecords.end() && oldest->second.mAnswerKept) {
-      mAnswerBytes -= oldest->second.mAnswer.size();
-      oldest->second.mAnswerKept = false;
-      oldest->second.mAnswer = {};
+        oldest != mRecords.end()) {
+      DropAnswer(oldest->second);
     }
     mAnswered.pop_front();
   }
 }
 
+void
+request_ledger::DropAnswer(request_record& aRecord)
+{
+  mAnswerBytes -= AnswerCost(aRecord);
+  aRecord.mAnswer.reset();
+}
+
+std::int64_t
+request_ledger::MinimumWindow(const request_record& aRecord) const
+{
+  return aRecord.mRepeatable ? mOptions.mRepeatableMinimumMs
+                             : mOptions.mMinimumWindowMs;
+}
+
 bool
 request_ledger::MayForget(const request_record& aRecord, bool aFull) const
 {
@@ -246,7 +268,7 @@
     return false;
   }
   const std::int64_t age = mLastWallMs - aRecord.mEndedWallMs;
-  if (age < mOptions.mMinimumWindowMs) {
+  if (age < MinimumWindow(aRecord)) {
     return false;
   }
   const std::int64_t window =
@@ -261,20 +283,18 @@
 request_ledger::Forget()
 {
   constexpr int kLookedAt = 4;
+  const std::int64_t youngest =
+    std::min(mOptions.mMinimumWindowMs, mOptions.mRepeatableMinimumMs);
   const bool full = mRecords.size() >= mOptions.mMaxRecords;
   for (int looked = 0; looked < kLookedAt && !mEnded.empty(); ++looked) {
-    const request_ref ref = mEnded.front();
-    const auto found = mRecords.find(ref);
-    if (found == mRecords.end()) {
-      mEnded.pop_front();
-      continue;
-    }
-    if (mLastWallMs - found->second.mEndedWallMs < mOptions.mMinimumWindowMs) {
+    const request_ref* ref = mEnded.front();
+    const auto found = mRecords.find(*ref);
+    if (mLastWallMs - found->second.mEndedWallMs < youngest) {
       return;
     }
     mEnded.pop_front();
     if (MayForget(found->second, full)) {
-      mAnswerBytes -= found->second.mAnswer.size();
+      DropAnswer(found->second);
       mRecords.erase(found);
     } else {
       mEnded.push_back(ref);
@@ -288,16 +308,33 @@
   return mRecords.size() < mOptions.mMaxRecords;
 }
 
+std::vector<request_ref>
+request_ledger::EndedRefs() const
+{
+  std::vector<request_ref> refs;
+  refs.reserve(mEnded.size());
+  std::ranges::transform(mEnded,
+                         std::back_inserter(refs),
+                         [](const request_ref* aRef) { return *aRef; });
+  return refs;
+}
+
 void
-request_ledger::RebuildIndexes()
+request_ledger::RebuildIndexes(const std::vector<request_ref>& aEnded)
 {
   mRunning.clear();
+  mEnded.clear();
   mAnswerBytes = 0;
+  for (const request_ref& ref : aEnded) {
+    if (const auto found = mRecords.find(ref); found != mRecords.end()) {
+      mEnded.push_back(&found->first);
+    }
+  }
   for (const auto& [ref, record] : mRecords) {
-    if (record.mState == request_state::Running) {
-      mRunning[record.mPlacement.mCarrier].insert(ref);
+    if (record.mPlacement) {
+      mRunning[record.mPlacement->mCarrier].insert(ref);
     }
-    mAnswerBytes += record.mAnswer.size();
+    mAnswerBytes += AnswerCost(record);
   }
 }
 
--- a/oriolewalk/ledger/request_ledger.h
+++ b/oriolewalk/ledger/request_ledger.h
@@ -43,15 +43,19 @@
   std::int64_t mWindowMs = 24LL * 3600 * 1000;
   // The same for repeatable keys: running again does no harm, only costs.
   std::int64_t mRepeatableWindowMs = 600'000;
-  // Nothing is forgotten earlier than this, full or not: as long as the longest
-  // deadline that an entry accepts, so that no copy of a request that is still
-  // under way finds its key forgotten.
+  // Nothing is forgotten earlier than this, full or not. Not repeatable: as
+  // long as the longest deadline that an entry accepts, so that no copy of a
+  // request that is still under way finds its key forgotten. Repeatable: long
+  // enough for a caller's resends; a later copy only costs a second run.
   std::int64_t mMinimumWindowMs = 600'000;
-  // At about 200 bytes a record 400,000 stay under 80 MB of the 128 MB.
-  std::size_t mMaxRecords = 400'000;
-  // All kept answers together; beyond it the oldest answers are dropped first
-  // (the outcome stays).
-  std::size_t mMaxAnswerBytes = std::size_t{ 24 } << 20U;
+  std::int64_t mRepeatableMinimumMs = 60'000;
+  // At 231 bytes a record (oriole-bench capacity) 46 MB of the 128 MB, and as
+  // much again for the moment in which a snapshot is written. It bounds the
+  // steady rate: 330 a second that must not be repeated, 3,300 that may.
+  std::size_t mMaxRecords = 200'000;
+  // All kept answers together, each with what its book-keeping takes; beyond
+  // it the oldest answers are dropped first (the outcome stays).
+  std::size_t mMaxAnswerBytes = std::size_t{ 12 } << 20U;
 };
 
 enum class verdict : std::uint8_t
@@ -78,6 +82,12 @@
 public:
   request_ledger();
   explicit request_ledger(ledger_options aOptions);
+  // Moved, never copied: it points into itself.
+  request_ledger(const request_ledger&) = delete;
+  request_ledger& operator=(const request_ledger&) = delete;
+  request_ledger(request_ledger&&) = default;
+  request_ledger& operator=(request_ledger&&) = default;
+  ~request_ledger() = default;
 
   // Applies one committed command. aWallMs is the proposer's wall clock, as
   // recorded in the log, so that every replica forgets at the same place.
@@ -99,12 +109,16 @@
 
   // For snapshots; options are not part of the state.
   template<class Archive>
-  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  void save(Archive& aArchive) const // NOLINT(readability-identifier-naming)
   {
-    aArchive(mRecords, mEnded, mAnswered, mLastWallMs);
-    if constexpr (Archive::is_loading::value) {
-      RebuildIndexes();
-    }
+    aArchive(mRecords, EndedRefs(), mAnswered, mLastWallMs);
+  }
+  template<class Archive>
+  void load(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    std::vector<request_ref> ended;
+    aArchive(mRecords, ended, mAnswered, mLastWallMs);
+    RebuildIndexes(ended);
   }
 
 private:
@@ -118,20 +132,21 @@
 
   ledger_outcome ClaimKnown(request_record& aRecord, const claim& aClaim);
   void Start(request_record& aRecord, const claim& aClaim);
-  void End(const request_ref& aRef,
-           request_record& aRecord,
-           request_state aState);
-  void KeepAnswer(const request_ref& aRef,
-                  request_record& aRecord,
-                  const finish& aFinish);
+  void End(record_map::iterator aWhere, request_state aState);
+  void KeepAnswer(request_record& aRecord, const finish& aFinish);
   void Forget();
   bool MayForget(const request_record& aRecord, bool aFull) const;
   bool MakeRoom();
-  void RebuildIndexes();
+  [[nodiscard]] std::vector<request_ref> EndedRefs() const;
+  void RebuildIndexes(const std::vector<request_ref>& aEnded);
+  [[nodiscard]] std::int64_t MinimumWindow(const request_record& aRecord) const;
+  void DropAnswer(request_record& aRecord);
 
   ledger_options mOptions;
   record_map mRecords;
-  std::deque<request_ref> mEnded;    // oldest end first
+  // Oldest end first; points into mRecords, whose keys stay where they are
+  // until they are forgotten, which happens only from here.
+  std::deque<const request_ref*> mEnded;
   std::deque<request_ref> mAnswered; // oldest kept answer first
   std::int64_t mLastWallMs = 0;      // never falls, whatever the clocks do
   // Derived.
--- a/testing/ledger/request_ledger_test.cc
+++ b/testing/ledger/request_ledger_test.cc
@@ -57,7 +57,7 @@
   const auto again = ledger.Apply(Claim("k", 3, "e2"), kStart);
   REQUIRE(again.mVerdict == verdict::Known);
   CHECK(again.mRecord->mState == request_state::Completed);
-  CHECK(again.mRecord->mAnswer == "paid");
+  CHECK(*again.mRecord->mAnswer == "paid");
 }
 
 TEST_CASE("a claim sent again after a lost grant gets the same grant")
@@ -73,7 +73,7 @@
   const auto second = ledger.Apply(resent, kStart);
   CHECK(second.mVerdict == verdict::Granted);
   CHECK(second.mAttempt == first.mAttempt);
-  CHECK(second.mRecord->mPlacement.mTarget == target_id("t-e1"));
+  CHECK(second.mRecord->mPlacement->mTarget == target_id("t-e1"));
 }
 
 TEST_CASE("not run is final: a late claim of the same key is never granted")
@@ -160,6 +160,23 @@
   CHECK(ledger.Apply(Claim("c"), later).mVerdict == verdict::Granted);
 }
 
+TEST_CASE("a full ledger forgets repeatable keys after their own minimum")
+{
+  ledger_options options;
+  options.mMaxRecords = 2;
+  request_ledger ledger(options);
+  claim repeatable = Claim("r");
+  repeatable.mRepeatable = true;
+  ledger.Apply(Claim("payment"), kStart);
+  ledger.Apply(Finish("payment", attempt_result::Answered), kStart);
+  ledger.Apply(repeatable, kStart);
+  ledger.Apply(Finish("r", attempt_result::Answered), kStart);
+  const std::int64_t later = kStart + options.mRepeatableMinimumMs;
+  CHECK(ledger.Apply(Claim("new"), later).mVerdict == verdict::Granted);
+  CHECK(ledger.Find(Ref("payment")));
+  CHECK_FALSE(ledger.Find(Ref("r")));
+}
+
 TEST_CASE("records are forgotten after their window, running ones never")
 {
   const ledger_options options;
