--- a/programs/oriole_timeline_html.cc
+++ b/programs/oriole_timeline_html.cc
@@ -19,14 +19,14 @@
 
 // Lengths in pixels.
 constexpr std::size_t kGutter = 190; // for the times
-constexpr std::size_t kLane = 250;
+constexpr std::size_t kLane = 310;
 constexpr std::size_t kInset = 16; // of a lane's line within its lane
 constexpr std::size_t kHeader = 46;
 constexpr std::size_t kRow = 30;
 constexpr std::size_t kDot = 5;
 constexpr std::size_t kTextSize = 12;
 // What fits into a lane beside its dot at that size.
-constexpr std::size_t kLabelLetters = 34;
+constexpr std::size_t kLabelLetters = 43;
 // More rows than this are no picture any more; the page says what it leaves
 // out, and the text form has all.
 constexpr std::size_t kMostRows = 3000;
@@ -227,9 +227,6 @@
     const std::size_t left = LaneX(record);
     const std::size_t middle = RowY(aRow);
     const std::string base = Number(middle + kTextSize / 3);
-    const std::string kind = Cut(record.mEvent.mKind, kLabelLetters);
-    const std::size_t room =
-      kLabelLetters - std::min(kLabelLetters, kind.size() + 1);
     return "<g><title>" + Escape(observe::ToJsonLine(record)) +
            "</title><text class=\"time\" x=\"4\" y=\"" + base + "\">" +
            Escape(Time(aRow)) + "</text><circle cx=\"" + Number(left) +
@@ -237,9 +234,30 @@
            "\" fill=\"" +
            (colour == mColours.end() ? "var(--faint)" : colour->second) +
            "\"/><text x=\"" + Number(left + 2 * kDot) + "\" y=\"" + base +
-           "\"><tspan class=\"kind\">" + Escape(kind) +
-           "</tspan> <tspan class=\"detail\">" +
-           Escape(Cut(Detail(record.mEvent), room)) + "</tspan></text></g>\n";
+           "\">" + Label(record.mEvent) + "</text></g>\n";
+  }
+
+  // The kind, the subject (where there are several) and the detail, cut to
+  // the lane's width together.
+  [[nodiscard]] std::string Label(const observe::event& aEvent) const
+  {
+    const std::string kind = Cut(aEvent.mKind, kLabelLetters);
+    std::size_t room = kLabelLetters - std::min(kLabelLetters, kind.size() + 1);
+    std::string label = "<tspan class=\"kind\">" + Escape(kind) + "</tspan> ";
+    const std::string subject = SubjectOf(aEvent);
+    const auto colour = mColours.find(subject);
+    if (mColours.size() > 1 && colour != mColours.end() && room > 0) {
+      const std::string name = Cut(subject, room);
+      room -= std::min(room, name.size() + 1);
+      label.append("<tspan fill=\"").append(colour->second).append("\">");
+      label.append(Escape(name)).append("</tspan> ");
+    }
+    const std::string detail = Detail(aEvent);
+    if (room > 1 && detail != subject) {
+      label.append("<tspan class=\"detail\">");
+      label.append(Escape(Cut(detail, room))).append("</tspan>");
+    }
+    return label;
   }
 
   static std::string Detail(const observe::event& aEvent)
