Traffic: limits as options, entry limiter counts known results, more tests

Cause: a limit of 0 in the weights table would have meant no limit; and a test of the entry limiter showed that calls in progress counted against their caller: of a burst of 40 the entry refused most before any answer was back. Interface: share_rule has optional limits, 0 bars; rate is mRequestsPerSecond.

--- a/bench/traffic_baselines.cc
+++ b/bench/traffic_baselines.cc
@@ -303,11 +303,14 @@
 }
 
 any_policy
-MakePolicy(policy_kind aKind, double aSkew, std::uint64_t aSeed)
+MakePolicy(policy_kind aKind,
+           const traffic::dispatch_options& aOptions,
+           double aSkew,
+           std::uint64_t aSeed)
 {
   switch (aKind) {
     case policy_kind::Own:
-      return dispatcher({}, aSeed);
+      return dispatcher(aOptions, aSeed);
     case policy_kind::Fifo:
       return fifo_policy();
     case policy_kind::Random:
--- a/bench/traffic_baselines.h
+++ b/bench/traffic_baselines.h
@@ -140,6 +140,9 @@
   std::variant<traffic::dispatcher, fifo_policy, direct_policy, credit_policy>;
 
 any_policy
-MakePolicy(policy_kind aKind, double aSkew, std::uint64_t aSeed);
+MakePolicy(policy_kind aKind,
+           const traffic::dispatch_options& aOptions,
+           double aSkew,
+           std::uint64_t aSeed);
 
 } // namespace oriolewalk::bench
--- a/bench/traffic_bench.cc
+++ b/bench/traffic_bench.cc
@@ -186,6 +186,46 @@
   }
 }
 
+// How many of the free targets to compare: all, eight, two or one.
+void
+RunChoices(bench_report& aReport)
+{
+  struct choice
+  {
+    const char* mName;
+    std::size_t mScan;
+    std::size_t mSample;
+  };
+  constexpr std::array kChoices = { choice{ "all", 1U << 20U, 0 },
+                                    choice{ "eight", 0, 8 },
+                                    choice{ "two", 0, 2 },
+                                    choice{ "one", 0, 1 } };
+  for (const std::size_t targets : { std::size_t{ 50 }, std::size_t{ 4800 } }) {
+    for (const choice& each : kChoices) {
+      scenario made;
+      made.mTargets = targets;
+      made.mSeconds = targets > 1000 ? 2 : 8;
+      made.mWarmUp = 1;
+      made.mOptions.mTarget.mScan = each.mScan;
+      made.mOptions.mTarget.mSample = each.mSample;
+      source load;
+      load.mLabel = "all";
+      load.mOrganisation = organisation_id("all");
+      load.mPerSecond = 0.7 * FullLoad(made, load.mMeanSeconds);
+      made.mSources = { load };
+      for (std::size_t slow = 0; slow < targets / 25; ++slow) {
+        made.mEvents.push_back({ 0, slow * 25, target_change::Slow, 3 });
+      }
+      const outcome seen = Run(made, policy_kind::Own);
+      std::string name = "choice." + std::to_string(targets) + "_targets.";
+      name += each.mName;
+      AddTimes(aReport, name + ".response", seen.mByLabel.at("all").mResponses);
+      aReport.Add(name + ".decision", seen.mDecisionMicros, "us");
+    }
+  }
+}
+
+const registered_bench kChoice("traffic-choice", RunChoices);
 const registered_bench kTraffic("traffic", RunScenarios);
 const registered_bench kPlacer("traffic-placer", RunPlacers);
 const registered_bench kSize("traffic-size", RunSizes);
--- a/bench/traffic_driver.cc
+++ b/bench/traffic_driver.cc
@@ -102,7 +102,8 @@
     : mScenario(aScenario)
     , mKind(aKind)
     , mRandom(aScenario.mSeed)
-    , mPolicy(MakePolicy(aKind, aScenario.mSkew, aScenario.mSeed))
+    , mPolicy(
+        MakePolicy(aKind, aScenario.mOptions, aScenario.mSkew, aScenario.mSeed))
   {
   }
 
@@ -433,7 +434,8 @@
 runner::FindLeader()
 {
   mLeader = true;
-  mPolicy = MakePolicy(mKind, mScenario.mSkew, mScenario.mSeed + 1);
+  mPolicy =
+    MakePolicy(mKind, mScenario.mOptions, mScenario.mSkew, mScenario.mSeed + 1);
   Ask([&](auto& aPolicy) {
     if constexpr (requires { aPolicy.SetPolicy(mScenario.mPolicy, mNow); }) {
       aPolicy.SetPolicy(mScenario.mPolicy, mNow);
--- a/bench/traffic_scenario.h
+++ b/bench/traffic_scenario.h
@@ -10,6 +10,7 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/options.h"
 #include "oriolewalk/traffic/policy.h"
 #include "oriolewalk/traffic/types.h"
 
@@ -59,6 +60,7 @@
   std::vector<source> mSources;
   std::vector<target_event> mEvents;
   traffic::share_policy mPolicy;
+  traffic::dispatch_options mOptions; // of the project's own policy
   std::size_t mTargets = 50;
   std::uint32_t mSlots = 8;
   std::uint32_t mDataCentres = 4;
--- a/fuzzing/traffic_fuzz.cc
+++ b/fuzzing/traffic_fuzz.cc
@@ -218,9 +218,15 @@
   {
     share_rule rule;
     rule.mWeight = mData.ConsumeIntegralInRange(0, 9);
-    rule.mMaxSlots = mData.ConsumeIntegralInRange<std::uint32_t>(0, 4);
-    rule.mRatePerSecond = mData.ConsumeIntegralInRange(0, 9);
-    rule.mMaxWaiting = mData.ConsumeIntegralInRange<std::uint32_t>(0, 5);
+    if (mData.ConsumeBool()) {
+      rule.mMaxSlots = mData.ConsumeIntegralInRange<std::uint32_t>(0, 4);
+    }
+    if (mData.ConsumeBool()) {
+      rule.mRequestsPerSecond = mData.ConsumeIntegralInRange(0, 9);
+    }
+    if (mData.ConsumeBool()) {
+      rule.mMaxWaiting = mData.ConsumeIntegralInRange<std::uint32_t>(0, 5);
+    }
     mPolicy.Set(PickOrganisation(), PickClass(), rule);
     mTraffic.SetPolicy(mPolicy, mNow);
   }
@@ -269,11 +275,11 @@
     Require(target.mHeld <=
               std::min(target.mState.mSlots, target.mState.mConnections),
             "slots and connections are kept");
-    const std::uint32_t limit =
+    const auto limit =
       mPolicy.Of(request.mOrganisation, request.mClass).mMaxSlots;
     const std::uint32_t held =
       ++mHeld[{ request.mOrganisation, request.mClass }];
-    Require(limit == 0 || held <= limit, "an organisation's limit is kept");
+    Require(!limit || held <= *limit, "an organisation's limit is kept");
     for (const target_stats& seen : aStats.mServices.at(0).mTargets) {
       Require(
         seen.mId != aDispatch.mTarget ||
--- a/oriolewalk/traffic/class_queue.cc
+++ b/oriolewalk/traffic/class_queue.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <iterator>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,7 +31,7 @@
 ApplyRule(flow& aFlow, const share_rule& aRule, time_point aNow)
 {
   aFlow.mRule = aRule;
-  aFlow.mBucket.Configure(aRule.mRatePerSecond, aRule.mBurst, aNow);
+  aFlow.mBucket.Configure(aRule.mRequestsPerSecond, aRule.mBurst, aNow);
 }
 
 } // namespace
@@ -62,17 +61,13 @@
                        work_class aClass,
                        time_point aNow)
 {
-  // The order of this loop shows only in turns between flows of equal virtual
-  // time; it is made the order of the names, to be the same everywhere.
-  std::vector<flow*> flows;
-  std::ranges::transform(
-    mFlows, std::back_inserter(flows), [](const auto& aEntry) {
-      return aEntry.second.get();
-    });
-  std::ranges::sort(
-    flows, {}, [](const flow* aFlow) { return aFlow->mOrganisation; });
-  for (flow* each : flows) {
-    ApplyRule(*each, aPolicy.Of(each->mOrganisation, aClass), aNow);
+  for (const auto& [organisation, owned] : mFlows) {
+    ApplyRule(*owned, aPolicy.Of(organisation, aClass), aNow);
+    if (owned->mWaiting == 0) {
+      owned->mTag.mWeight = owned->mRule.mWeight;
+    }
+  }
+  for (flow* each : WaitingFlows()) {
     mOrder.SetWeight(*each, each->mRule.mWeight);
     Settle(*each);
   }
@@ -197,8 +192,8 @@
     std::max(0.0, mOrder.Weight() - (aFlow.mTag.mActive ? weight : 0));
   double drain = std::max(aDrain * weight / (others + weight),
                           static_cast<double>(aFlow.mHeld));
-  if (aFlow.mRule.mMaxSlots > 0) {
-    drain = std::min(drain, static_cast<double>(aFlow.mRule.mMaxSlots));
+  if (aFlow.mRule.mMaxSlots) {
+    drain = std::min<double>(drain, *aFlow.mRule.mMaxSlots);
   }
   return ahead * Estimate(aFlow) / std::max(drain, kLeastDrain);
 }
@@ -219,6 +214,19 @@
   return mTime.Known() ? mTime.Seconds() : kFirstGuess;
 }
 
+std::vector<flow*>
+class_queue::WaitingFlows() const
+{
+  std::vector<flow*> flows;
+  for (const auto& [organisation, owned] : mFlows) {
+    if (owned->mWaiting > 0) {
+      flows.push_back(owned.get());
+    }
+  }
+  std::ranges::sort(flows, {}, &flow::mOrganisation);
+  return flows;
+}
+
 void
 class_queue::DropIdle(time_point aNow)
 {
@@ -248,8 +256,8 @@
 void
 class_queue::Settle(flow& aFlow)
 {
-  const std::uint32_t limit = aFlow.mRule.mMaxSlots;
-  if (aFlow.mWaiting > 0 && (limit == 0 || aFlow.mHeld < limit)) {
+  const auto limit = aFlow.mRule.mMaxSlots;
+  if (aFlow.mWaiting > 0 && (!limit || aFlow.mHeld < *limit)) {
     mOrder.Activate(aFlow);
   } else {
     mOrder.Deactivate(aFlow);
--- a/oriolewalk/traffic/class_queue.h
+++ b/oriolewalk/traffic/class_queue.h
@@ -124,8 +124,9 @@
   // Measured mean of the flow, else of the class, else a first guess.
   [[nodiscard]] double Estimate(const flow& aFlow) const;
 
-  // Flows that wait and are below their limit, in fair order.
-  [[nodiscard]] const auto& Active() const { return mOrder.Nodes(); }
+  // By name, so that what is done to them is done in one order everywhere.
+  // Linear in the flows: for reviews and new policies.
+  [[nodiscard]] std::vector<flow*> WaitingFlows() const;
   [[nodiscard]] const auto& Flows() const { return mFlows; }
   [[nodiscard]] std::size_t Waiting() const { return mWaiting; }
   [[nodiscard]] std::uint32_t Held() const { return mHeld; }
--- a/oriolewalk/traffic/entry_limiter.cc
+++ b/oriolewalk/traffic/entry_limiter.cc
@@ -44,17 +44,12 @@
 entry_limiter::Admit(const entry_request& aRequest, time_point aNow)
 {
   caller_record* record = RecordOf(aRequest, aNow);
-  if (record != nullptr) {
+  if (record != nullptr && Throttled(*record)) {
     record->mSent += 1;
-    if (Throttled(*record)) {
-      return Refuse(refusal::Overloaded);
-    }
+    return Refuse(refusal::Overloaded);
   }
   if (OverLimit(aRequest)) {
-    // Refused for control's sake, not for the caller's: not held against it.
-    if (record != nullptr) {
-      record->mSent -= 1;
-    }
+    // For control's sake, not for the caller's: not held against it.
     return Refuse(refusal::Overloaded);
   }
   auto& calls = mCalls.at(IndexOf(aRequest.mClass));
@@ -83,15 +78,25 @@
   }
   --mInProgress;
   mActiveWeight = mInProgress == 0 ? 0 : mActiveWeight;
-  if (aCall.mResult == call_result::Accepted) {
-    caller_record* record = RecordOf(aRequest, aNow);
-    if (record != nullptr) {
-      record->mAccepted += 1;
-    }
-  }
+  Count(aRequest, aCall.mResult, aNow);
   Adapt(aCall, aNow);
 }
 
+// A call counts once its result is known: calls in progress, and lost ones, say
+// nothing against the caller.
+void
+entry_limiter::Count(const entry_request& aRequest,
+                     call_result aResult,
+                     time_point aNow)
+{
+  caller_record* record =
+    aResult == call_result::Lost ? nullptr : RecordOf(aRequest, aNow);
+  if (record != nullptr) {
+    record->mSent += 1;
+    record->mAccepted += aResult == call_result::Accepted ? 1 : 0;
+  }
+}
+
 // nullptr if there are too many callers to remember one more.
 entry_limiter::caller_record*
 entry_limiter::RecordOf(const entry_request& aRequest, time_point aNow)
--- a/oriolewalk/traffic/entry_limiter.h
+++ b/oriolewalk/traffic/entry_limiter.h
@@ -101,16 +101,20 @@
                 time_point aNow);
   [[nodiscard]] double Limit() const { return mLimit; }
   [[nodiscard]] std::size_t InProgress() const { return mInProgress; }
+  [[nodiscard]] std::size_t Callers() const { return mCallers.size(); }
 
 private:
   struct caller_record
   {
-    double mSent = 0;
+    double mSent = 0; // with a known result, or refused here
     double mAccepted = 0;
     time_point mAt{};
   };
 
   caller_record* RecordOf(const entry_request& aRequest, time_point aNow);
+  void Count(const entry_request& aRequest,
+             call_result aResult,
+             time_point aNow);
   void Sweep(time_point aNow);
   void Age(caller_record& aRecord, time_point aNow) const;
   bool Throttled(const caller_record& aRecord);
--- a/oriolewalk/traffic/policy.h
+++ b/oriolewalk/traffic/policy.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "oriolewalk/base/id.h"
@@ -17,14 +18,16 @@
 
 namespace oriolewalk::traffic {
 
-// One organisation in one class. Limits hold within each service.
+// One organisation in one class. Limits hold within each service; one that is
+// not set does not bind, and one of 0 lets nothing through.
 struct share_rule
 {
-  double mWeight = 1;            // share of slot time against its peers; > 0
-  std::uint32_t mMaxSlots = 0;   // held at once; 0: no limit
-  double mRatePerSecond = 0;     // admitted requests; 0: no limit
-  double mBurst = 0;             // above the rate; 0: one second of the rate
-  std::uint32_t mMaxWaiting = 0; // queued requests; 0: the default
+  double mWeight = 1;                       // share of slot time; > 0
+  std::optional<std::uint32_t> mMaxSlots{}; // held at once
+  // Queued at once; 0: what cannot start at once is refused.
+  std::optional<std::uint32_t> mMaxWaiting{};
+  std::optional<double> mRequestsPerSecond{}; // admitted
+  std::optional<double> mBurst{}; // above the rate; else one second of it
 };
 
 // A value: copy it freely. Cost of Of: O(log rules).
--- a/oriolewalk/traffic/service_pool.cc
+++ b/oriolewalk/traffic/service_pool.cc
@@ -36,6 +36,7 @@
   for (const work_class each : kClasses) {
     Queue(each).SetPolicy(aPolicy, each, aNow);
   }
+  RefuseBarred();
   Place(aNow);
 }
 
--- a/oriolewalk/traffic/service_pool.h
+++ b/oriolewalk/traffic/service_pool.h
@@ -7,9 +7,10 @@
 //   grows until each request is served after its deadline: goodput falls to
 //   nothing while all targets are busy.
 // - Memory: a caller may queue no more than is left of its organisation's
-//   bound, an organisation no more than is left of its class's (dynamic
-//   threshold). A hot one alone fills half and is refused; the others find
-//   room. A plain bound is filled by the hot one, and refuses everybody.
+//   bound (times a factor), an organisation no more than is left of its
+//   class's (dynamic threshold). A hot one alone is refused before the bound is
+//   full; the others find room. A plain bound is filled by the hot one, and
+//   refuses everybody.
 // - A request that must wait is admitted only if the expected wait fits its
 //   class's longest wait, and wait plus measured service time its deadline.
 // - What is queued has a latest start; at that moment it is refused, and it is
@@ -113,6 +114,7 @@
                                 time_point aNow);
   [[nodiscard]] std::optional<refusal> AdmitByCount(const arrival& aArrival,
                                                     const flow& aFlow) const;
+  [[nodiscard]] std::size_t WaitingBound(const flow& aFlow) const;
   [[nodiscard]] admission AdmitByTime(const arrival& aArrival,
                                       const flow& aFlow,
                                       time_point aNow) const;
@@ -127,6 +129,7 @@
                     caller_queue& aCaller,
                     double aDrain,
                     time_point aNow);
+  void RefuseBarred();
   void RefuseAll(refusal aReason, time_point aNow);
   void Refuse(request_id aId, refusal aReason, duration aRetryAfter);
   [[nodiscard]] duration Jittered(duration aRetryAfter) const;
--- a/oriolewalk/traffic/service_pool_admission.cc
+++ b/oriolewalk/traffic/service_pool_admission.cc
@@ -28,6 +28,15 @@
 // out by a swing.
 constexpr double kReviewSlack = 2;
 
+// Dynamic threshold: aOwn may be kThreshold times what aUsed leaves of aBound.
+// One that is hot alone fills seven eighths; small bounds are usable whole.
+bool
+PastThreshold(std::size_t aOwn, std::size_t aUsed, std::size_t aBound)
+{
+  constexpr std::size_t kThreshold = 7;
+  return aOwn >= kThreshold * (aBound - std::min(aBound, aUsed));
+}
+
 } // namespace
 
 void
@@ -65,6 +74,12 @@
   mLatest.emplace(request.mLatestStart, aArrival.mId);
   mWaiting.emplace(aArrival.mId, queue.Push(*owner, request));
   Place(aNow);
+  // Let in on the hope of a free slot, which suited something else.
+  if (owner->mWaiting > WaitingBound(*owner) &&
+      mWaiting.contains(aArrival.mId)) {
+    Unqueue(aArrival.mId);
+    Refuse(aArrival.mId, refusal::LimitReached, kLeastRetryAfter);
+  }
 }
 
 service_pool::admission
@@ -73,6 +88,9 @@
                     bool aAwaitTargets,
                     time_point aNow)
 {
+  if (aFlow.mRule.mMaxSlots == 0U) {
+    return { refusal::LimitReached, duration::max() };
+  }
   const duration wait = aFlow.mBucket.Wait(aNow);
   if (wait > duration::zero()) {
     return { refusal::LimitReached, wait };
@@ -96,23 +114,28 @@
 {
   const class_queue& queue = mQueues.at(IndexOf(aArrival.mClass));
   const std::size_t ofClass = mOptions.mQueue.mMaxWaitingOfClass;
-  const std::size_t classLeft = ofClass - std::min(ofClass, queue.Waiting());
-  if (aFlow.mWaiting >= classLeft) {
+  if (PastThreshold(aFlow.mWaiting, queue.Waiting(), ofClass)) {
     return refusal::Overloaded;
   }
-  const bool ownBound = aFlow.mRule.mMaxWaiting > 0;
-  const std::size_t bound =
-    ownBound ? aFlow.mRule.mMaxWaiting : mOptions.mQueue.mMaxWaiting;
-  if (aFlow.mWaiting >= bound) {
-    return ownBound ? refusal::LimitReached : refusal::Overloaded;
+  const share_rule& rule = aFlow.mRule;
+  const std::size_t bound = WaitingBound(aFlow);
+  const bool mayStart = aFlow.mWaiting == 0 && mTargets.HasFree();
+  if (aFlow.mWaiting >= bound && !mayStart) {
+    return rule.mMaxWaiting ? refusal::LimitReached : refusal::Overloaded;
   }
-  if (class_queue::WaitingOf(aFlow, aArrival.mCallerKey) >=
-      bound - aFlow.mWaiting) {
+  const std::size_t own = class_queue::WaitingOf(aFlow, aArrival.mCallerKey);
+  if (own > 0 && PastThreshold(own, aFlow.mWaiting, bound)) {
     return refusal::Overloaded;
   }
   return std::nullopt;
 }
 
+std::size_t
+service_pool::WaitingBound(const flow& aFlow) const
+{
+  return aFlow.mRule.mMaxWaiting.value_or(mOptions.mQueue.mMaxWaiting);
+}
+
 service_pool::admission
 service_pool::AdmitByTime(const arrival& aArrival,
                           const flow& aFlow,
@@ -182,7 +205,7 @@
     class_queue& queue = Queue(each);
     const double drain = mOrder.Drain(each, Loads(), mTargets.Slots());
     std::vector<std::pair<flow*, caller_queue*>> callers;
-    for (const auto& [tag, owner] : queue.Active()) {
+    for (flow* owner : queue.WaitingFlows()) {
       for (const auto& [turn, caller] : owner->mOrder.Nodes()) {
         callers.emplace_back(owner, caller);
       }
@@ -231,6 +254,22 @@
   }
 }
 
+// What a new policy bars for good is not left to wait for its latest start.
+void
+service_pool::RefuseBarred()
+{
+  std::vector<request_id> barred;
+  for (const auto& [latest, id] : mLatest) {
+    if (mWaiting.at(id).mFlow->mRule.mMaxSlots == 0U) {
+      barred.push_back(id);
+    }
+  }
+  for (const request_id id : barred) {
+    Unqueue(id);
+    Refuse(id, refusal::LimitReached, duration::max());
+  }
+}
+
 void
 service_pool::Refuse(request_id aId, refusal aReason, duration aRetryAfter)
 {
--- a/oriolewalk/traffic/token_bucket.h
+++ b/oriolewalk/traffic/token_bucket.h
@@ -6,6 +6,8 @@
 // limit it may take what is idle now and is needed a moment later. Owned by a
 // flow; one thread; O(1).
 
+#include <optional>
+
 #include "oriolewalk/base/clock.h"
 
 namespace oriolewalk::traffic {
@@ -13,10 +15,14 @@
 class token_bucket
 {
 public:
-  // aRate per second, 0: no limit. aBurst 0: one second of the rate. A bucket
-  // that had no limit so far starts full.
-  void Configure(double aRate, double aBurst, time_point aNow);
-  // Time until the next token; 0 if Take would succeed now.
+  // aRate per second, none: no limit. aBurst, none: one second of the rate; at
+  // least one, unless the rate is 0. A bucket that had no limit so far starts
+  // full.
+  void Configure(std::optional<double> aRate,
+                 std::optional<double> aBurst,
+                 time_point aNow);
+  // Time until the next token; 0 if Take would succeed now. The longest span
+  // that there is, if there will never be one.
   [[nodiscard]] duration Wait(time_point aNow) const;
   void Take(time_point aNow);
   // Nothing to remember: a new bucket would be the same.
@@ -25,7 +31,7 @@
 private:
   [[nodiscard]] double Tokens(time_point aNow) const;
 
-  double mRate = 0;
+  std::optional<double> mRate;
   double mBurst = 0;
   double mTokens = 0;
   time_point mAt{};
--- a/testing/traffic/dispatcher_test.cc
+++ b/testing/traffic/dispatcher_test.cc
@@ -188,7 +188,7 @@
 {
   dispatcher traffic({}, kSeed);
   share_policy policy;
-  policy.Set(kTaksa, work_class::Normal, { 1, 2, 0, 0, 1 });
+  policy.Set(kTaksa, work_class::Normal, { .mMaxSlots = 2, .mMaxWaiting = 1 });
   traffic.SetPolicy(policy, kStart);
   traffic.TargetUp(Target("t1", 8), kStart);
   for (std::uint64_t number = 1; number <= 4; ++number) {
@@ -203,7 +203,8 @@
   traffic.Arrive(other, kStart);
   CHECK(Only<dispatch>(traffic.TakeDecisions()).size() == 1);
 
-  policy.Set(kTaksa, work_class::Normal, { 1, 0, 10, 2, 0 });
+  policy.Set(
+    kTaksa, work_class::Normal, { .mRequestsPerSecond = 10, .mBurst = 2 });
   traffic.SetPolicy(policy, kStart);
   traffic.TakeDecisions();
   for (std::uint64_t number = 10; number < 13; ++number) {
@@ -214,5 +215,54 @@
   CHECK(Only<refuse>(decided).size() == 1);
 }
 
+TEST_CASE("a limit of 0 lets nothing through, at once and with a reason")
+{
+  // An operator bars an organisation by a 0 in the table. Its requests must
+  // neither run nor wait for their deadline.
+  const auto refusedBy = [](const share_rule& aRule) {
+    dispatcher traffic({}, kSeed);
+    share_policy policy;
+    policy.Set(kTaksa, work_class::Normal, aRule);
+    traffic.SetPolicy(policy, kStart);
+    traffic.TargetUp(Target("t1", 8), kStart);
+    traffic.Arrive(Request(1), kStart);
+    const auto refused = Only<refuse>(traffic.TakeDecisions());
+    return refused.size() == 1 &&
+           refused.front().mReason == refusal::LimitReached;
+  };
+  CHECK(refusedBy({ .mMaxSlots = 0 }));
+  CHECK(refusedBy({ .mRequestsPerSecond = 0 }));
+  CHECK_FALSE(refusedBy({ .mMaxWaiting = 0 }));
+}
+
+TEST_CASE("a policy that bars an organisation answers what it has waiting")
+{
+  dispatcher traffic({}, kSeed);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  traffic.Arrive(Request(2), kStart);
+  traffic.TakeDecisions();
+  share_policy policy;
+  policy.Set(kTaksa, work_class::Normal, { .mMaxSlots = 0 });
+  traffic.SetPolicy(policy, kStart);
+  const auto refused = Only<refuse>(traffic.TakeDecisions());
+  REQUIRE(refused.size() == 1);
+  CHECK(refused.front().mReason == refusal::LimitReached);
+}
+
+TEST_CASE("without a queue, what cannot start at once is refused")
+{
+  dispatcher traffic({}, kSeed);
+  share_policy policy;
+  policy.Set(kTaksa, work_class::Normal, { .mMaxWaiting = 0 });
+  traffic.SetPolicy(policy, kStart);
+  traffic.TargetUp(Target("t1", 1), kStart);
+  traffic.Arrive(Request(1), kStart);
+  traffic.Arrive(Request(2), kStart);
+  const auto decided = traffic.TakeDecisions();
+  CHECK(Only<dispatch>(decided).size() == 1);
+  CHECK(Only<refuse>(decided).size() == 1);
+}
+
 } // namespace
 } // namespace oriolewalk::traffic
--- /dev/null
+++ b/testing/traffic/entry_limiter_test.cc
@@ -0,0 +1,188 @@
+#include <catch2/catch.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/id.h"
+#include "oriolewalk/traffic/entry_limiter.h"
+#include "oriolewalk/traffic/types.h"
+
+namespace oriolewalk::traffic {
+namespace {
+
+constexpr std::uint64_t kSeed = 3;
+const organisation_id kTaksa("taksa");
+const time_point kStart{ seconds(1000) };
+
+entry_request
+From(const organisation_id& aOrganisation,
+     work_class aClass,
+     std::string_view aCaller = "c")
+{
+  return { aOrganisation, aCaller, aClass };
+}
+
+// Admits until the first refusal; returns how many.
+int
+Fill(entry_limiter& aLimiter, const entry_request& aRequest)
+{
+  int admitted = 0;
+  while (admitted < 10000 && !aLimiter.Admit(aRequest, kStart).mRefused) {
+    ++admitted;
+  }
+  return admitted;
+}
+
+TEST_CASE("calls in progress are not held against their caller")
+{
+  // One caller sends forty requests at once, before any answer is back.
+  entry_limiter limiter({}, kSeed);
+  CHECK(Fill(limiter, From(kTaksa, work_class::Urgent)) >= 40);
+}
+
+TEST_CASE("urgent calls find room when lower classes have filled their part")
+{
+  entry_limiter limiter({}, kSeed);
+  const int heavy = Fill(limiter, From(kTaksa, work_class::Heavy));
+  const int normal = Fill(limiter, From(kTaksa, work_class::Normal));
+  const int urgent = Fill(limiter, From(kTaksa, work_class::Urgent));
+  CHECK(heavy > 0);
+  CHECK(normal > 0);
+  CHECK(urgent >= 9);
+  CHECK(static_cast<double>(heavy + normal + urgent) <= limiter.Limit());
+}
+
+TEST_CASE("one organisation's calls do not keep another's out")
+{
+  // The first organisation sends all it can; the second one, of equal weight,
+  // comes later. It gets calls in progress at once, and its half as calls of
+  // the first one end.
+  entry_limiter limiter({}, kSeed);
+  const entry_request first = From(organisation_id("a"), work_class::Normal);
+  const entry_request second = From(organisation_id("b"), work_class::Normal);
+  REQUIRE(limiter.Admit(second, kStart).mRefused == std::nullopt);
+  const int most = Fill(limiter, first);
+  CHECK(most <= 32);
+  CHECK(Fill(limiter, second) >= 10);
+}
+
+TEST_CASE("the limit falls with slow and lost calls, and recovers")
+{
+  entry_limiter limiter({}, kSeed);
+  const entry_request request = From(kTaksa, work_class::Urgent);
+  time_point now = kStart;
+  const auto call = [&](const control_call& aCall) {
+    limiter.Admit(request, now);
+    limiter.Finished(request, aCall, now);
+    now += milliseconds(200);
+  };
+  const double before = limiter.Limit();
+  for (int slow = 0; slow < 10; ++slow) {
+    call({ call_result::Lost, milliseconds(100) });
+  }
+  const double reduced = limiter.Limit();
+  CHECK(reduced < 0.5 * before);
+  for (int step = 0; step < 100; ++step) {
+    const int filled = Fill(limiter, request);
+    for (int each = 0; each < filled; ++each) {
+      limiter.Finished(request, { call_result::Accepted, {} }, now);
+    }
+  }
+  CHECK(limiter.Limit() > before);
+}
+
+TEST_CASE("what control refuses to one caller is not held against others")
+{
+  // A hot caller's requests are nearly all refused by control. The entry stops
+  // sending most of them; another caller of the same organisation, whose
+  // requests are accepted, loses nothing.
+  entry_limiter limiter({}, kSeed);
+  const entry_request hot = From(kTaksa, work_class::Normal, "hot");
+  const entry_request calm = From(kTaksa, work_class::Normal, "calm");
+  int hotSent = 0;
+  int calmRefused = 0;
+  for (int step = 0; step < 1000; ++step) {
+    const time_point now = kStart + milliseconds(step);
+    if (!limiter.Admit(hot, now).mRefused) {
+      ++hotSent;
+      limiter.Finished(hot, { call_result::Refused, milliseconds(1) }, now);
+    }
+    if (step % 10 == 0) {
+      if (limiter.Admit(calm, now).mRefused) {
+        ++calmRefused;
+      } else {
+        limiter.Finished(calm, { call_result::Accepted, milliseconds(1) }, now);
+      }
+    }
+  }
+  CHECK(hotSent < 200);
+  CHECK(hotSent > 10); // it still learns when times get better
+  CHECK(calmRefused == 0);
+}
+
+TEST_CASE("with control as the bottleneck the urgent still get through")
+{
+  // Control serves 2 calls a millisecond; 5 arrive: 1 urgent, 4 normal. It
+  // queues what it is sent, so that without the limiter the queue grows by 3 a
+  // millisecond and every call, urgent or not, is lost within a second.
+  entry_options options;
+  options.mSlowCall = milliseconds(20);
+  entry_limiter limiter(options, kSeed);
+  std::deque<std::pair<entry_request, time_point>> control;
+  const organisation_id normals("b");
+  std::uint64_t urgentOffered = 0;
+  std::uint64_t urgentQuick = 0;
+  for (int step = 0; step < 5000; ++step) {
+    const time_point now = kStart + milliseconds(step);
+    for (int arrived = 0; arrived < 5; ++arrived) {
+      const bool urgent = arrived == 2;
+      const entry_request request = urgent ? From(kTaksa, work_class::Urgent)
+                                           : From(normals, work_class::Normal);
+      urgentOffered += urgent ? 1 : 0;
+      if (!limiter.Admit(request, now).mRefused) {
+        control.emplace_back(request, now);
+      }
+    }
+    for (int served = 0; served < 2 && !control.empty(); ++served) {
+      const auto [request, since] = control.front();
+      control.pop_front();
+      limiter.Finished(request, { call_result::Accepted, now - since }, now);
+      urgentQuick +=
+        request.mClass == work_class::Urgent && now - since < milliseconds(100)
+          ? 1
+          : 0;
+    }
+  }
+  CHECK(static_cast<double>(urgentQuick) >
+        0.95 * static_cast<double>(urgentOffered));
+}
+
+TEST_CASE("the record of callers is bounded")
+{
+  entry_limiter limiter({}, kSeed);
+  for (std::size_t caller = 0; caller < 3 * entry_limiter::kMaxCallers;
+       ++caller) {
+    const std::string name = std::to_string(caller);
+    const entry_request request = From(kTaksa, work_class::Urgent, name);
+    limiter.Admit(request, kStart);
+    limiter.Finished(request, { call_result::Accepted, {} }, kStart);
+  }
+  CHECK(limiter.Callers() <= entry_limiter::kMaxCallers);
+  CHECK(limiter.InProgress() == 0);
+}
+
+TEST_CASE("entries together keep a target's connections")
+{
+  CHECK(ConnectionsPerEntry(60, 7) * 7 <= 60);
+  CHECK(ConnectionsPerEntry(60, 7) >= 8);
+  CHECK(ConnectionsPerEntry(3, 7) == 1);
+}
+
+} // namespace
+} // namespace oriolewalk::traffic
