--- a/oriolewalk/cell/policy.h
+++ b/oriolewalk/cell/policy.h
@@ -42,26 +42,31 @@
   // How often silence, drains and overruns are looked for.
   milliseconds mHousekeeping{ 200 };
   // A Plan's most starts and most jobs looked at: bounds one decision.
-  std::uint32_t mMostStarts = 512;
+  std::uint32_t mMostStarts = 128;
   std::uint32_t mMostLooks = 4096;
   // Jobs of one organisation and class that are tried behind one that waits
   // for room.
   std::uint32_t mBackfillDepth = 16;
-  // Waiting longer than this, a normal or heavy job goes ahead of younger
-  // work, whatever its class, for at most one of mAgedEvery starts.
+  // Waiting longer than this, a normal or heavy job goes ahead of all younger
+  // work, one of each class every mHousekeeping: urgent work hardly feels it,
+  // and nothing starves under a flood of it.
   milliseconds mNormalBound{ 10 * 60 * 1000 };
   milliseconds mHeavyBound{ 60 * 60 * 1000 };
-  std::uint32_t mAgedEvery = 8;
   // Places held for work that doesn't fit yet.
-  std::uint32_t mMostReservations = 64;
+  std::uint32_t mMostReservations = 8192;
   std::uint32_t mMostQuietReservations = 8; // For other than urgent work.
   // Preempted work that hasn't ended by then is asked for more: half of what
   // remains of 4.2 s after two polls.
   milliseconds mEscalateAfter{ 1200 };
   // A normal job may preempt heavy ones after this wait.
   milliseconds mNormalPatience{ 30'000 };
+  // A search for victims or a place to hold that found none is made again
+  // after this; and a Plan makes this many at most. Bounds what a full cell
+  // costs.
+  milliseconds mSeekAgain{ 500 };
+  std::uint32_t mMostSearches = 32;
   // Most workers that a search for victims or for a reservation looks at.
-  std::uint32_t mMostScanned = 512;
+  std::uint32_t mMostScanned = 128;
   // Restarts of work that lost its worker, a second: a lost data centre must
   // not hold up new urgent work nor start everything on the same few workers.
   std::uint32_t mRecoveryPerSecond = 400;
