--- a/cmake/OrioleModule.cmake
+++ b/cmake/OrioleModule.cmake
@@ -1,6 +1,8 @@
-# oriole_module(NAME DEPS a b LIBS x y)
+# oriole_module(NAME DEPS a b LIBS x y PRIVATE_HEADERS p q)
 # Makes the static library oriole_NAME of every .cc in the current folder,
-# installs it with its headers, and exports it as oriolewalk::NAME.
+# installs it with its headers, and exports it as oriolewalk::NAME. Headers and
+# folders under PRIVATE_HEADERS are the module's own: they aren't installed,
+# since a user couldn't compile what they include.
 function(oriole_warnings target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow)
   if(ORIOLE_WERROR)
@@ -9,7 +11,7 @@
 endfunction()
 
 function(oriole_module name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LIBS" ${ARGN})
+  cmake_parse_arguments(ARG "" "" "DEPS;LIBS;PRIVATE_HEADERS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
   set(target oriole_${name})
   if(sources)
@@ -29,7 +31,11 @@
   set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
   install(TARGETS ${target} EXPORT oriolewalkTargets
           ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
+  set(private)
+  foreach(header IN LISTS ARG_PRIVATE_HEADERS)
+    list(APPEND private PATTERN ${header} EXCLUDE)
+  endforeach()
   install(DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/
           DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/oriolewalk/${name}
-          FILES_MATCHING PATTERN "*.h")
+          FILES_MATCHING PATTERN "*.h" ${private})
 endfunction()
