--- a/oriolewalk/control/target_registry.cc
+++ b/oriolewalk/control/target_registry.cc
@@ -9,9 +9,16 @@
                           time_point aNow)
 {
   known_target& target = mTargets[aAnnounced.mTarget];
+  if (target.mLeaving) {
+    // A renewal that was under way when the target said that it leaves, or its
+    // next life. Neither keeps the leaving one alive: it lapses 2 s after it
+    // was last heard to leave, and the next life is then let in. Before, a
+    // target that came back at once stayed out for as long as it renewed.
+    return false;
+  }
   target.mAnnounced = aAnnounced;
   target.mHeardAt = aNow;
-  return !target.mLeaving;
+  return true;
 }
 
 void
