--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -378,8 +378,8 @@
   echo_loop(wire::rpc_node& aClient, std::string aPeer, std::size_t aCalls)
     : mClient(aClient)
     , mPeer(std::move(aPeer))
-    , mLeft(aCalls)
-    , mOpen(aCalls)
+    , mLeft(static_cast<std::int64_t>(aCalls))
+    , mOpen(static_cast<std::int64_t>(aCalls))
   {
   }
 
