--- a/oriolewalk/control/control_process.cc
+++ b/oriolewalk/control/control_process.cc
@@ -12,6 +12,7 @@
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/control/control_core.h"
+#include "oriolewalk/control/control_metrics.h"
 #include "oriolewalk/control/storage_thread.h"
 #include "oriolewalk/observe/event_log.h"
 #include "oriolewalk/observe/log.h"
@@ -26,6 +27,7 @@
 using observe::log_level;
 
 constexpr milliseconds kTick{ 10 };
+constexpr std::uint64_t kTicksPerUpdate = 10; // of the metrics
 // A planned stop waits so long at most for another voter to lead.
 constexpr seconds kHandOverBound{ 3 };
 
@@ -90,10 +92,10 @@
 
   int Run()
   {
-    if (const auto port = Listen(); !port) {
+    if (const auto bound = Listen(); !bound) {
       Log(log_level::Error,
           "cannot listen",
-          { { "problem", port.error().Describe() } });
+          { { "problem", bound.error().Describe() } });
       return 1;
     }
     Log(log_level::Info,
@@ -113,15 +115,24 @@
   }
 
 private:
-  result<std::uint16_t> Listen()
+  result<void> Listen()
   {
-    return mRpc.Listen(
+    if (!mSettings.mMetricsListen.mHost.empty()) {
+      if (auto shown = mMetrics.Listen(mSettings.mMetricsListen); !shown) {
+        return shown;
+      }
+    }
+    const auto port = mRpc.Listen(
       mSettings.mListen.ToString(),
       [this](
         std::uint16_t aKind, const bytes& aBody, wire::reply_function aReply) {
         OnCall(aKind, aBody, std::move(aReply));
       },
       [this](const bytes& aMessage) { OnDeliver(aMessage); });
+    if (!port) {
+      return Fail(port.error());
+    }
+    return {};
   }
 
   // The RPC node's thread: decodes there, so that the control thread need not.
@@ -168,6 +179,7 @@
       Fatal("the disk failed", *aDone.mFailure);
       return;
     }
+    mMetrics.NoteWrite(aDone);
     if (aDone.mTicket != 0) {
       mCore->Persisted(aDone.mTicket, runtime_clock::now());
     }
@@ -272,6 +284,9 @@
       }
       mCore->Tick(runtime_clock::now(), WallMilliseconds());
       SchedulePump();
+      if (++mTicks % kTicksPerUpdate == 0) {
+        mMetrics.Update(*mCore);
+      }
       if (mStopping && MayStop()) {
         mContext.stop();
         return;
@@ -304,9 +319,11 @@
   boost::asio::signal_set mSignals;
   std::unique_ptr<control_core> mCore;
   std::unique_ptr<observe::event_log> mEvents;
+  control_metrics mMetrics;
   std::map<consensus::node_id, std::string> mAddresses;
   std::map<call_id, wire::reply_function> mCalls;
   std::uint64_t mLastCall = 0;
+  std::uint64_t mTicks = 0;
   bool mPumpScheduled = false;
   bool mStopping = false;
   time_point mStopAt{};
--- a/oriolewalk/control/control_process.h
+++ b/oriolewalk/control/control_process.h
@@ -25,6 +25,7 @@
   std::vector<settings::peer> mPeers; // all control processes, this one too
   std::string mDataFolder;
   std::string mEventFile;
+  settings::address mMetricsListen; // empty: no metrics are shown
   // Makes the data folder of a founder of a new cell, and ends.
   bool mInitialise = false;
   // The data folder was lost or is new in a cell that lives: no vote before
--- a/programs/oriole_control.cc
+++ b/programs/oriole_control.cc
@@ -41,6 +41,9 @@
                aSettings.mEventFile,
                "file",
                "the time line's events; none if empty");
+  aParser.Address("metrics-listen",
+                  aSettings.mMetricsListen,
+                  "where /metrics and /healthz are shown; nowhere if empty");
   aParser.Number("snapshot-every",
                  aSettings.mSnapshotEvery,
                  { 100, 10'000'000 },
