--- a/oriolewalk/storage/data_folder.cc
+++ b/oriolewalk/storage/data_folder.cc
@@ -265,11 +265,7 @@
     return Fail(*mFailure);
   }
   if (aSnapshot.mIndex <= mSnapshotIndex) {
-    return Fail(error_code::InvalidArgument,
-                "save snapshot",
-                "index " + std::to_string(aSnapshot.mIndex) +
-                  " is not past the snapshot at " +
-                  std::to_string(mSnapshotIndex));
+    return {};
   }
   if (!mSegment.IsOpen()) {
     // A snapshot without any segment reads as a lost log: start one first.
@@ -285,18 +281,29 @@
   }
   mSnapshotIndex = aSnapshot.mIndex;
   mLastIndex = std::max(mLastIndex, aSnapshot.mIndex);
-  // The segment that this goes to opens with the vote, and is durable, before
-  // any older one goes.
+  // Goes out with the next block; until then recovery works it out from the
+  // snapshot. The open segment has its first block, and with it the vote, so
+  // that the older ones may go.
   mBuffer.emplace_back(position_entry{ mSnapshotIndex, mLastIndex });
-  if (auto synced = Sync(); !synced) {
-    return synced;
-  }
   if (auto removed = RemoveCovered(); !removed) {
     return Failed(removed.error(), "remove old segments");
   }
   return {};
 }
 
+result<void>
+data_folder::InstallSnapshot(const snapshot_record& aSnapshot)
+{
+  // Durable before the snapshot is: a crash between the two leaves a shorter
+  // log of the old branch, from which the leader sends the snapshot again.
+  if (aSnapshot.mIndex > mSnapshotIndex) {
+    if (auto cut = TruncateFrom(aSnapshot.mIndex + 1); !cut) {
+      return cut;
+    }
+  }
+  return SaveSnapshot(aSnapshot);
+}
+
 result<void>
 data_folder::WriteSnapshotFile(const snapshot_record& aSnapshot)
 {
