Time line: a request's arrival and sending at the entry; resubmitted jobs

Cause: the picture of a request began at control, since the entry wrote only 'answered'; a job that was submitted again looked like a second job. After: arrived, forwarded and answered at the entry; submitted-again. Conclusion: one request can be followed from its arrival.

--- a/oriolewalk/control/command_events.cc
+++ b/oriolewalk/control/command_events.cc
@@ -77,7 +77,8 @@
   std::visit(overloaded{
                [&](const cell::submit_job& aSubmit) {
                  observe::event one;
-                 one.mKind = "submitted";
+                 one.mKind =
+                   aOutcome.mReplayed ? "submitted-again" : "submitted";
                  one.mOrganisation = aSubmit.mSpec.mOrganisation.Value();
                  one.mJob = aOutcome.mJob ? ToString(*aOutcome.mJob) : "";
                  made.push_back(one);
--- a/oriolewalk/entry/live_call.cc
+++ b/oriolewalk/entry/live_call.cc
@@ -107,9 +107,20 @@
       self->OnHangUp();
     }
   });
+  NoteEvent("arrived", mCall.mClaim.mService.Value());
   Do(mFlow.Start(mArrivedAt));
 }
 
+void
+live_call::NoteEvent(std::string_view aKind, std::string aDetail)
+{
+  mServices.mEvents.Write(
+    { .mKind = std::string(aKind),
+      .mRequest = mCall.mClaim.mRef.ToString(),
+      .mOrganisation = mCall.mClaim.mRef.mOrganisation.Value(),
+      .mDetail = std::move(aDetail) });
+}
+
 void
 live_call::Do(flow_step aStep)
 {
@@ -176,6 +187,9 @@
     return;
   }
   mServices.mForwarded.Add();
+  NoteEvent("forwarded",
+            aForward.mAddress + " attempt " +
+              std::to_string(aForward.mAttempt));
   mSentAt = now;
   const milliseconds left = Left(aForward.mUntil, now);
   http::send_options options;
@@ -214,12 +228,9 @@
   const duration whole = runtime_clock::now() - mArrivedAt;
   mServices.mAdded.Add(
     std::chrono::duration<double, std::milli>(whole - mTargetTook).count());
-  mServices.mEvents.Write(
-    { .mKind = "answered",
-      .mRequest = mCall.mClaim.mRef.ToString(),
-      .mOrganisation = mCall.mClaim.mRef.mOrganisation.Value(),
-      .mDetail = std::string(
-        aAnswer.mResponse.Find(kOutcomeHeader).value_or("error")) });
+  NoteEvent(
+    "answered",
+    std::string(aAnswer.mResponse.Find(kOutcomeHeader).value_or("error")));
   mResponder.Send(std::move(aAnswer.mResponse));
   if (aAnswer.mReport) {
     mServices.mGivenBack.Add();
--- a/oriolewalk/entry/live_call.h
+++ b/oriolewalk/entry/live_call.h
@@ -78,6 +78,7 @@
                  duration aTook,
                  time_point aNow);
   void OnHangUp();
+  void NoteEvent(std::string_view aKind, std::string aDetail);
 
   call_services& mServices;
   http::request mRequest;
