One work_class for requests, weights and jobs

The same enumeration stood three times (traffic, weights, cell), each with its own names, and was carried from one to another by a cast: a fourth class, or another order in one of them, would have compiled and given each organisation another class's weight. base/work_class.h has it once; the modules name it by using-declarations, cell by the alias job_class. Three readers of the text (weights, cell, entry) became ParseWorkClass.

traffic::IndexOf is found by its argument now, so three users (one test among them) lost the qualifier; no test's meaning changed.

--- a/bench/cell_bench.cc
+++ b/bench/cell_bench.cc
@@ -286,8 +286,8 @@
   double mBindingUsed = 0; // Of the dimension that is fullest.
   double mStranded = 0;    // Free processors on workers without free memory
                            // for the smallest common shape, and the reverse.
-  std::array<double, kJobClasses> mMeanWaitMs{};
-  std::array<double, kJobClasses> mP99WaitMs{};
+  std::array<double, kClassCount> mMeanWaitMs{};
+  std::array<double, kClassCount> mP99WaitMs{};
 };
 
 struct fill_result
@@ -487,7 +487,7 @@
   [[nodiscard]] packing_result Waits() const
   {
     packing_result result;
-    for (std::size_t at = 0; at < kJobClasses; ++at) {
+    for (std::size_t at = 0; at < kClassCount; ++at) {
       double sum = 0;
       for (const double each : mWaits.at(at)) {
         sum += each;
@@ -504,7 +504,7 @@
   std::priority_queue<end, std::vector<end>, std::greater<>> mEnds;
   std::vector<stop_task> mStops;
   std::map<task_id, std::int64_t> mLeft;
-  std::array<std::vector<double>, kJobClasses> mWaits;
+  std::array<std::vector<double>, kClassCount> mWaits;
 };
 
 struct named_policy
@@ -527,7 +527,7 @@
 {
   aSum.mBindingUsed += aMore.mBindingUsed * aShare;
   aSum.mStranded += aMore.mStranded * aShare;
-  for (std::size_t at = 0; at < kJobClasses; ++at) {
+  for (std::size_t at = 0; at < kClassCount; ++at) {
     aSum.mMeanWaitMs.at(at) += aMore.mMeanWaitMs.at(at) * aShare;
     aSum.mP99WaitMs.at(at) += aMore.mP99WaitMs.at(at) * aShare;
   }
@@ -539,7 +539,7 @@
   const std::string prefix = std::string("cell.load.") + aName;
   aReport.Add(prefix + ".binding_used", aSum.mBindingUsed, "share");
   aReport.Add(prefix + ".stranded", aSum.mStranded, "share");
-  for (std::uint8_t at = 0; at < kJobClasses; ++at) {
+  for (std::uint8_t at = 0; at < kClassCount; ++at) {
     std::string name(ToString(static_cast<job_class>(at)));
     name.insert(0, prefix + ".wait_mean.");
     aReport.Add(name, aSum.mMeanWaitMs.at(at), "ms");
--- a/bench/traffic_bench.cc
+++ b/bench/traffic_bench.cc
@@ -72,7 +72,7 @@
 {
   double slotSeconds = 1e-9; // none is no share, not a division by zero
   for (const traffic::work_class each : traffic::kClasses) {
-    const caller_outcome& seen = aSeen.mByClass.at(traffic::IndexOf(each));
+    const caller_outcome& seen = aSeen.mByClass.at(IndexOf(each));
     std::string name = aName;
     name.append(".").append(ToString(each));
     AddTimes(aReport, name + ".wait", seen.mWaits);
--- a/bench/traffic_driver.cc
+++ b/bench/traffic_driver.cc
@@ -385,7 +385,7 @@
   const time_point begin = std::max(counted.mBeganAt, At(mScenario.mWarmUp));
   const double used = std::max(0.0, ToSeconds(mNow - begin));
   mOutcome.mByLabel[from.mLabel].mSlotSeconds += used;
-  mOutcome.mByClass.at(traffic::IndexOf(from.mClass)).mSlotSeconds += used;
+  mOutcome.mByClass.at(IndexOf(from.mClass)).mSlotSeconds += used;
   if (mNow > counted.mDeadline) {
     mOutcome.mWastedSeconds += used;
   } else if (!aFailed && counted.mHeld > 0) {
@@ -605,7 +605,7 @@
   }
   const source& from = mScenario.mSources[seen.mSource];
   aCount(mOutcome.mByLabel[from.mLabel]);
-  aCount(mOutcome.mByClass.at(traffic::IndexOf(from.mClass)));
+  aCount(mOutcome.mByClass.at(IndexOf(from.mClass)));
 }
 
 void
--- a/oriolewalk/cell/cell_state.h
+++ b/oriolewalk/cell/cell_state.h
@@ -200,7 +200,7 @@
   std::map<std::pair<organisation_id, request_key>, job_number> mKeys;
   std::vector<organisation_record> mOrganisations;
   std::unordered_map<organisation_id, organisation_slot> mOrganisationSlots;
-  std::array<std::set<organisation_slot>, kJobClasses> mWaiting;
+  std::array<std::set<organisation_slot>, kClassCount> mWaiting;
   std::set<std::pair<std::int64_t, job_number>> mFinished;
   resources mCapacity;
 };
--- a/oriolewalk/cell/job.cc
+++ b/oriolewalk/cell/job.cc
@@ -26,7 +26,6 @@
 constexpr std::size_t kLongestName = 128;
 
 constexpr std::array kKinds{ "batch"sv, "service"sv, "gang"sv };
-constexpr std::array kClasses{ "urgent"sv, "normal"sv, "heavy"sv };
 constexpr std::array kResults{ "succeeded"sv,
                                "failed"sv,
                                "checkpointed"sv,
@@ -173,12 +172,6 @@
   return Name(kKinds, aKind);
 }
 
-std::string_view
-ToString(job_class aClass)
-{
-  return Name(kClasses, aClass);
-}
-
 std::string_view
 ToString(attempt_result aResult)
 {
@@ -215,12 +208,6 @@
   return Find<job_kind>(kKinds, aText);
 }
 
-std::optional<job_class>
-ParseClass(std::string_view aText)
-{
-  return Find<job_class>(kClasses, aText);
-}
-
 std::optional<attempt_result>
 ParseResult(std::string_view aText)
 {
--- a/oriolewalk/cell/job.h
+++ b/oriolewalk/cell/job.h
@@ -19,6 +19,7 @@
 
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/id.h"
+#include "oriolewalk/base/work_class.h"
 #include "oriolewalk/cell/resources.h"
 
 namespace oriolewalk::cell {
@@ -34,14 +35,7 @@
   Gang,    // All unfinished tasks run together or none does.
 };
 
-enum class job_class : std::uint8_t
-{
-  Urgent,
-  Normal,
-  Heavy,
-};
-
-constexpr std::uint8_t kJobClasses = 3;
+using job_class = work_class;
 
 // What was submitted; never changed afterwards.
 struct job_spec
@@ -180,8 +174,6 @@
 std::string_view
 ToString(job_kind aKind);
 std::string_view
-ToString(job_class aClass);
-std::string_view
 ToString(attempt_result aResult);
 std::string_view
 ToString(task_state aState);
@@ -194,8 +186,6 @@
 
 std::optional<job_kind>
 ParseKind(std::string_view aText);
-std::optional<job_class>
-ParseClass(std::string_view aText);
 std::optional<attempt_result>
 ParseResult(std::string_view aText);
 
--- a/oriolewalk/cell/records.h
+++ b/oriolewalk/cell/records.h
@@ -150,7 +150,7 @@
   resources mBooked;
   std::optional<resources> mQuota;
   // Jobs with a waiting task, oldest first.
-  std::array<std::set<job_number>, kJobClasses> mWaiting;
+  std::array<std::set<job_number>, kClassCount> mWaiting;
 
   [[nodiscard]] bool Allows(const resources& aMore) const
   {
--- a/oriolewalk/control/operator_json.cc
+++ b/oriolewalk/control/operator_json.cc
@@ -321,7 +321,7 @@
   cell::job_spec spec;
   spec.mOrganisation = organisation_id(fields.Text("organisation", "default"));
   const auto kind = cell::ParseKind(fields.Text("kind", "batch"));
-  const auto jobClass = cell::ParseClass(fields.Text("class", "normal"));
+  const auto jobClass = ParseWorkClass(fields.Text("class", "normal"));
   if (!kind) {
     fields.Complain("kind", "must be batch, service or gang");
   }
--- a/oriolewalk/entry/caller_api.cc
+++ b/oriolewalk/entry/caller_api.cc
@@ -44,17 +44,6 @@
          });
 }
 
-std::optional<traffic::work_class>
-ParseClass(std::string_view aText)
-{
-  const auto found =
-    std::ranges::find_if(traffic::kClasses, [&](traffic::work_class aClass) {
-      return traffic::ToString(aClass) == aText;
-    });
-  return found == traffic::kClasses.end() ? std::nullopt
-                                          : std::optional(*found);
-}
-
 std::optional<std::uint32_t>
 ParseDeadline(std::string_view aText)
 {
@@ -75,7 +64,7 @@
             const protocol::claim_request& aClaim)
 {
   std::string text = aRequest.mMethod + '\n' + aRequest.mTarget + '\n';
-  text += traffic::ToString(aClaim.mClass);
+  text += ToString(aClaim.mClass);
   text += aClaim.mRepeatable ? "\nyes\n" : "\nno\n";
   text += aRequest.mBody;
   return XXH3_64bits(text.data(), text.size());
@@ -97,7 +86,7 @@
     return Invalid("Oriole-Organisation", "1 to 128 printable bytes without /");
   }
   const auto workClass =
-    ParseClass(aRequest.Find("Oriole-Class").value_or("normal"));
+    ParseWorkClass(aRequest.Find("Oriole-Class").value_or("normal"));
   if (!workClass) {
     return Invalid("Oriole-Class", "urgent, normal or heavy");
   }
--- a/oriolewalk/protocol/policy_map.cc
+++ b/oriolewalk/protocol/policy_map.cc
@@ -3,6 +3,7 @@
 #include <limits>
 #include <set>
 
+#include "oriolewalk/base/work_class.h"
 #include "oriolewalk/weights/weights_row.h"
 
 namespace oriolewalk::protocol {
@@ -23,12 +24,6 @@
   return rule;
 }
 
-traffic::work_class
-ToTraffic(weights::work_class aClass)
-{
-  return static_cast<traffic::work_class>(aClass);
-}
-
 std::set<organisation_id>
 Named(const weights::weights_table& aTable)
 {
@@ -49,12 +44,11 @@
   traffic::share_policy policy;
   const organisation_id anyone{ std::string(weights::kAnyone) };
   const std::set<organisation_id> named = Named(aTable);
-  for (const weights::work_class workClass : weights::kWorkClasses) {
-    const traffic::work_class mapped = ToTraffic(workClass);
-    policy.SetDefault(mapped, Rule(aTable.Find(anyone, workClass)));
+  for (const work_class workClass : kClasses) {
+    policy.SetDefault(workClass, Rule(aTable.Find(anyone, workClass)));
     for (const organisation_id& organisation : named) {
       policy.Set(
-        organisation, mapped, Rule(aTable.Find(organisation, workClass)));
+        organisation, workClass, Rule(aTable.Find(organisation, workClass)));
     }
   }
   return policy;
@@ -69,7 +63,7 @@
   policy.mVersion = aVersion;
   for (const organisation_id& organisation : Named(aTable)) {
     const weights::weights_row& row =
-      aTable.Find(organisation, weights::work_class::Heavy);
+      aTable.Find(organisation, work_class::Heavy);
     policy.mWeights[organisation] = row.mWeight;
     if (row.mMilliProcessors || row.mMemoryMb || row.mAccelerators) {
       const auto limit = [](const std::optional<std::uint64_t>& aValue) {
--- a/oriolewalk/traffic/types.cc
+++ b/oriolewalk/traffic/types.cc
@@ -5,17 +5,6 @@
 
 namespace oriolewalk::traffic {
 
-std::string_view
-ToString(work_class aClass)
-{
-  static constexpr std::array<std::string_view, kClassCount> kNames = {
-    "urgent",
-    "normal",
-    "heavy",
-  };
-  return kNames.at(IndexOf(aClass));
-}
-
 std::string_view
 ToString(refusal aRefusal)
 {
--- a/oriolewalk/traffic/types.h
+++ b/oriolewalk/traffic/types.h
@@ -2,7 +2,6 @@
 
 // Values that go into and come out of the traffic modules.
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -11,32 +10,13 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/id.h"
+#include "oriolewalk/base/work_class.h"
 
 namespace oriolewalk::traffic {
 
-// In the order in which a free slot is offered.
-enum class work_class : std::uint8_t
-{
-  Urgent,
-  Normal,
-  Heavy,
-};
-
-inline constexpr std::size_t kClassCount = 3;
-inline constexpr std::array<work_class, kClassCount> kClasses = {
-  work_class::Urgent,
-  work_class::Normal,
-  work_class::Heavy,
-};
-
-constexpr std::size_t
-IndexOf(work_class aClass)
-{
-  return static_cast<std::size_t>(aClass);
-}
-
-std::string_view
-ToString(work_class aClass);
+using oriolewalk::kClassCount;
+using oriolewalk::kClasses;
+using oriolewalk::work_class;
 
 // Made by the shell for one attempt to place a request; never used again in
 // the life of one dispatcher, also not for another attempt of the same key.
--- a/oriolewalk/weights/columns.cc
+++ b/oriolewalk/weights/columns.cc
@@ -16,16 +16,13 @@
 
 #include "oriolewalk/base/id.h"
 #include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/base/work_class.h"
 #include "oriolewalk/weights/weights_row.h"
 #include "oriolewalk/weights/weights_table.h"
 
 namespace oriolewalk::weights {
 namespace {
 
-constexpr std::array<std::string_view, 3> kClassNames{ "urgent",
-                                                       "normal",
-                                                       "heavy" };
-
 using outcome = tl::expected<void, std::string>;
 
 outcome
@@ -78,22 +75,6 @@
 
 } // namespace
 
-std::string_view
-ToString(work_class aClass)
-{
-  return kClassNames.at(static_cast<std::size_t>(aClass));
-}
-
-std::optional<work_class>
-ParseWorkClass(std::string_view aText)
-{
-  const auto* const found = std::ranges::find(kClassNames, aText);
-  if (found == kClassNames.end()) {
-    return std::nullopt;
-  }
-  return kWorkClasses.at(static_cast<std::size_t>(found - kClassNames.begin()));
-}
-
 outcome
 ReadCell(const column& aColumn, std::string_view aCell, weights_row& aRow)
 {
--- a/oriolewalk/weights/weights_row.h
+++ b/oriolewalk/weights/weights_row.h
@@ -2,32 +2,16 @@
 
 // One line of the weights table: what an organisation gets in a class.
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
 #include "oriolewalk/base/id.h"
+#include "oriolewalk/base/work_class.h"
 
 namespace oriolewalk::weights {
 
-// The kinds of work, in the order in which they are served under strict bounds.
-enum class work_class : std::uint8_t
-{
-  Urgent, // A caller waits.
-  Normal,
-  Heavy, // May take its time, but is never lost.
-};
-
-inline constexpr std::array kWorkClasses{ work_class::Urgent,
-                                          work_class::Normal,
-                                          work_class::Heavy };
-
-// "urgent", "normal", "heavy".
-std::string_view
-ToString(work_class aClass);
-std::optional<work_class>
-ParseWorkClass(std::string_view aText);
+using oriolewalk::work_class;
 
 // Stands for every organisation, or every class, that has no row of its own.
 inline constexpr std::string_view kAnyone = "*";
--- a/testing/base/base_test.cc
+++ b/testing/base/base_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "oriolewalk/base/id.h"
 #include "oriolewalk/base/random.h"
 #include "oriolewalk/base/timer.h"
+#include "oriolewalk/base/work_class.h"
 
 namespace oriolewalk {
 namespace {
@@ -72,6 +74,21 @@
   CHECK(fired);
 }
 
+TEST_CASE("the classes of work read back by their names and keep their numbers")
+{
+  for (const work_class each : kClasses) {
+    CHECK(ParseWorkClass(ToString(each)) == each);
+    CHECK(kClasses.at(IndexOf(each)) == each);
+  }
+  // As in logs and snapshots that are on disks by now.
+  CHECK(ParseWorkClass("urgent") == work_class{ 0 });
+  CHECK(ParseWorkClass("normal") == work_class{ 1 });
+  CHECK(ParseWorkClass("heavy") == work_class{ 2 });
+  for (const auto* text : { "", "Urgent", "heavy ", "urgen", "*" }) {
+    CHECK(ParseWorkClass(text) == std::nullopt);
+  }
+}
+
 TEST_CASE("one seed gives one series")
 {
   random_source first(7);
--- a/testing/traffic/scenario_test.cc
+++ b/testing/traffic/scenario_test.cc
@@ -25,7 +25,7 @@
 const caller_outcome&
 Of(const outcome& aSeen, work_class aClass)
 {
-  return aSeen.mByClass.at(traffic::IndexOf(aClass));
+  return aSeen.mByClass.at(IndexOf(aClass));
 }
 
 double
