--- a/testing/system/fake_cell.h
+++ b/testing/system/fake_cell.h
@@ -59,6 +59,7 @@
 {
 public:
   static constexpr milliseconds kStep{ 1 };
+  static constexpr milliseconds kNetwork{ 1 };
 
   fake_cell(std::size_t aControls, std::uint64_t aSeed);
   ~fake_cell();
