--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -104,7 +104,7 @@
   } else if (resource == "jobs") {
     Jobs(aCall, aRequest, path, aNow, aWallMs);
   } else if (resource == "workers") {
-    Workers(aCall, aRequest, path);
+    Workers(aCall, aRequest, path, aWallMs);
   } else if (resource == "targets") {
     Targets(aCall, aRequest, path, aNow);
   } else if (resource == "members") {
@@ -309,7 +309,8 @@
 void
 operator_desk::Workers(call_id aCall,
                        const protocol::operator_request& aRequest,
-                       const parsed_path& aPath)
+                       const parsed_path& aPath,
+                       std::int64_t aWallMs)
 {
   const cell::cell_state& cells = mCore.State().Cell();
   if (aPath.mParts.size() == 2 && aRequest.mMethod == "GET") {
@@ -329,8 +330,12 @@
     NotFound(aCall, aRequest);
     return;
   }
-  cell::drain_worker command;
-  command.mWorker = worker;
+  const auto deadline = ParseDrainDeadline(aRequest.mBody, aWallMs);
+  if (!deadline) {
+    Answer(aCall, ErrorAnswer(deadline.error()));
+    return;
+  }
+  const cell::drain_worker command{ worker, true, *deadline };
   const bool taken = mCore.Propose(
     cell::cell_command(command),
     [this, aCall, worker](const applied&, time_point) {
--- a/oriolewalk/control/operator_desk.h
+++ b/oriolewalk/control/operator_desk.h
@@ -62,7 +62,8 @@
   void CancelJob(call_id aCall, cell::job_number aJob);
   void Workers(call_id aCall,
                const protocol::operator_request& aRequest,
-               const parsed_path& aPath);
+               const parsed_path& aPath,
+               std::int64_t aWallMs);
   void Targets(call_id aCall,
                const protocol::operator_request& aRequest,
                const parsed_path& aPath,
--- a/oriolewalk/control/operator_json.cc
+++ b/oriolewalk/control/operator_json.cc
@@ -349,6 +349,27 @@
   return spec;
 }
 
+result<std::int64_t>
+ParseDrainDeadline(std::string_view aBody, std::int64_t aWallMs)
+{
+  constexpr std::string_view kStep = "reading the drain";
+  constexpr std::int64_t kMostMs = 30LL * 24 * 3600 * 1000;
+  if (aBody.empty()) {
+    return 0;
+  }
+  const auto body = protocol::ParseJson(aBody, kStep);
+  if (!body) {
+    return Fail(body.error());
+  }
+  protocol::json_fields fields(*body, kStep);
+  const std::int64_t deadline = fields.Number("deadline_ms", 0, kMostMs, 0);
+  fields.RefuseOthers();
+  if (const auto& problem = fields.Problem()) {
+    return Fail(*problem);
+  }
+  return deadline == 0 ? 0 : aWallMs + deadline;
+}
+
 result<member_change>
 ParseMemberChange(std::string_view aBody)
 {
--- a/oriolewalk/control/operator_json.h
+++ b/oriolewalk/control/operator_json.h
@@ -53,6 +53,12 @@
 result<cell::job_spec>
 ParseJob(std::string_view aBody);
 
+// When work that may run again is stopped on a draining worker, as the wall
+// clock has it; 0: never. The body is empty or {"deadline_ms":N}, from now.
+// Errors: InvalidArgument.
+result<std::int64_t>
+ParseDrainDeadline(std::string_view aBody, std::int64_t aWallMs);
+
 struct member_change
 {
   std::string mOp; // add, remove, replace, transfer
