--- a/testing/system/fake_cell.cc
+++ b/testing/system/fake_cell.cc
@@ -151,7 +151,7 @@
   if (out.mBroken) {
     mEvents.push_back("broken: " + out.mBroken->Describe());
   }
-  Transmit(aControl, std::move(out.mMessages));
+  Transmit(aControl, out.mMessages);
   if (!out.mWrites.IsEmpty()) {
     control.mWrites.push_back(std::move(out.mWrites));
   }
@@ -169,9 +169,9 @@
 
 void
 fake_cell::Transmit(std::size_t aFrom,
-                    std::vector<consensus::message> aMessages)
+                    std::span<const consensus::message> aMessages)
 {
-  for (consensus::message& message : aMessages) {
+  for (const consensus::message& message : aMessages) {
     if (mLoseOneIn != 0 && mRandom.Below(mLoseOneIn) == 0) {
       continue;
     }
--- a/testing/system/fake_cell.h
+++ b/testing/system/fake_cell.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -195,7 +196,8 @@
   void Start(std::size_t aControl);
   [[nodiscard]] bool Reaches(std::size_t aControl) const;
   [[nodiscard]] consensus::membership Founders() const;
-  void Transmit(std::size_t aFrom, std::vector<consensus::message> aMessages);
+  void Transmit(std::size_t aFrom,
+                std::span<const consensus::message> aMessages);
 
   random_source mRandom;
   std::uint64_t mSeed;
--- a/testing/system/fake_cell_parties.cc
+++ b/testing/system/fake_cell_parties.cc
@@ -43,6 +43,7 @@
 fake_cell::StepQuestions()
 {
   std::vector<std::uint64_t> numbers;
+  numbers.reserve(mQuestions.size());
   for (const auto& [number, asked] : mQuestions) {
     numbers.push_back(number);
   }
