Entry limiter: a call that claims twice ends once

Cause: read in the code: a request whose attempt did not start claims again, and the end of each claim was counted, so that another call of the organisation left the limiter's count early and more were let in than control can take. Conclusion: an admission is a value that ends once.

--- a/oriolewalk/entry/live_call.cc
+++ b/oriolewalk/entry/live_call.cc
@@ -84,6 +84,23 @@
   return mBudgets[aService].Spend(aNow);
 }
 
+std::size_t
+shared_limits::InProgress()
+{
+  const std::lock_guard lock(mMutex);
+  return mLimiter.InProgress();
+}
+
+void
+admission::Ended(const protocol::claim_request& aClaim,
+                 const traffic::control_call& aCall,
+                 time_point aNow)
+{
+  if (!std::exchange(mEnded, true)) {
+    mLimits.Finished(aClaim, aCall, aNow);
+  }
+}
+
 live_call::live_call(call_services& aServices,
                      http::request aRequest,
                      parsed_call aCall,
@@ -95,6 +112,7 @@
   , mCall(std::move(aCall))
   , mResponder(std::move(aResponder))
   , mFlow(mCall.mClaim, aNow + mCall.mDeadline, aSeed)
+  , mAdmission(aServices.mLimits)
   , mArrivedAt(aNow)
 {
 }
@@ -174,7 +192,7 @@
                       ? aTook - milliseconds(granted->mWaitedMs)
                       : duration{};
   }
-  mServices.mLimits.Finished(mCall.mClaim, call, aNow);
+  mAdmission.Ended(mCall.mClaim, call, aNow);
 }
 
 void
--- a/oriolewalk/entry/live_call.h
+++ b/oriolewalk/entry/live_call.h
@@ -36,6 +36,7 @@
                 time_point aNow);
   void Succeeded(const service_id& aService);
   bool SpendRetry(const service_id& aService, time_point aNow);
+  [[nodiscard]] std::size_t InProgress();
 
 private:
   std::mutex mMutex;
@@ -43,6 +44,26 @@
   std::map<service_id, traffic::retry_budget> mBudgets;
 };
 
+// One admitted call. It ends once: a request whose attempt did not start claims
+// again, and each of its claims would otherwise take another call's place out
+// of the limiter's count, which then admits more than control can take.
+class admission
+{
+public:
+  explicit admission(shared_limits& aLimits)
+    : mLimits(aLimits)
+  {
+  }
+
+  void Ended(const protocol::claim_request& aClaim,
+             const traffic::control_call& aCall,
+             time_point aNow);
+
+private:
+  shared_limits& mLimits;
+  bool mEnded = false;
+};
+
 // What all calls of an entry use.
 struct call_services
 {
@@ -85,6 +106,7 @@
   parsed_call mCall;
   http::responder mResponder;
   request_flow mFlow;
+  admission mAdmission;
   time_point mArrivedAt;
   time_point mSentAt{};
   duration mTargetTook{};
