--- a/testing/entry/entry_test.cc
+++ b/testing/entry/entry_test.cc
@@ -85,7 +85,7 @@
 
 TEST_CASE("a wrong header is named, and nothing is claimed")
 {
-  const auto problem = [](http::header aHeader) {
+  const auto problem = [](const http::header& aHeader) {
     const auto call = ParseCall(Call("/services/fees/", { aHeader }), "made");
     return call ? std::string() : call.error().mMessage;
   };
