One function splits paths, where two did

Cause: read once more: http_front.cc and operator_desk.cc each had the same loop over the parts of a path. After: http::SplitParts serves both. Conclusion: reading the query by FindQuery is left, since it would also decode.

--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -12,6 +12,7 @@
 
 #include "oriolewalk/control/control_core.h"
 #include "oriolewalk/control/operator_json.h"
+#include "oriolewalk/http/message.h"
 
 namespace oriolewalk::control {
 
@@ -22,18 +23,6 @@
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kCreated = 201;
 
-std::vector<std::string>
-Split(std::string_view aText, char aAt)
-{
-  std::vector<std::string> parts;
-  for (const auto piece : std::views::split(aText, aAt)) {
-    if (!piece.empty()) {
-      parts.emplace_back(piece.begin(), piece.end());
-    }
-  }
-  return parts;
-}
-
 std::optional<std::uint64_t>
 ParseNumber(std::string_view aText)
 {
@@ -78,11 +67,12 @@
 {
   parsed_path parsed;
   const std::size_t mark = aPath.find('?');
-  parsed.mParts = Split(aPath.substr(0, mark), '/');
+  parsed.mParts = http::SplitParts(aPath.substr(0, mark), '/');
   if (mark == std::string_view::npos) {
     return parsed;
   }
-  for (const std::string& pair : Split(aPath.substr(mark + 1), '&')) {
+  for (const std::string& pair :
+       http::SplitParts(aPath.substr(mark + 1), '&')) {
     const std::size_t equals = pair.find('=');
     const bool valued = equals != std::string::npos;
     parsed.mQuery[pair.substr(0, equals)] =
--- a/oriolewalk/entry/http_front.cc
+++ b/oriolewalk/entry/http_front.cc
@@ -1,7 +1,6 @@
 #include "oriolewalk/entry/http_front.h"
 
 #include <chrono>
-#include <ranges>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -24,18 +23,6 @@
 // An operator's change waits up to 4 s for "in force everywhere".
 constexpr seconds kOperatorPatience{ 8 };
 
-std::vector<std::string>
-Parts(std::string_view aPath)
-{
-  std::vector<std::string> parts;
-  for (const auto piece : std::views::split(aPath, '/')) {
-    if (!piece.empty()) {
-      parts.emplace_back(piece.begin(), piece.end());
-    }
-  }
-  return parts;
-}
-
 // Without the quotes that an ETag stands in.
 std::string
 Unquoted(std::string_view aText)
@@ -134,7 +121,7 @@
     aResponder.Send(std::move(page));
     return;
   }
-  const std::vector<std::string> parts = Parts(path);
+  const std::vector<std::string> parts = http::SplitParts(path, '/');
   const bool api = parts.size() >= 2 && parts[0] == "v1";
   const std::string& method = aRequest.mMethod;
   if (!api) {
--- a/oriolewalk/http/message.cc
+++ b/oriolewalk/http/message.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <cstddef>
 #include <optional>
+#include <ranges>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -64,6 +65,18 @@
                                         : target.substr(mark + 1);
 }
 
+std::vector<std::string>
+SplitParts(std::string_view aText, char aAt)
+{
+  std::vector<std::string> parts;
+  for (const auto piece : std::views::split(aText, aAt)) {
+    if (!piece.empty()) {
+      parts.emplace_back(piece.begin(), piece.end());
+    }
+  }
+  return parts;
+}
+
 std::optional<std::string>
 FindQuery(std::string_view aQuery, std::string_view aName)
 {
--- a/oriolewalk/http/message.h
+++ b/oriolewalk/http/message.h
@@ -55,6 +55,10 @@
   }
 };
 
+// The non-empty parts between aAt: "/v1/jobs" at '/' is "v1", "jobs".
+std::vector<std::string>
+SplitParts(std::string_view aText, char aAt);
+
 // The value of NAME in "a=1&NAME=2", with %XX decoded; nothing if not there.
 std::optional<std::string>
 FindQuery(std::string_view aQuery, std::string_view aName);
