--- a/oriolewalk/control/control_core.h
+++ b/oriolewalk/control/control_core.h
@@ -36,6 +36,7 @@
 #include "oriolewalk/control/worker_desk.h"
 #include "oriolewalk/observe/event.h"
 #include "oriolewalk/protocol/messages.h"
+#include "oriolewalk/voter/write_batch.h"
 
 namespace oriolewalk::control {
 
@@ -50,28 +51,11 @@
   std::uint64_t mSnapshotEvery = 50'000;
 };
 
-// What is to be stored, in this order, before Persisted(mTicket).
-struct write_batch
-{
-  consensus::ticket_t mTicket = 0;
-  std::optional<consensus::hard_state> mHardState;
-  std::optional<consensus::snapshot> mInstalled; // replaces the whole log
-  std::optional<consensus::log_index> mTruncateFrom;
-  std::vector<consensus::log_entry> mAppend;
-  // Our own snapshot; after it is durable, call SnapshotStored.
-  std::shared_ptr<const consensus::snapshot> mSnapshot;
-
-  [[nodiscard]] bool IsEmpty() const
-  {
-    return mTicket == 0 && mSnapshot == nullptr;
-  }
-};
-
 struct control_effects
 {
   std::vector<consensus::message> mMessages;
   std::vector<call_reply> mReplies;
-  write_batch mWrites;
+  voter::write_batch mWrites;
   std::vector<observe::event> mEvents;
   std::optional<consensus::leadership> mLeadership; // if it changed
   std::optional<error> mBroken; // the process must stop: state can't be read
--- a/oriolewalk/control/control_metrics.cc
+++ b/oriolewalk/control/control_metrics.cc
@@ -148,7 +148,7 @@
 }
 
 void
-control_metrics::NoteWrite(const write_done& aDone)
+control_metrics::NoteWrite(const voter::write_done& aDone)
 {
   mSync.Add(std::chrono::duration<double, std::milli>(aDone.mTook).count());
 }
--- a/oriolewalk/control/control_metrics.h
+++ b/oriolewalk/control/control_metrics.h
@@ -15,10 +15,10 @@
 
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/control/control_core.h"
-#include "oriolewalk/control/storage_thread.h"
 #include "oriolewalk/http/server.h"
 #include "oriolewalk/observe/metrics.h"
 #include "oriolewalk/settings/address.h"
+#include "oriolewalk/voter/storage_thread.h"
 
 namespace oriolewalk::control {
 
@@ -37,7 +37,7 @@
 
   // Control thread.
   void Update(control_core& aCore);
-  void NoteWrite(const write_done& aDone);
+  void NoteWrite(const voter::write_done& aDone);
 
 private:
   // A total that the core counts, shown as a counter.
--- a/oriolewalk/control/control_process.cc
+++ b/oriolewalk/control/control_process.cc
@@ -13,10 +13,10 @@
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/control/control_core.h"
 #include "oriolewalk/control/control_metrics.h"
-#include "oriolewalk/control/storage_thread.h"
 #include "oriolewalk/observe/event_log.h"
 #include "oriolewalk/observe/log.h"
 #include "oriolewalk/storage/file_system.h"
+#include "oriolewalk/voter/storage_thread.h"
 #include "oriolewalk/wire/rpc_node.h"
 
 namespace oriolewalk::control {
@@ -80,7 +80,7 @@
     , mCore(std::move(aCore))
     , mEvents(std::move(aEvents))
     , mRpc({ .mSeed = std::random_device{}() })
-    , mStorage(std::move(aFolder), [this](write_done aDone) {
+    , mStorage(std::move(aFolder), [this](voter::write_done aDone) {
       boost::asio::post(mContext,
                         [this, done = std::move(aDone)]() { OnWritten(done); });
     })
@@ -173,7 +173,7 @@
     });
   }
 
-  void OnWritten(const write_done& aDone)
+  void OnWritten(const voter::write_done& aDone)
   {
     if (aDone.mFailure) {
       Fatal("the disk failed", *aDone.mFailure);
@@ -329,7 +329,7 @@
   time_point mStopAt{};
   int mExitCode = 0;
   wire::rpc_node mRpc;
-  storage_thread mStorage;
+  voter::storage_thread mStorage;
 };
 
 result<std::unique_ptr<control_process>>
@@ -350,7 +350,7 @@
                 "it is empty: --initialise it for a new cell, or start with "
                 "--rejoin if this cell lives and the disk was lost");
   }
-  auto restored = FromRecovered(std::move(opened->mState));
+  auto restored = voter::FromRecovered(std::move(opened->mState));
   if (!restored) {
     return Fail(restored.error());
   }
--- a/oriolewalk/entry/control_link.h
+++ b/oriolewalk/entry/control_link.h
@@ -22,7 +22,7 @@
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/random.h"
-#include "oriolewalk/entry/leader_choice.h"
+#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/observe/event_log.h"
 #include "oriolewalk/protocol/messages.h"
 #include "oriolewalk/wire/rpc_node.h"
@@ -69,7 +69,7 @@
   boost::asio::io_context& mContext;
   observe::event_log& mEvents;
   std::mutex mMutex; // of the two below
-  leader_choice mChoice;
+  wire::leader_choice mChoice;
   random_source mRandom;
   std::atomic<std::uint64_t> mRetries = 0;
   wire::rpc_node mRpc; // last: its callbacks use the rest
--- /dev/null
+++ b/oriolewalk/flow/advice_book.cc
@@ -0,0 +1,108 @@
+#include "oriolewalk/flow/advice_book.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// Until something is learnt: half of the workers.
+constexpr double kFirstShare = 0.5;
+// About ten answers decide.
+constexpr double kLearning = 0.1;
+constexpr double kLeastShare = 0.1;
+
+} // namespace
+
+void
+advice_book::Answered(
+  const step_ref& aStep,
+  std::string_view aQueue,
+  const std::vector<std::pair<worker_number, worker_id>>& aAsked,
+  const std::vector<approval>& aApproved,
+  time_point aValidUntil)
+{
+  if (aAsked.empty()) {
+    return;
+  }
+  auto& tickets = mTickets[aStep];
+  std::size_t fresh = 0;
+  std::size_t good = 0;
+  for (const auto& [number, id] : aAsked) {
+    const auto row =
+      std::ranges::find(aApproved, id, &approval::mWorker);
+    const bool approved = row != aApproved.end();
+    const bool known = tickets.contains(number);
+    tickets[number] = { approved,
+                        approved ? row->mTicket : std::string(),
+                        aValidUntil };
+    fresh += known ? 0 : 1;
+    good += !known && approved ? 1 : 0;
+  }
+  if (fresh > 0) {
+    auto [share, first] =
+      mShares.try_emplace(std::string(aQueue), kFirstShare);
+    const double seen =
+      static_cast<double>(good) / static_cast<double>(fresh);
+    share->second += kLearning * (seen - share->second);
+    share->second = std::max(share->second, kLeastShare);
+  }
+}
+
+verdict
+advice_book::On(const step_ref& aStep,
+                worker_number aWorker,
+                time_point aNow) const
+{
+  const auto step = mTickets.find(aStep);
+  if (step == mTickets.end()) {
+    return verdict::Unknown;
+  }
+  const auto found = step->second.find(aWorker);
+  if (found == step->second.end()) {
+    return verdict::Unknown;
+  }
+  if (!found->second.mApproved) {
+    return verdict::Refused;
+  }
+  return aNow < found->second.mValidUntil ? verdict::Approved
+                                          : verdict::Expired;
+}
+
+std::string
+advice_book::TicketFor(const step_ref& aStep,
+                       worker_number aWorker,
+                       time_point aNow) const
+{
+  if (On(aStep, aWorker, aNow) != verdict::Approved) {
+    return {};
+  }
+  return mTickets.at(aStep).at(aWorker).mText;
+}
+
+void
+advice_book::Expire(const step_ref& aStep, worker_number aWorker)
+{
+  const auto step = mTickets.find(aStep);
+  if (step != mTickets.end() && step->second.contains(aWorker)) {
+    step->second[aWorker].mValidUntil = {};
+  }
+}
+
+void
+advice_book::Forget(const job_id& aJob)
+{
+  std::erase_if(mTickets, [&](const auto& aEntry) {
+    return aEntry.first.mJob == aJob;
+  });
+}
+
+double
+advice_book::ApprovedShare(std::string_view aQueue) const
+{
+  const auto found = mShares.find(aQueue);
+  return found == mShares.end() ? kFirstShare : found->second;
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/flow_core.cc
@@ -0,0 +1,381 @@
+#include "oriolewalk/flow/flow_core.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// How often the leader looks after the group's members.
+constexpr milliseconds kTendEvery{ 250 };
+// A voter that was silent for so long may be replaced by a newcomer.
+constexpr milliseconds kReplaceAfter{ 2'500 };
+// And is taken out after this: longer than any restart.
+constexpr seconds kRemoveAfter{ 20 };
+// A node that heard no leader for so long asks to be taken in: several
+// elections have failed, or it was taken out.
+constexpr milliseconds kJoinAfter{ 2'000 };
+
+} // namespace
+
+flow_core::flow_core(flow_config aConfig)
+  : mConfig(std::move(aConfig))
+{
+}
+
+result<std::unique_ptr<flow_core>>
+flow_core::Make(const flow_config& aConfig,
+                consensus::restored_state aRestored,
+                std::uint64_t aSeed,
+                time_point aNow)
+{
+  if (const auto sound = consensus::CheckRestored(aRestored); !sound) {
+    return Fail(sound.error());
+  }
+  std::unique_ptr<flow_core> core(new flow_core(aConfig));
+  core->mLeaderHeardAt = aNow;
+  if (aRestored.mSnapshot) {
+    if (const auto read = core->mState.Restore(aRestored.mSnapshot->mState);
+        !read) {
+      return Fail(read.error());
+    }
+    core->mApplied = aRestored.mSnapshot->mIndex;
+    core->mSnapshotAt = core->mApplied;
+  }
+  core->mRaft = std::make_unique<consensus::raft_node>(aConfig.mSelf,
+                                                       aConfig.mRaft,
+                                                       std::move(aRestored),
+                                                       aConfig.mFounders,
+                                                       aSeed,
+                                                       aNow);
+  return core;
+}
+
+void
+flow_core::SetTime(instant aAt)
+{
+  mAt = aAt;
+  if (mLeading) {
+    mLeading->SetTime(aAt);
+  }
+}
+
+leading_port
+flow_core::Port()
+{
+  return { .mPropose =
+             [this](command_body aBody, leading_port::on_applied aThen) {
+               return Propose(std::move(aBody), std::move(aThen));
+             },
+           .mAnswer =
+             [this](call_number aCall, flow_answer aAnswer) {
+               Answer(aCall, std::move(aAnswer));
+             },
+           .mFail = [this](call_number aCall,
+                           const error& aError) { Answer(aCall, Fail(aError)); },
+           .mNote =
+             [this](decision aNote) { mNotes.push_back(std::move(aNote)); },
+           .mMembers = [this]() { return HeardMembers(); } };
+}
+
+std::vector<std::string>
+flow_core::HeardMembers() const
+{
+  std::vector<std::string> addresses{ mConfig.mAddress };
+  for (const consensus::peer_status& peer : mRaft->Peers()) {
+    const consensus::member* member = mRaft->Members().Find(peer.mId);
+    if (member != nullptr && mAt.mNow < peer.mHeardAt + seconds(1)) {
+      addresses.push_back(member->mAddress);
+    }
+  }
+  return addresses;
+}
+
+void
+flow_core::Receive(const consensus::message& aMessage, instant aAt)
+{
+  SetTime(aAt);
+  mRaft->Receive(aMessage, aAt.mNow);
+}
+
+void
+flow_core::Persisted(consensus::ticket_t aTicket, instant aAt)
+{
+  SetTime(aAt);
+  mRaft->Persisted(aTicket, aAt.mNow);
+}
+
+std::string
+flow_core::LeaderAddress() const
+{
+  const auto leader = mRaft->Leader();
+  const consensus::member* member =
+    leader ? mRaft->Members().Find(*leader) : nullptr;
+  return member == nullptr ? std::string() : member->mAddress;
+}
+
+bool
+flow_core::WantsToJoin(time_point aNow) const
+{
+  return !mRaft->IsLeader() && aNow >= mLeaderHeardAt + kJoinAfter;
+}
+
+void
+flow_core::Ask(call_number aCall, const flow_request& aRequest, instant aAt)
+{
+  SetTime(aAt);
+  mOpen.insert(aCall);
+  UpdateLeading();
+  // A leader that can't be sure that it still leads answers nothing: another
+  // may have accepted changes that it has not heard of.
+  if (!mLeading || !mRaft->MayServe(aAt.mNow)) {
+    const std::string leader = mRaft->IsLeader() ? "" : LeaderAddress();
+    Answer(aCall, Fail(error{ error_code::NotLeader, "ask", {}, leader }));
+    return;
+  }
+  if (const auto* join = std::get_if<join_request>(&aRequest)) {
+    TakeIn(*join);
+  }
+  mLeading->Ask(aCall, aRequest);
+}
+
+void
+flow_core::OrderAnswered(std::uint64_t aOrder,
+                         const order_answer& aAnswer,
+                         instant aAt)
+{
+  SetTime(aAt);
+  if (mLeading) {
+    mLeading->OrderAnswered(aOrder, aAnswer);
+  }
+}
+
+void
+flow_core::AdviceAnswered(std::uint64_t aOrder,
+                          const result<approvals>& aAnswer,
+                          instant aAt)
+{
+  SetTime(aAt);
+  if (mLeading) {
+    mLeading->AdviceAnswered(aOrder, aAnswer);
+  }
+}
+
+bool
+flow_core::Propose(command_body aBody, leading_port::on_applied aThen)
+{
+  const auto place =
+    mRaft->Propose(Encode(command{ mAt.mWallMs, std::move(aBody) }), mAt.mNow);
+  if (!place) {
+    return false;
+  }
+  if (aThen) {
+    mProposed.insert_or_assign(place->mIndex,
+                               proposed{ place->mTerm, std::move(aThen) });
+  }
+  return true;
+}
+
+void
+flow_core::Answer(call_number aCall, result<flow_answer> aAnswer)
+{
+  if (mOpen.erase(aCall) != 0) {
+    mReplies.push_back({ aCall, std::move(aAnswer) });
+  }
+}
+
+void
+flow_core::Tick(instant aAt)
+{
+  SetTime(aAt);
+  mRaft->Tick(aAt.mNow);
+  if (mRaft->Leader()) {
+    mLeaderHeardAt = aAt.mNow;
+  }
+  UpdateLeading();
+  if (!mLeading) {
+    return;
+  }
+  if (mRaft->MayServe(aAt.mNow)) {
+    mLeading->Tick();
+  }
+  if (aAt.mNow >= mMembersAt + kTendEvery) {
+    mMembersAt = aAt.mNow;
+    TendMembers();
+  }
+}
+
+// Learners become voters once they have caught up; voters that have been away
+// for longer than a restart takes go, so that they don't count in majorities.
+void
+flow_core::TendMembers()
+{
+  const consensus::membership members = mRaft->Members();
+  for (const consensus::member& learner : members.mLearners) {
+    if (!learner.mPromote && members.mVoters.size() < mConfig.mMostVoters &&
+        mRaft->Promote(learner.mId, mAt.mNow)) {
+      mNotes.push_back(
+        { "member.promoted", { { "address", learner.mAddress } } });
+      return;
+    }
+  }
+  for (const consensus::peer_status& peer : mRaft->Peers()) {
+    const consensus::member* member = members.Find(peer.mId);
+    if (member == nullptr || mAt.mNow < peer.mHeardAt + kRemoveAfter) {
+      continue;
+    }
+    const std::string address = member->mAddress;
+    if (mRaft->Remove(peer.mId, mAt.mNow)) {
+      mNotes.push_back({ "member.removed", { { "address", address } } });
+      return;
+    }
+  }
+}
+
+void
+flow_core::TakeIn(const join_request& aJoin)
+{
+  const consensus::node_id id(aJoin.mNode);
+  if (mRaft->Members().Find(id) != nullptr) {
+    return;
+  }
+  mNotes.push_back({ "member.joins", { { "address", aJoin.mAddress } } });
+  for (const consensus::peer_status& peer : mRaft->Peers()) {
+    if (peer.mVoter && mAt.mNow >= peer.mHeardAt + kReplaceAfter &&
+        mRaft->Replace(peer.mId, id, aJoin.mAddress, mAt.mNow)) {
+      return;
+    }
+  }
+  // Refused while another change is under way; it asks again.
+  static_cast<void>(mRaft->AddLearner(id, aJoin.mAddress, mAt.mNow));
+}
+
+void
+flow_core::HandOver(instant aAt)
+{
+  SetTime(aAt);
+  // Without another voter in reach there is nobody to hand over to.
+  static_cast<void>(mRaft->TransferLeadership(aAt.mNow));
+}
+
+// Leading begins when this node leads and has applied an entry of its own
+// term: the state then holds all that was ever acknowledged.
+void
+flow_core::UpdateLeading()
+{
+  const bool sameTerm = mRaft->IsLeader() && mLeadingTerm == mRaft->Term();
+  if (mLeading && !sameTerm) {
+    StepDown();
+  }
+  const auto barrier = mRaft->ReadBarrier();
+  const bool leads = mRaft->IsLeader() && barrier && mApplied >= *barrier;
+  if (!mLeading && leads) {
+    mLeadingTerm = mRaft->Term();
+    mLeading = std::make_unique<leading>(
+      mState, mConfig.mFlow, Port(), mLeadingTerm, mAt);
+    mNotes.push_back({ "leading", { { "term", std::to_string(mLeadingTerm) } } });
+  }
+}
+
+// What was proposed may still be committed: whoever waits is told that the
+// outcome isn't known, and asks the next leader.
+void
+flow_core::StepDown()
+{
+  mLeading.reset();
+  mProposed.clear();
+  mNotes.push_back(
+    { "stepped.down", { { "term", std::to_string(mLeadingTerm) } } });
+  const std::set<call_number> open = mOpen;
+  for (const call_number call : open) {
+    Answer(call,
+           Fail(error_code::Timeout, "ask", "the leader stepped down"));
+  }
+}
+
+flow_effects
+flow_core::TakeEffects(instant aAt)
+{
+  SetTime(aAt);
+  flow_effects out;
+  UpdateLeading();
+  const bool serves = mLeading && mRaft->MayServe(aAt.mNow);
+  if (serves) {
+    mLeading->Decide();
+  }
+  out.mRaft = mRaft->TakeEffects();
+  if (out.mRaft.mSnapshot) {
+    if (const auto read = mState.Restore(out.mRaft.mSnapshot->mState); !read) {
+      mBroken = read.error();
+    }
+    mApplied = out.mRaft.mSnapshot->mIndex;
+    mSnapshotAt = mApplied;
+  }
+  for (const consensus::log_entry& entry : out.mRaft.mCommitted) {
+    ApplyEntry(entry);
+  }
+  if (!mSnapshotUnderWay && mApplied - mSnapshotAt >= mConfig.mSnapshotEvery) {
+    StartSnapshot();
+  }
+  // Orders carry leases: only one leader may give them.
+  if (mLeading && mRaft->MayServe(aAt.mNow)) {
+    out.mOrders = mLeading->TakeOrders();
+    out.mQuestions = mLeading->TakeQuestions();
+  }
+  out.mSnapshot = std::exchange(mToStore, nullptr);
+  out.mReplies = std::exchange(mReplies, {});
+  out.mNotes = std::exchange(mNotes, {});
+  out.mBroken = mBroken;
+  return out;
+}
+
+void
+flow_core::ApplyEntry(const consensus::log_entry& aEntry)
+{
+  mApplied = aEntry.mIndex;
+  if (aEntry.mKind != consensus::entry_kind::Command) {
+    return;
+  }
+  const auto decoded = Decode<command>(aEntry.mPayload, "applying the log");
+  if (!decoded) {
+    // Going on without it would make this replica differ in silence.
+    mBroken = decoded.error();
+    return;
+  }
+  const apply_outcome outcome = mState.Apply(*decoded);
+  leading_port::on_applied then;
+  if (auto found = mProposed.extract(aEntry.mIndex);
+      !found.empty() && found.mapped().mTerm == aEntry.mTerm) {
+    then = std::move(found.mapped().mThen);
+  }
+  if (mLeading) {
+    mLeading->Applied(decoded->mBody, outcome);
+    if (then) {
+      then(outcome);
+    }
+  }
+}
+
+void
+flow_core::StartSnapshot()
+{
+  auto made = mRaft->MakeSnapshot(mApplied, mState.Save());
+  if (!made) {
+    mBroken = made.error();
+    return;
+  }
+  mSnapshotUnderWay = true;
+  mToStore = std::make_shared<const consensus::snapshot>(std::move(*made));
+}
+
+void
+flow_core::SnapshotStored(const consensus::snapshot& aSnapshot)
+{
+  mSnapshotUnderWay = false;
+  mSnapshotAt = aSnapshot.mIndex;
+  mRaft->Compact(aSnapshot);
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/flow_state.cc
@@ -0,0 +1,560 @@
+#include "oriolewalk/flow/flow_state.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+apply_outcome
+Refuse(error_code aCode, std::string aMessage)
+{
+  return { .mError = error{ aCode, "apply", {}, std::move(aMessage) } };
+}
+
+task_record*
+Task(job_record& aJob, const task_ref& aTask)
+{
+  const auto found = aJob.mOccurrences.find(aTask.mOccurrence);
+  if (found == aJob.mOccurrences.end() ||
+      aTask.mStep >= found->second.mSteps.size()) {
+    return nullptr;
+  }
+  step_record& step = found->second.mSteps[aTask.mStep];
+  return aTask.mIndex < step.mTasks.size() ? &step.mTasks[aTask.mIndex]
+                                           : nullptr;
+}
+
+// The form of a snapshot.
+struct saved_state
+{
+  queue_table mTable;
+  bytes mTableSource;
+  std::map<job_id, job_record> mJobs;
+  std::map<worker_number, worker_record> mWorkers;
+  worker_number mLastWorker = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mTable, mTableSource, mJobs, mWorkers, mLastWorker);
+  }
+};
+
+bool
+IsRunPlaced(const task_record& aTask,
+            attempt_t aAttempt,
+            worker_number aWorker)
+{
+  return aTask.mPhase == task_phase::Placed && aTask.mAttempt == aAttempt &&
+         aTask.mWorker == aWorker;
+}
+
+} // namespace
+
+apply_outcome
+flow_state::Apply(const command& aCommand)
+{
+  return std::visit(
+    [&](const auto& aBody) { return On(aBody, aCommand.mWallMs); },
+    aCommand.mBody);
+}
+
+const job_record*
+flow_state::FindJob(const job_id& aId) const
+{
+  const auto found = mJobs.find(aId);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+const worker_record*
+flow_state::FindWorker(worker_number aWorker) const
+{
+  const auto found = mWorkers.find(aWorker);
+  return found == mWorkers.end() ? nullptr : &found->second;
+}
+
+worker_number
+flow_state::NumberOf(const worker_id& aId) const
+{
+  const auto found = mNumbers.find(aId);
+  return found == mNumbers.end() ? 0 : found->second;
+}
+
+const task_record*
+flow_state::FindTask(const task_ref& aTask) const
+{
+  const auto found = mJobs.find(aTask.mJob);
+  // Task() changes nothing; one copy of the look-up serves both.
+  return found == mJobs.end()
+           ? nullptr
+           : Task(const_cast<job_record&>(found->second), aTask);
+}
+
+const step_spec*
+flow_state::FindStep(const task_ref& aTask) const
+{
+  const job_record* job = FindJob(aTask.mJob);
+  return job != nullptr && aTask.mStep < job->mSpec.mSteps.size()
+           ? &job->mSpec.mSteps[aTask.mStep]
+           : nullptr;
+}
+
+bool
+flow_state::IsPlaced(const run_ref& aRun, worker_number aWorker) const
+{
+  const task_record* task = FindTask(aRun.mTask);
+  return task != nullptr && IsRunPlaced(*task, aRun.mAttempt, aWorker);
+}
+
+const std::set<run_ref>&
+flow_state::PlacedAt(worker_number aWorker) const
+{
+  static const std::set<run_ref> sNone;
+  const auto found = mPlaced.find(aWorker);
+  return found == mPlaced.end() ? sNone : found->second.mRuns;
+}
+
+cell::resources
+flow_state::BookedAt(worker_number aWorker) const
+{
+  const auto found = mPlaced.find(aWorker);
+  return found == mPlaced.end() ? cell::resources{} : found->second.mBooked;
+}
+
+bool
+flow_state::IsOpen(const job_record& aJob,
+                   const occurrence_record& aOccurrence,
+                   std::uint32_t aStep)
+{
+  return std::ranges::all_of(
+    aJob.mSpec.mSteps[aStep].mDependsOn, [&](std::uint32_t aOther) {
+      return aOccurrence.mSteps[aOther].IsDone();
+    });
+}
+
+std::uint64_t
+flow_state::Pending(std::string_view aQueue) const
+{
+  return static_cast<std::uint64_t>(
+    std::ranges::count_if(mLive, [&](const job_id& aId) {
+      const job_record& job = mJobs.at(aId);
+      return job.IsActive() && !job.mBegun && job.mQueue.mName == aQueue;
+    }));
+}
+
+const queue_row&
+flow_state::QueueOf(const job_record& aJob) const
+{
+  const queue_row* queue = mTable.FindQueue(aJob.mQueue.mName);
+  return queue == nullptr ? aJob.mQueue : *queue;
+}
+
+std::uint32_t
+flow_state::MostAttempts(const job_record& aJob) const
+{
+  return std::max(QueueOf(aJob).mMostAttempts, 1U);
+}
+
+apply_outcome
+flow_state::On(const put_table& aPut, std::int64_t /*aWallMs*/)
+{
+  // A version that is not higher changes nothing and is no error: it may be a
+  // change sent again, or one that a later change has overtaken.
+  if (aPut.mTable.mVersion > mTable.mVersion) {
+    mTable = aPut.mTable;
+    mTableSource = aPut.mSource;
+  }
+  return {};
+}
+
+apply_outcome
+flow_state::On(const submit_job& aSubmit, std::int64_t aWallMs)
+{
+  if (mJobs.contains(aSubmit.mId)) {
+    return {}; // the same job, sent again
+  }
+  job_record job;
+  job.mSpec = aSubmit.mSpec;
+  job.mQueue = aSubmit.mQueue;
+  job.mSubmittedWallMs = aWallMs;
+  if (job.mSpec.mRecurrence.mTimes == 0) {
+    OpenOccurrence(job, 0, aWallMs);
+  }
+  mJobs.emplace(aSubmit.mId, std::move(job));
+  mLive.insert(aSubmit.mId);
+  return {};
+}
+
+void
+flow_state::OpenOccurrence(job_record& aJob,
+                           std::uint32_t aNumber,
+                           std::int64_t aWallMs)
+{
+  occurrence_record opened;
+  opened.mOpenedWallMs = aWallMs;
+  for (const step_spec& step : aJob.mSpec.mSteps) {
+    opened.mSteps.emplace_back().mTasks.resize(step.mCount);
+  }
+  aJob.mOccurrences.insert_or_assign(aNumber, std::move(opened));
+  aJob.mNextOccurrence = aNumber + 1;
+}
+
+apply_outcome
+flow_state::On(const open_occurrence& aOpen, std::int64_t aWallMs)
+{
+  const auto found = mJobs.find(aOpen.mId);
+  if (found == mJobs.end() || !found->second.IsActive() ||
+      found->second.mNextOccurrence != aOpen.mOccurrence ||
+      aOpen.mOccurrence >= found->second.mSpec.mRecurrence.mTimes) {
+    return Refuse(error_code::Conflict, "the occurrence isn't the next one");
+  }
+  OpenOccurrence(found->second, aOpen.mOccurrence, aWallMs);
+  return {};
+}
+
+apply_outcome
+flow_state::On(const cancel_job& aCancel, std::int64_t aWallMs)
+{
+  const auto found = mJobs.find(aCancel.mId);
+  if (found == mJobs.end()) {
+    return Refuse(error_code::NotFound, "no such job");
+  }
+  apply_outcome outcome;
+  if (found->second.IsActive()) {
+    EndJob(
+      found->first, found->second, job_state::Cancelled, aWallMs, outcome);
+  }
+  return outcome;
+}
+
+apply_outcome
+flow_state::On(const start_runs& aStart, std::int64_t /*aWallMs*/)
+{
+  apply_outcome outcome;
+  std::ranges::copy_if(aStart.mRuns,
+                       std::back_inserter(outcome.mStarted),
+                       [this](const run_start& aOne) { return Start(aOne); });
+  return outcome;
+}
+
+bool
+flow_state::Start(const run_start& aStart)
+{
+  const task_ref& place = aStart.mRun.mTask;
+  const auto found = mJobs.find(place.mJob);
+  const worker_record* worker = FindWorker(aStart.mWorker);
+  if (found == mJobs.end() || !found->second.IsActive() || worker == nullptr ||
+      worker->mDraining) {
+    return false;
+  }
+  job_record& job = found->second;
+  task_record* task = Task(job, place);
+  if (task == nullptr || task->mPhase != task_phase::Waiting ||
+      aStart.mRun.mAttempt <= task->mAttempt) {
+    return false;
+  }
+  occurrence_record& occurrence = job.mOccurrences.at(place.mOccurrence);
+  if (!IsOpen(job, occurrence, place.mStep)) {
+    return false;
+  }
+  task->mPhase = task_phase::Placed;
+  task->mAttempt = aStart.mRun.mAttempt;
+  task->mWorker = aStart.mWorker;
+  occurrence.mBegun = true;
+  job.mBegun = true;
+  ++job.mPlaced;
+  placed_book& book = mPlaced[aStart.mWorker];
+  book.mRuns.insert(aStart.mRun);
+  book.mBooked += job.mSpec.mSteps[place.mStep].Booked();
+  return true;
+}
+
+void
+flow_state::Release(const run_ref& aRun, worker_number aWorker)
+{
+  job_record& job = mJobs.at(aRun.mTask.mJob);
+  task_record* task = Task(job, aRun.mTask);
+  task->mPhase = task_phase::Waiting;
+  task->mWorker = 0;
+  --job.mPlaced;
+  const auto book = mPlaced.find(aWorker);
+  book->second.mRuns.erase(aRun);
+  book->second.mBooked -= job.mSpec.mSteps[aRun.mTask.mStep].Booked();
+  if (book->second.mRuns.empty()) {
+    mPlaced.erase(book);
+  }
+  UpdateLive(aRun.mTask.mJob, job);
+}
+
+apply_outcome
+flow_state::On(const end_runs& aEnd, std::int64_t aWallMs)
+{
+  const auto worker = mWorkers.find(aEnd.mWorker);
+  if (worker == mWorkers.end()) {
+    return Refuse(error_code::NotFound, "the worker has gone");
+  }
+  apply_outcome outcome;
+  for (const run_end& end : aEnd.mEnds) {
+    End(aEnd.mWorker, end, aWallMs, outcome);
+  }
+  worker->second.mCursor = std::max(worker->second.mCursor, aEnd.mCursor);
+  return outcome;
+}
+
+void
+flow_state::End(worker_number aWorker,
+                const run_end& aEnd,
+                std::int64_t aWallMs,
+                apply_outcome& aOutcome)
+{
+  if (!IsPlaced(aEnd.mRun, aWorker)) {
+    return; // listed again, or of an attempt that was given up
+  }
+  const task_ref& place = aEnd.mRun.mTask;
+  job_record& job = mJobs.at(place.mJob);
+  Release(aEnd.mRun, aWorker);
+  if (!job.IsActive()) {
+    return;
+  }
+  step_record& step = job.mOccurrences.at(place.mOccurrence).mSteps[place.mStep];
+  CountEnd(aEnd,
+           job,
+           step,
+           job.mSpec.mSteps[place.mStep],
+           aWallMs,
+           aOutcome);
+}
+
+void
+flow_state::CountEnd(const run_end& aEnd,
+                     job_record& aJob,
+                     step_record& aStep,
+                     const step_spec& aSpec,
+                     std::int64_t aWallMs,
+                     apply_outcome& aOutcome)
+{
+  task_record& task = aStep.mTasks[aEnd.mRun.mTask.mIndex];
+  if (!aEnd.mCheckpoint.empty()) {
+    task.mCheckpoint = aEnd.mCheckpoint;
+    if (aSpec.mGang) {
+      // Any member's is the gang's, and all must carry the same.
+      for (task_record& member : aStep.mTasks) {
+        member.mCheckpoint = aEnd.mCheckpoint;
+      }
+    }
+  }
+  if (aSpec.mLasting) {
+    return; // it is started again, however it ended
+  }
+  if (aEnd.mOutcome == run_outcome::Done) {
+    MarkDone(aEnd.mRun, aStep, aSpec);
+    FinishIfDone(aEnd.mRun.mTask.mJob, aJob, aWallMs, aOutcome);
+  } else if (aEnd.mOutcome == run_outcome::Failed) {
+    CountFailure(aEnd.mRun, aJob, aStep, aSpec, aWallMs, aOutcome);
+  }
+}
+
+// A gang's members end as done together: one such end stands for all, so that
+// a member whose worker was lost just then is not started again alone.
+void
+flow_state::MarkDone(const run_ref& aRun,
+                     step_record& aStep,
+                     const step_spec& aSpec)
+{
+  const auto finish = [&](task_record& aTask) {
+    aTask.mPhase = task_phase::Done;
+    ++aStep.mDone;
+  };
+  finish(aStep.mTasks[aRun.mTask.mIndex]);
+  if (!aSpec.mGang) {
+    return;
+  }
+  for (std::uint32_t index = 0; index < aStep.mTasks.size(); ++index) {
+    task_record& member = aStep.mTasks[index];
+    if (member.mPhase == task_phase::Done) {
+      continue;
+    }
+    if (member.mPhase == task_phase::Placed) {
+      run_ref other = aRun;
+      other.mTask.mIndex = index;
+      Release(other, member.mWorker);
+    }
+    finish(member);
+  }
+}
+
+void
+flow_state::CountFailure(const run_ref& aRun,
+                         job_record& aJob,
+                         step_record& aStep,
+                         const step_spec& aSpec,
+                         std::int64_t aWallMs,
+                         apply_outcome& aOutcome)
+{
+  std::uint32_t failures = 0;
+  if (aSpec.mGang) {
+    if (aStep.mLastFailed != aRun.mAttempt) {
+      aStep.mLastFailed = aRun.mAttempt;
+      ++aStep.mGangFailures;
+    }
+    failures = aStep.mGangFailures;
+  } else {
+    failures = ++aStep.mTasks[aRun.mTask.mIndex].mFailures;
+  }
+  if (failures >= MostAttempts(aJob)) {
+    EndJob(aRun.mTask.mJob, aJob, job_state::Failed, aWallMs, aOutcome);
+  }
+}
+
+void
+flow_state::FinishIfDone(const job_id& aId,
+                         job_record& aJob,
+                         std::int64_t aWallMs,
+                         apply_outcome& aOutcome)
+{
+  const bool opened = aJob.mSpec.mRecurrence.mTimes == 0 ||
+                      aJob.mNextOccurrence >= aJob.mSpec.mRecurrence.mTimes;
+  for (auto& [number, occurrence] : aJob.mOccurrences) {
+    occurrence.mDone =
+      std::ranges::all_of(occurrence.mSteps, &step_record::IsDone);
+  }
+  const bool done =
+    std::ranges::all_of(aJob.mOccurrences, [](const auto& aOccurrence) {
+      return aOccurrence.second.mDone;
+    });
+  if (opened && done) {
+    EndJob(aId, aJob, job_state::Done, aWallMs, aOutcome);
+  }
+}
+
+void
+flow_state::EndJob(const job_id& aId,
+                   job_record& aJob,
+                   job_state aState,
+                   std::int64_t aWallMs,
+                   apply_outcome& aOutcome)
+{
+  aJob.mState = aState;
+  aJob.mEndedWallMs = aWallMs;
+  aOutcome.mEnded.push_back(aId);
+  UpdateLive(aId, aJob);
+}
+
+void
+flow_state::UpdateLive(const job_id& aId, const job_record& aJob)
+{
+  if (aJob.IsActive() || aJob.mPlaced > 0) {
+    mLive.insert(aId);
+  } else {
+    mLive.erase(aId);
+  }
+}
+
+apply_outcome
+flow_state::On(const drop_runs& aDrop, std::int64_t /*aWallMs*/)
+{
+  for (const run_ref& run : aDrop.mRuns) {
+    if (IsPlaced(run, aDrop.mWorker)) {
+      Release(run, aDrop.mWorker);
+    }
+  }
+  return {};
+}
+
+apply_outcome
+flow_state::On(const register_worker& aWorker, std::int64_t /*aWallMs*/)
+{
+  worker_number number = NumberOf(aWorker.mFacts.mId);
+  if (number == 0) {
+    number = ++mLastWorker;
+    mNumbers[aWorker.mFacts.mId] = number;
+  }
+  worker_record& record = mWorkers[number];
+  record.mFacts = aWorker.mFacts;
+  record.mDraining = record.mDraining || aWorker.mDraining;
+  return {};
+}
+
+apply_outcome
+flow_state::On(const remove_worker& aWorker, std::int64_t /*aWallMs*/)
+{
+  const auto found = mWorkers.find(aWorker.mWorker);
+  if (found == mWorkers.end()) {
+    return {};
+  }
+  const std::set<run_ref> runs = PlacedAt(aWorker.mWorker);
+  for (const run_ref& run : runs) {
+    Release(run, aWorker.mWorker);
+  }
+  mNumbers.erase(found->second.mFacts.mId);
+  mWorkers.erase(found);
+  return {};
+}
+
+apply_outcome
+flow_state::On(const forget_jobs& aForget, std::int64_t /*aWallMs*/)
+{
+  for (const job_id& id : aForget.mJobs) {
+    const auto found = mJobs.find(id);
+    if (found != mJobs.end() && !mLive.contains(id)) {
+      mJobs.erase(found);
+    }
+  }
+  return {};
+}
+
+bytes
+flow_state::Save() const
+{
+  return Encode(
+    saved_state{ mTable, mTableSource, mJobs, mWorkers, mLastWorker });
+}
+
+result<void>
+flow_state::Restore(std::string_view aBytes)
+{
+  auto read = Decode<saved_state>(aBytes, "restoring the workflow state");
+  if (!read) {
+    return Fail(read.error());
+  }
+  mTable = std::move(read->mTable);
+  mTableSource = std::move(read->mTableSource);
+  mJobs = std::move(read->mJobs);
+  mWorkers = std::move(read->mWorkers);
+  mLastWorker = read->mLastWorker;
+  RebuildIndexes();
+  return {};
+}
+
+void
+flow_state::RebuildIndexes()
+{
+  mLive.clear();
+  mNumbers.clear();
+  mPlaced.clear();
+  for (const auto& [number, worker] : mWorkers) {
+    mNumbers[worker.mFacts.mId] = number;
+  }
+  for (const auto& [id, job] : mJobs) {
+    UpdateLive(id, job);
+    for (const auto& [number, occurrence] : job.mOccurrences) {
+      for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
+        const auto& tasks = occurrence.mSteps[step].mTasks;
+        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+          const task_record& task = tasks[index];
+          if (task.mPhase == task_phase::Placed) {
+            placed_book& book = mPlaced[task.mWorker];
+            book.mRuns.insert({ { id, number, step, index }, task.mAttempt });
+            book.mBooked += job.mSpec.mSteps[step].Booked();
+          }
+        }
+      }
+    }
+  }
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/flow_state.h
@@ -0,0 +1,155 @@
+#pragma once
+
+// The replicated state of the workflow rooms: the table of queues, jobs with
+// their tasks, and workers. Changed only by commands in the order of the log.
+//
+//   flow_state state;
+//   apply_outcome outcome = state.Apply(command{ wallMs, submit_job{...} });
+//
+// It keeps these rules whatever is proposed:
+// - a task has at most one attempt that may be under way, but a gang's are
+//   given out together;
+// - no task of a step is placed before all steps that it depends on are done;
+// - no task is placed once its job has ended, or on a worker that drains or has
+//   gone;
+// - an end counts only for the attempt that is under way, and only once.
+//
+// Owned by the flow core; the control thread only. No clock, no I/O.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "oriolewalk/base/codec.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/flow/command.h"
+#include "oriolewalk/flow/records.h"
+#include "oriolewalk/flow/types.h"
+
+namespace oriolewalk::flow {
+
+// What a command came to. mError says why nothing was changed.
+struct apply_outcome
+{
+  std::optional<error> mError{};
+  std::vector<run_start> mStarted{}; // of start_runs: those that were accepted
+  std::vector<job_id> mEnded{};      // jobs that ended by this command
+};
+
+class flow_state
+{
+public:
+  apply_outcome Apply(const command& aCommand);
+
+  [[nodiscard]] const queue_table& Table() const { return mTable; }
+  [[nodiscard]] const bytes& TableSource() const { return mTableSource; }
+  [[nodiscard]] const std::map<job_id, job_record>& Jobs() const
+  {
+    return mJobs;
+  }
+  // Jobs that have not ended, or of which a run may still be under way.
+  [[nodiscard]] const std::set<job_id>& Live() const { return mLive; }
+  [[nodiscard]] const std::map<worker_number, worker_record>& Workers() const
+  {
+    return mWorkers;
+  }
+  [[nodiscard]] const job_record* FindJob(const job_id& aId) const;
+  [[nodiscard]] const worker_record* FindWorker(worker_number aWorker) const;
+  // 0, if this life is not known (any more).
+  [[nodiscard]] worker_number NumberOf(const worker_id& aId) const;
+  [[nodiscard]] const task_record* FindTask(const task_ref& aTask) const;
+  // The step's size and wishes; null for an unknown one.
+  [[nodiscard]] const step_spec* FindStep(const task_ref& aTask) const;
+  // Whether the attempt may be under way at aWorker.
+  [[nodiscard]] bool IsPlaced(const run_ref& aRun, worker_number aWorker) const;
+  // The runs that may be under way there; empty for none.
+  [[nodiscard]] const std::set<run_ref>& PlacedAt(worker_number aWorker) const;
+  // What they take of its capacity.
+  [[nodiscard]] cell::resources BookedAt(worker_number aWorker) const;
+  // Whether every step that aStep depends on is done.
+  [[nodiscard]] static bool IsOpen(const job_record& aJob,
+                                   const occurrence_record& aOccurrence,
+                                   std::uint32_t aStep);
+  // The queue's row in force, or the one that the job came in by if the queue
+  // has been taken out since.
+  [[nodiscard]] const queue_row& QueueOf(const job_record& aJob) const;
+  // Accepted jobs of the queue of which no task was placed yet.
+  [[nodiscard]] std::uint64_t Pending(std::string_view aQueue) const;
+
+  [[nodiscard]] bytes Save() const;
+  // Errors: Corrupt; the state is then unchanged.
+  result<void> Restore(std::string_view aBytes);
+
+private:
+  struct placed_book
+  {
+    std::set<run_ref> mRuns;
+    cell::resources mBooked;
+  };
+
+  apply_outcome On(const put_table& aPut, std::int64_t aWallMs);
+  apply_outcome On(const submit_job& aSubmit, std::int64_t aWallMs);
+  apply_outcome On(const cancel_job& aCancel, std::int64_t aWallMs);
+  apply_outcome On(const open_occurrence& aOpen, std::int64_t aWallMs);
+  apply_outcome On(const start_runs& aStart, std::int64_t aWallMs);
+  apply_outcome On(const end_runs& aEnd, std::int64_t aWallMs);
+  apply_outcome On(const drop_runs& aDrop, std::int64_t aWallMs);
+  apply_outcome On(const register_worker& aWorker, std::int64_t aWallMs);
+  apply_outcome On(const remove_worker& aWorker, std::int64_t aWallMs);
+  apply_outcome On(const forget_jobs& aForget, std::int64_t aWallMs);
+
+  void OpenOccurrence(job_record& aJob,
+                      std::uint32_t aNumber,
+                      std::int64_t aWallMs);
+  bool Start(const run_start& aStart);
+  void End(worker_number aWorker,
+           const run_end& aEnd,
+           std::int64_t aWallMs,
+           apply_outcome& aOutcome);
+  void CountEnd(const run_end& aEnd,
+                job_record& aJob,
+                step_record& aStep,
+                const step_spec& aSpec,
+                std::int64_t aWallMs,
+                apply_outcome& aOutcome);
+  void MarkDone(const run_ref& aRun,
+                step_record& aStep,
+                const step_spec& aSpec);
+  void CountFailure(const run_ref& aRun,
+                    job_record& aJob,
+                    step_record& aStep,
+                    const step_spec& aSpec,
+                    std::int64_t aWallMs,
+                    apply_outcome& aOutcome);
+  // The run is over: its task waits again, its room is free.
+  void Release(const run_ref& aRun, worker_number aWorker);
+  void FinishIfDone(const job_id& aId,
+                    job_record& aJob,
+                    std::int64_t aWallMs,
+                    apply_outcome& aOutcome);
+  void EndJob(const job_id& aId,
+              job_record& aJob,
+              job_state aState,
+              std::int64_t aWallMs,
+              apply_outcome& aOutcome);
+  void UpdateLive(const job_id& aId, const job_record& aJob);
+  void RebuildIndexes();
+  [[nodiscard]] std::uint32_t MostAttempts(const job_record& aJob) const;
+
+  queue_table mTable;
+  bytes mTableSource;
+  std::map<job_id, job_record> mJobs;
+  std::map<worker_number, worker_record> mWorkers;
+  worker_number mLastWorker = 0;
+
+  // Derived from the above.
+  std::set<job_id> mLive;
+  std::map<worker_id, worker_number> mNumbers;
+  std::map<worker_number, placed_book> mPlaced;
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/leading.cc
@@ -0,0 +1,607 @@
+#include "oriolewalk/flow/leading.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// How often due times, broken gangs and old jobs are looked for.
+constexpr milliseconds kSweepEvery{ 100 };
+// A plan is made at least so often, for tickets that run out.
+constexpr milliseconds kPlanEvery{ 100 };
+// An entry that was silent for so long carries no questions: three beats.
+constexpr milliseconds kEntrySilence{ 1'600 };
+// Taken off a ticket's validity: the way to the worker and the commit.
+constexpr milliseconds kTicketMargin{ 200 };
+// Added to what the policy service should take for one question.
+constexpr std::int64_t kAdviceMarginMs = 1'500;
+constexpr std::size_t kJobIdLength = 16;
+
+std::string_view
+StateName(const job_record& aJob)
+{
+  switch (aJob.mState) {
+    case job_state::Done:
+      return "done";
+    case job_state::Failed:
+      return "failed";
+    case job_state::Cancelled:
+      return "cancelled";
+    case job_state::Active:
+      break;
+  }
+  return aJob.mBegun ? "running" : "queued";
+}
+
+bool
+IsJobId(std::string_view aText)
+{
+  return aText.size() == kJobIdLength &&
+         std::ranges::all_of(aText, [](char aLetter) {
+           return (aLetter >= '0' && aLetter <= '9') ||
+                  (aLetter >= 'a' && aLetter <= 'f') ||
+                  (aLetter >= 'A' && aLetter <= 'F');
+         });
+}
+
+} // namespace
+
+leading::leading(const flow_state& aState,
+                 flow_options aOptions,
+                 leading_port aPort,
+                 std::uint64_t aTerm,
+                 instant aAt)
+  : mState(aState)
+  , mOptions(aOptions)
+  , mPort(std::move(aPort))
+  , mAt(aAt)
+  , mKeeper(aState, aOptions, aTerm, aAt.mNow)
+{
+}
+
+void
+leading::Propose(command_body aBody, leading_port::on_applied aThen)
+{
+  static_cast<void>(mPort.mPropose(std::move(aBody), std::move(aThen)));
+}
+
+void
+leading::ProposeAndAnswer(call_number aCall,
+                          command_body aBody,
+                          flow_answer aAnswer)
+{
+  const bool proposed = mPort.mPropose(
+    std::move(aBody),
+    [this, aCall, answer = std::move(aAnswer)](const apply_outcome& aOutcome) {
+      if (aOutcome.mError) {
+        mPort.mFail(aCall, *aOutcome.mError);
+      } else {
+        mPort.mAnswer(aCall, answer);
+      }
+    });
+  if (!proposed) {
+    mPort.mFail(aCall,
+                { error_code::Busy, "propose", {}, "too much is under way" });
+  }
+}
+
+void
+leading::Ask(call_number aCall, const flow_request& aRequest)
+{
+  std::visit([&](const auto& aOne) { On(aCall, aOne); }, aRequest);
+}
+
+void
+leading::On(call_number aCall, const entry_beat& aBeat)
+{
+  mEntries[aBeat.mAddress] = mAt.mNow;
+  mPort.mAnswer(aCall,
+                beat_answer{ mState.Table().mVersion,
+                             mState.Table().mLimits,
+                             mPort.mMembers() });
+}
+
+void
+leading::On(call_number aCall, const job_submission& aJob)
+{
+  const auto& place = aJob.mPlace;
+  if (mState.Table().mVersion == 0) {
+    mPort.mAnswer(aCall, job_answer{ job_reply::NotConfigured, {}, 0, 0 });
+    return;
+  }
+  const queue_row* queue = mState.Table().Route(place.mHost, place.mPath);
+  if (queue == nullptr) {
+    mPort.mAnswer(aCall, job_answer{ job_reply::NoQueue, {}, 0, 0 });
+    return;
+  }
+  const std::string id = place.mPath.substr(queue->mPrefix.size());
+  if (!IsJobId(id)) {
+    mPort.mAnswer(
+      aCall,
+      job_answer{ job_reply::Malformed, "not 16 hexadecimal digits", 0, 0 });
+    return;
+  }
+  const job_answer accepted{ job_reply::Accepted, {}, 0, 0 };
+  if (mState.FindJob(job_id(id)) != nullptr) {
+    mPort.mAnswer(aCall, accepted);
+    return;
+  }
+  if (const auto sound = CheckJob(aJob.mSpec); !sound) {
+    mPort.mAnswer(
+      aCall,
+      job_answer{ job_reply::Malformed, sound.error().mMessage, 0, 0 });
+    return;
+  }
+  mPort.mNote({ "job.accepted",
+                { { "job", id },
+                  { "queue", queue->mName },
+                  { "table", std::to_string(mState.Table().mVersion) },
+                  { "steps", std::to_string(aJob.mSpec.mSteps.size()) } } });
+  ProposeAndAnswer(
+    aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, accepted);
+}
+
+void
+leading::On(call_number aCall, const job_query& aQuery)
+{
+  if (mState.Table().mVersion == 0) {
+    mPort.mAnswer(aCall, job_answer{ job_reply::NotConfigured, {}, 0, 0 });
+    return;
+  }
+  const auto& place = aQuery.mPlace;
+  const queue_row* queue = mState.Table().Route(place.mHost, place.mPath);
+  const std::string_view path = place.mPath;
+  const job_record* job =
+    path.size() < kJobIdLength
+      ? nullptr
+      : mState.FindJob(
+          job_id(std::string(path.substr(path.size() - kJobIdLength))));
+  if (job != nullptr) {
+    AnswerState(aCall, *job);
+    return;
+  }
+  if (queue == nullptr) {
+    mPort.mAnswer(aCall, job_answer{ job_reply::NoQueue, {}, 0, 0 });
+    return;
+  }
+  if (path.size() == queue->mPrefix.size()) {
+    mPort.mAnswer(
+      aCall,
+      job_answer{ job_reply::Pending, {}, mState.Pending(queue->mName), 0 });
+    return;
+  }
+  mPort.mAnswer(aCall, job_answer{ job_reply::Gone, {}, 0, 0 });
+}
+
+void
+leading::AnswerState(call_number aCall, const job_record& aJob)
+{
+  mPort.mAnswer(
+    aCall,
+    job_answer{ job_reply::State, std::string(StateName(aJob)), 0, 0 });
+}
+
+void
+leading::On(call_number aCall, const job_cancellation& aCancel)
+{
+  const std::string_view path = aCancel.mPlace.mPath;
+  const job_id id(std::string(
+    path.substr(path.size() - std::min(path.size(), kJobIdLength))));
+  const job_record* job = mState.FindJob(id);
+  const job_answer cancelled{ job_reply::Cancelled, {}, 0, 0 };
+  if (job == nullptr) {
+    mPort.mAnswer(aCall, job_answer{ job_reply::Gone, {}, 0, 0 });
+  } else if (!job->IsActive()) {
+    mPort.mAnswer(aCall, cancelled);
+  } else {
+    mPort.mNote({ "job.cancel", { { "job", id.Value() } } });
+    ProposeAndAnswer(aCall, cancel_job{ id }, cancelled);
+  }
+}
+
+bool
+leading::IsWorkerChanged(const worker_beat& aBeat, worker_number aNumber) const
+{
+  const worker_record& known = *mState.FindWorker(aNumber);
+  return (aBeat.mDraining && !known.mDraining) ||
+         aBeat.mFacts.mAddress != known.mFacts.mAddress ||
+         aBeat.mFacts.mService != known.mFacts.mService ||
+         aBeat.mFacts.mCapacity != known.mFacts.mCapacity;
+}
+
+void
+leading::On(call_number aCall, const worker_beat& aBeat)
+{
+  const worker_number number = mState.NumberOf(aBeat.mFacts.mId);
+  if (number == 0 || IsWorkerChanged(aBeat, number)) {
+    mPort.mNote({ number == 0 ? "worker.new" : "worker.changed",
+                  { { "worker", aBeat.mFacts.mId.Value() },
+                    { "address", aBeat.mFacts.mAddress },
+                    { "service", aBeat.mFacts.mService.Value() },
+                    { "draining", aBeat.mDraining ? "yes" : "no" },
+                    { "beat", std::to_string(aBeat.mNumber) } } });
+    ProposeAndAnswer(
+      aCall, register_worker{ aBeat.mFacts, aBeat.mDraining }, acknowledged{});
+    return;
+  }
+  mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
+  mPort.mAnswer(aCall, acknowledged{});
+}
+
+void
+leading::On(call_number aCall, const worker_farewell& aFarewell)
+{
+  const worker_number number = mState.NumberOf(aFarewell.mId);
+  if (number == 0) {
+    mPort.mAnswer(aCall, acknowledged{});
+    return;
+  }
+  mPort.mNote({ "worker.left", { { "worker", aFarewell.mId.Value() } } });
+  ProposeAndAnswer(aCall, remove_worker{ number }, acknowledged{});
+}
+
+void
+leading::On(call_number aCall, const table_change& aChange)
+{
+  mPort.mNote({ "table.put",
+                { { "version", std::to_string(aChange.mTable.mVersion) },
+                  { "held", std::to_string(mState.Table().mVersion) } } });
+  if (aChange.mTable.mVersion <= mState.Table().mVersion) {
+    mPort.mAnswer(aCall, acknowledged{});
+    return;
+  }
+  ProposeAndAnswer(
+    aCall, put_table{ aChange.mTable, aChange.mSource }, acknowledged{});
+}
+
+void
+leading::On(call_number aCall, const table_read& /*aRead*/)
+{
+  mPort.mAnswer(aCall, table_source{ mState.TableSource() });
+}
+
+void
+leading::On(call_number aCall, const join_request& /*aJoin*/)
+{
+  mPort.mAnswer(aCall, acknowledged{}); // the flow core has seen to it
+}
+
+void
+leading::Applied(const command_body& aCommand, const apply_outcome& aOutcome)
+{
+  mPlanDue = true;
+  if (const auto* worker = std::get_if<register_worker>(&aCommand)) {
+    mKeeper.Registered(mState.NumberOf(worker->mFacts.mId), mAt.mNow);
+  } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
+    mKeeper.Removed(gone->mWorker);
+  } else if (const auto* ends = std::get_if<end_runs>(&aCommand)) {
+    mKeeper.EndsApplied(ends->mWorker, mAt.mNow);
+  }
+  for (const job_id& id : aOutcome.mEnded) {
+    const job_record* job = mState.FindJob(id);
+    mPort.mNote({ "job.ended",
+                  { { "job", id.Value() },
+                    { "state", std::string(StateName(*job)) },
+                    { "after_ms",
+                      std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
+    mAdvice.Forget(id);
+    StopRuns(id, *job);
+  }
+}
+
+void
+leading::StopRuns(const job_id& aId, const job_record& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      const auto& tasks = occurrence.mSteps[step].mTasks;
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const task_record& task = tasks[index];
+        if (task.mPhase == task_phase::Placed) {
+          mKeeper.WantStop(task.mWorker,
+                           { { aId, number, step, index }, task.mAttempt },
+                           mAt.mNow);
+        }
+      }
+    }
+  }
+}
+
+// Runs whose job has ended, also those that a start of just then began; and
+// gangs of which a member is missing.
+void
+leading::StopUnwanted()
+{
+  for (const job_id& id : mState.Live()) {
+    const job_record& job = *mState.FindJob(id);
+    if (!job.IsActive()) {
+      StopRuns(id, job);
+    } else if (job.mPlaced > 0) {
+      StopBrokenGangs(id, job);
+    }
+  }
+}
+
+// A gang works only whole. Were the rest left waiting for a member that was
+// refused, they would hold their room until they gave up.
+void
+leading::StopBrokenGangs(const job_id& aId, const job_record& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      const auto& tasks = occurrence.mSteps[step].mTasks;
+      const auto placed =
+        std::ranges::count(tasks, task_phase::Placed, &task_record::mPhase);
+      if (!aJob.mSpec.mSteps[step].mGang || placed == 0 ||
+          static_cast<std::size_t>(placed) == tasks.size()) {
+        continue;
+      }
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].mPhase == task_phase::Placed) {
+          mKeeper.WantStop(
+            tasks[index].mWorker,
+            { { aId, number, step, index }, tasks[index].mAttempt },
+            mAt.mNow);
+        }
+      }
+    }
+  }
+}
+
+void
+leading::OrderAnswered(std::uint64_t aOrder, const order_answer& aAnswer)
+{
+  mKeeper.Answered(aOrder, aAnswer, mAt.mNow);
+  for (const run_start& refused : mKeeper.TakeTicketsRefused()) {
+    const task_ref& task = refused.mRun.mTask;
+    mAdvice.Expire({ task.mJob, task.mOccurrence, task.mStep },
+                   refused.mWorker);
+  }
+  PumpKeeper();
+}
+
+void
+leading::PumpKeeper()
+{
+  for (command_body& body : mKeeper.TakeCommands()) {
+    const auto* ends = std::get_if<end_runs>(&body);
+    const worker_number worker = ends == nullptr ? 0 : ends->mWorker;
+    if (!mPort.mPropose(std::move(body), {}) && worker != 0) {
+      mKeeper.EndsApplied(worker, mAt.mNow); // the next look lists them again
+    }
+  }
+}
+
+void
+leading::Tick()
+{
+  mKeeper.Tick(mAt.mNow);
+  PumpKeeper();
+  if (mAt.mNow >= mSweptAt + kSweepEvery) {
+    mSweptAt = mAt.mNow;
+    OpenDue();
+    ForgetOld();
+    StopUnwanted();
+  }
+}
+
+void
+leading::OpenDue()
+{
+  for (const job_id& id : mState.Live()) {
+    const job_record& job = *mState.FindJob(id);
+    const recurrence& times = job.mSpec.mRecurrence;
+    if (job.IsActive() && job.mNextOccurrence < times.mTimes &&
+        mAt.mWallMs >=
+          times.mFirstWallMs + job.mNextOccurrence * times.mEveryMs) {
+      Propose(open_occurrence{ id, job.mNextOccurrence });
+    }
+  }
+}
+
+void
+leading::ForgetOld()
+{
+  const std::int64_t before = mAt.mWallMs - mOptions.mShowEnded.count() -
+                              mOptions.mShowMargin.count();
+  forget_jobs old;
+  for (const auto& [id, job] : mState.Jobs()) {
+    if (!job.IsActive() && job.mEndedWallMs < before) {
+      old.mJobs.push_back(id);
+    }
+  }
+  if (!old.mJobs.empty()) {
+    Propose(std::move(old));
+  }
+}
+
+std::vector<plan_worker>
+leading::UsableWorkers() const
+{
+  std::vector<plan_worker> workers;
+  for (const auto& [number, worker] : mState.Workers()) {
+    if (worker.mDraining || !mKeeper.IsUsable(number, mAt.mNow)) {
+      continue;
+    }
+    cell::resources free = worker.mFacts.mCapacity - mState.BookedAt(number);
+    if (const auto found = mProposedRoom.find(number);
+        found != mProposedRoom.end()) {
+      free -= found->second;
+    }
+    workers.push_back({ number, &worker.mFacts, free, 1 });
+  }
+  return workers;
+}
+
+void
+leading::Decide()
+{
+  if (!std::exchange(mPlanDue, false) &&
+      mAt.mNow < mPlannedAt + kPlanEvery) {
+    return;
+  }
+  mPlannedAt = mAt.mNow;
+  plan_input input;
+  input.mState = &mState;
+  input.mAdvice = &mAdvice;
+  input.mWorkers = UsableWorkers();
+  input.mProposed = &mProposed;
+  input.mAsking = &mAsking;
+  input.mFreeAdvisors = FreeAdvisors().size();
+  input.mNow = mAt.mNow;
+  input.mWallMs = mAt.mWallMs;
+  plan_result plan = MakePlan(std::move(input));
+  for (const question& asked : plan.mQuestions) {
+    AskPolicy(asked);
+  }
+  if (!plan.mStarts.empty()) {
+    Start(std::move(plan.mStarts));
+  }
+}
+
+void
+leading::Start(std::vector<planned_start> aStarts)
+{
+  start_runs body;
+  for (planned_start& planned : aStarts) {
+    const run_start& start = planned.mStart;
+    mProposed[start.mRun.mTask] = start.mWorker;
+    mProposedRoom[start.mWorker] += mState.FindStep(start.mRun.mTask)->Booked();
+    if (!planned.mTicket.empty()) {
+      mTickets[start.mRun] = std::move(planned.mTicket);
+    }
+    body.mRuns.push_back(start);
+  }
+  const std::vector<run_start> proposed = body.mRuns;
+  const bool sent = mPort.mPropose(
+    std::move(body), [this, proposed](const apply_outcome& aOutcome) {
+      BeginStarted(proposed, aOutcome);
+    });
+  if (!sent) {
+    BeginStarted(proposed, {});
+  }
+}
+
+void
+leading::BeginStarted(const std::vector<run_start>& aProposed,
+                      const apply_outcome& aOutcome)
+{
+  for (const run_start& start : aProposed) {
+    mProposed.erase(start.mRun.mTask);
+    if (const step_spec* step = mState.FindStep(start.mRun.mTask)) {
+      mProposedRoom[start.mWorker] -= step->Booked();
+    }
+  }
+  for (const run_start& start : aOutcome.mStarted) {
+    mPort.mNote(
+      { "run.start",
+        { { "job", start.mRun.mTask.mJob.Value() },
+          { "step", std::to_string(start.mRun.mTask.mStep) },
+          { "task", std::to_string(start.mRun.mTask.mIndex) },
+          { "attempt", std::to_string(start.mRun.mAttempt) },
+          { "worker", mState.FindWorker(start.mWorker)->mFacts.mId.Value() } } });
+    const auto ticket = mTickets.find(start.mRun);
+    mKeeper.Begin(start,
+                  ticket == mTickets.end() ? std::string() : ticket->second,
+                  mAt.mNow);
+  }
+  for (const run_start& start : aProposed) {
+    mTickets.erase(start.mRun);
+  }
+}
+
+std::vector<std::string>
+leading::FreeAdvisors() const
+{
+  std::vector<std::string> all = mPort.mMembers();
+  for (const auto& [address, heard] : mEntries) {
+    if (mAt.mNow < heard + kEntrySilence) {
+      all.push_back(address);
+    }
+  }
+  std::erase_if(all, [this](const std::string& aAddress) {
+    return std::ranges::any_of(mOpenQuestions, [&](const auto& aOpen) {
+      return aOpen.second.mAdvisor == aAddress;
+    });
+  });
+  // Entries first: the control processes have other work.
+  std::ranges::reverse(all);
+  return all;
+}
+
+void
+leading::AskPolicy(const question& aQuestion)
+{
+  const auto advisors = FreeAdvisors();
+  const job_record* job = mState.FindJob(aQuestion.mStep.mJob);
+  if (advisors.empty() || job == nullptr) {
+    return;
+  }
+  const queue_row& queue = mState.QueueOf(*job);
+  const advice_terms terms = queue.mAdvice.value_or(advice_terms{});
+  open_question open{
+    advisors.front(), aQuestion.mStep, queue.mName, terms.mValidMs, {}
+  };
+  advice_order order{ ++mLastQuestion, advisors.front(), {} };
+  order.mRequest.mStep = aQuestion.mStep;
+  for (const worker_number number : aQuestion.mWorkers) {
+    const worker_id& id = mState.FindWorker(number)->mFacts.mId;
+    open.mAsked.emplace_back(number, id);
+    order.mRequest.mWorkers.push_back(id);
+  }
+  const auto named = static_cast<double>(aQuestion.mWorkers.size());
+  order.mRequest.mBoundMs =
+    static_cast<std::int64_t>(terms.mBaseMs + terms.mPerWorkerMs * named) +
+    kAdviceMarginMs;
+  mAsking.insert(aQuestion.mStep);
+  mOpenQuestions.emplace(order.mId, std::move(open));
+  mQuestions.push_back(std::move(order));
+}
+
+void
+leading::AdviceAnswered(std::uint64_t aOrder, const result<approvals>& aAnswer)
+{
+  auto open = mOpenQuestions.extract(aOrder);
+  if (open.empty()) {
+    return;
+  }
+  const open_question& asked = open.mapped();
+  mAsking.erase(asked.mStep);
+  mPlanDue = true;
+  if (!aAnswer) {
+    mPort.mNote({ "advice.failed",
+                  { { "job", asked.mStep.mJob.Value() },
+                    { "advisor", asked.mAdvisor },
+                    { "problem", aAnswer.error().Describe() } } });
+    return;
+  }
+  mPort.mNote({ "advice.answered",
+                { { "job", asked.mStep.mJob.Value() },
+                  { "step", std::to_string(asked.mStep.mStep) },
+                  { "asked", std::to_string(asked.mAsked.size()) },
+                  { "approved", std::to_string(aAnswer->size()) } } });
+  const milliseconds valid = milliseconds(asked.mValidMs) - kTicketMargin;
+  mAdvice.Answered(asked.mStep,
+                   asked.mQueue,
+                   asked.mAsked,
+                   *aAnswer,
+                   mAt.mNow + valid);
+}
+
+std::vector<worker_order>
+leading::TakeOrders()
+{
+  return mKeeper.TakeOrders();
+}
+
+std::vector<advice_order>
+leading::TakeQuestions()
+{
+  return std::exchange(mQuestions, {});
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/leading.h
@@ -0,0 +1,147 @@
+#pragma once
+
+// What the leader decides of jobs and workers: answers to callers, starts,
+// stops, questions to the policy service. Made at the start of each term and
+// dropped at its end, so that nothing of an older term can act.
+//
+//   leading lead(state, options, port, term, now);
+//   lead.Ask(call, request);
+//   lead.Applied(command, outcome, ours);
+//   lead.Tick();
+//
+// It acts through `leading_port`: proposing, answering. Time is set by the
+// owner before each call. The flow core owns it; control thread only.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/flow/advice_book.h"
+#include "oriolewalk/flow/command.h"
+#include "oriolewalk/flow/decision.h"
+#include "oriolewalk/flow/flow_state.h"
+#include "oriolewalk/flow/messages.h"
+#include "oriolewalk/flow/options.h"
+#include "oriolewalk/flow/planner.h"
+#include "oriolewalk/flow/worker_keeper.h"
+
+namespace oriolewalk::flow {
+
+using call_number = std::uint64_t;
+
+struct instant
+{
+  time_point mNow{};
+  std::int64_t mWallMs = 0;
+};
+
+// A question for an advisor to carry.
+struct advice_order
+{
+  std::uint64_t mId = 0;
+  std::string mAdvisor; // RPC address; our own: carried here
+  advice_request mRequest;
+};
+
+struct leading_port
+{
+  using on_applied = std::function<void(const apply_outcome&)>;
+  // False: not proposed, nothing will come of it.
+  std::function<bool(command_body, on_applied)> mPropose;
+  std::function<void(call_number, flow_answer)> mAnswer;
+  std::function<void(call_number, error)> mFail;
+  std::function<void(decision)> mNote;
+  // RPC addresses of the control processes that are heard, our own among them.
+  std::function<std::vector<std::string>()> mMembers;
+};
+
+class leading
+{
+public:
+  leading(const flow_state& aState,
+          flow_options aOptions,
+          leading_port aPort,
+          std::uint64_t aTerm,
+          instant aAt);
+
+  void SetTime(instant aAt) { mAt = aAt; }
+  void Ask(call_number aCall, const flow_request& aRequest);
+  // A command was applied, whoever proposed it.
+  void Applied(const command_body& aCommand, const apply_outcome& aOutcome);
+  void OrderAnswered(std::uint64_t aOrder, const order_answer& aAnswer);
+  void AdviceAnswered(std::uint64_t aOrder, const result<approvals>& aAnswer);
+  void Tick();
+  // Plans, if anything has changed. After a batch of events.
+  void Decide();
+
+  std::vector<worker_order> TakeOrders();
+  std::vector<advice_order> TakeQuestions();
+
+private:
+  struct open_question
+  {
+    std::string mAdvisor;
+    step_ref mStep;
+    std::string mQueue;
+    std::int64_t mValidMs = 0;
+    std::vector<std::pair<worker_number, worker_id>> mAsked;
+  };
+
+  void On(call_number aCall, const entry_beat& aBeat);
+  void On(call_number aCall, const job_submission& aJob);
+  void On(call_number aCall, const job_query& aQuery);
+  void On(call_number aCall, const job_cancellation& aCancel);
+  void On(call_number aCall, const worker_beat& aBeat);
+  void On(call_number aCall, const worker_farewell& aFarewell);
+  void On(call_number aCall, const table_change& aChange);
+  void On(call_number aCall, const table_read& aRead);
+  void On(call_number aCall, const join_request& aJoin);
+
+  void Propose(command_body aBody, leading_port::on_applied aThen = {});
+  // Proposes; the call is answered with aAnswer once it is applied.
+  void ProposeAndAnswer(call_number aCall,
+                        command_body aBody,
+                        flow_answer aAnswer);
+  void AnswerState(call_number aCall, const job_record& aJob);
+  void BeginStarted(const std::vector<run_start>& aProposed,
+                    const apply_outcome& aOutcome);
+  void StopRuns(const job_id& aId, const job_record& aJob);
+  void StopUnwanted();
+  void StopBrokenGangs(const job_id& aId, const job_record& aJob);
+  void OpenDue();
+  void ForgetOld();
+  void PumpKeeper();
+  std::vector<plan_worker> UsableWorkers() const;
+  void Start(std::vector<planned_start> aStarts);
+  void AskPolicy(const question& aQuestion);
+  std::vector<std::string> FreeAdvisors() const;
+  [[nodiscard]] bool IsWorkerChanged(const worker_beat& aBeat,
+                                     worker_number aNumber) const;
+
+  const flow_state& mState;
+  flow_options mOptions;
+  leading_port mPort;
+  instant mAt;
+  worker_keeper mKeeper;
+  advice_book mAdvice;
+  bool mPlanDue = true;
+  time_point mPlannedAt{};
+  time_point mSweptAt{};
+  // Proposed and not yet applied.
+  std::map<task_ref, worker_number> mProposed;
+  std::map<worker_number, cell::resources> mProposedRoom;
+  std::map<run_ref, std::string> mTickets; // of proposed starts
+  std::map<std::string, time_point> mEntries;
+  std::map<std::uint64_t, open_question> mOpenQuestions;
+  std::set<step_ref> mAsking;
+  std::uint64_t mLastQuestion = 0;
+  std::vector<advice_order> mQuestions;
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/messages.h
@@ -0,0 +1,228 @@
+#pragma once
+
+// What entries, workers' and operators' front ends ask of the leading control
+// process, and its answers.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "oriolewalk/base/codec.h"
+#include "oriolewalk/flow/advice_book.h"
+#include "oriolewalk/flow/types.h"
+
+namespace oriolewalk::flow {
+
+// The kinds of call between our processes.
+inline constexpr std::uint16_t kFlowCall = 21;   // flow_request -> flow_answer
+inline constexpr std::uint16_t kAdviceCall = 22; // advice_request -> approvals
+
+// "I am here and may carry calls to the policy service."
+struct entry_beat
+{
+  std::string mAddress; // of its RPC
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mAddress);
+  }
+};
+
+// What a caller named: a queue by its place, and the rest of the path.
+struct caller_path
+{
+  std::string mHost;
+  std::string mPath;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mHost, mPath);
+  }
+};
+
+struct job_submission
+{
+  caller_path mPlace;
+  job_spec mSpec;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mPlace, mSpec);
+  }
+};
+
+// A job's state, or the queue's waiting jobs where the path names no job.
+struct job_query
+{
+  caller_path mPlace;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mPlace);
+  }
+};
+
+struct job_cancellation
+{
+  caller_path mPlace;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mPlace);
+  }
+};
+
+struct worker_beat
+{
+  worker_facts mFacts;
+  bool mDraining = false;
+  std::int64_t mRemainingMs = 0; // of a worker that drains: at least
+  std::int64_t mClockMs = 0;     // its own clock
+  std::int64_t mNumber = 0;      // rises with each beat
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mFacts, mDraining, mRemainingMs, mClockMs, mNumber);
+  }
+};
+
+struct worker_farewell
+{
+  worker_id mId;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mId);
+  }
+};
+
+struct table_change
+{
+  queue_table mTable;
+  bytes mSource;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mTable, mSource);
+  }
+};
+
+struct table_read
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/) // NOLINT(readability-identifier-naming)
+  {
+  }
+};
+
+// A control process that isn't a member asks to become one.
+struct join_request
+{
+  std::uint64_t mNode = 0;
+  std::string mAddress;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mNode, mAddress);
+  }
+};
+
+using flow_request = std::variant<entry_beat,
+                                  job_submission,
+                                  job_query,
+                                  job_cancellation,
+                                  worker_beat,
+                                  worker_farewell,
+                                  table_change,
+                                  table_read,
+                                  join_request>;
+
+struct beat_answer
+{
+  std::int64_t mTableVersion = 0; // 0: no table yet
+  front_limits mLimits;
+  std::vector<std::string> mMembers; // RPC addresses of the control processes
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mTableVersion, mLimits, mMembers);
+  }
+};
+
+enum class job_reply : std::uint8_t
+{
+  Accepted,
+  Refused,      // not taken and never run; mRetryAfterMs says when to come back
+  NoQueue,
+  NotConfigured, // there is no table yet
+  Gone,          // no such job
+  State,
+  Pending,
+  Cancelled,
+  Malformed, // mText says what is wrong
+};
+
+struct job_answer
+{
+  job_reply mReply = job_reply::Gone;
+  std::string mText;              // the state's name, or the problem
+  std::uint64_t mPending = 0;
+  std::int64_t mRetryAfterMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mReply, mText, mPending, mRetryAfterMs);
+  }
+};
+
+struct acknowledged
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/) // NOLINT(readability-identifier-naming)
+  {
+  }
+};
+
+struct table_source
+{
+  bytes mSource; // empty: there is no table yet
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mSource);
+  }
+};
+
+using flow_answer =
+  std::variant<beat_answer, job_answer, acknowledged, table_source>;
+
+// A question to the policy service, to be carried by the receiver.
+struct advice_request
+{
+  step_ref mStep;
+  std::vector<worker_id> mWorkers;
+  std::int64_t mBoundMs = 0; // for the whole answer
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mStep, mWorkers, mBoundMs);
+  }
+};
+
+using approvals = std::vector<approval>;
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/options.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// The figures of the workflow rooms, with their grounds. A deployment's
+// adapter fills in the bounds that its platform states.
+
+#include <cstdint>
+
+#include "oriolewalk/base/clock.h"
+
+namespace oriolewalk::flow {
+
+struct flow_options
+{
+  // The longest lease that a worker grants (the platform's bound).
+  milliseconds mLongestLease{ 6'000 };
+  // The lease that is asked for. Long enough for a leader change (about 1 s)
+  // with a second one right after it; short enough that work on a lost worker
+  // starts again soon.
+  milliseconds mLease{ 4'000 };
+  // By how much a worker's clock may be slow (the platform's bound).
+  double mSlowClock = 0.02;
+  // How long a worker holds a look open for an end. A third of the lease, so
+  // that two looks may be lost.
+  milliseconds mLookWait{ 1'000 };
+  // What is added to a worker's own waiting before an answer counts as lost:
+  // about a hundred round trips, and far under the lease.
+  milliseconds mAnswerBound{ 600 };
+  // After a look without an answer: the next one.
+  milliseconds mLookAgain{ 150 };
+  // A start without an answer that no look has shown after this long is taken
+  // back, so that it can go elsewhere.
+  milliseconds mTakeBack{ 250 };
+  // A stop without an answer is sent again.
+  milliseconds mStopAgain{ 300 };
+  // A worker that nothing was heard of for two and a half heartbeats gets no
+  // new work.
+  milliseconds mQuietWorker{ 3'750 };
+  // And after this long it is taken out, if nothing can run there any more.
+  milliseconds mGoneWorker{ 20'000 };
+  // Ended jobs are shown so long.
+  milliseconds mShowEnded{ 120'000 };
+  // Added for wall clocks that jump by seconds.
+  milliseconds mShowMargin{ 30'000 };
+  // A stop takes at most so long at a worker.
+  milliseconds mStopBound{ 900 };
+  // How much longer a step takes outside its rack.
+  double mRemoteFactor = 2;
+  // Before a serving task counts as harmed by what fills beside it.
+  milliseconds mHarmAfter{ 4'000 };
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/records.h
@@ -0,0 +1,119 @@
+#pragma once
+
+// What the replicated state keeps of jobs and workers.
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/codec.h"
+#include "oriolewalk/flow/types.h"
+
+namespace oriolewalk::flow {
+
+enum class task_phase : std::uint8_t
+{
+  Waiting,
+  Placed, // its run may be under way at mWorker
+  Done,
+};
+
+struct task_record
+{
+  task_phase mPhase = task_phase::Waiting;
+  attempt_t mAttempt = 0; // the last one given out
+  worker_number mWorker = 0;
+  std::uint32_t mFailures = 0;
+  std::string mCheckpoint; // empty: from the beginning
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mPhase, mAttempt, mWorker, mFailures, mCheckpoint);
+  }
+};
+
+struct step_record
+{
+  std::vector<task_record> mTasks;
+  std::uint32_t mDone = 0;
+  // Of a gang: ends as failed count once for each attempt of the whole.
+  std::uint32_t mGangFailures = 0;
+  attempt_t mLastFailed = 0;
+
+  [[nodiscard]] bool IsDone() const { return mDone == mTasks.size(); }
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mTasks, mDone, mGangFailures, mLastFailed);
+  }
+};
+
+struct occurrence_record
+{
+  std::vector<step_record> mSteps;
+  std::int64_t mOpenedWallMs = 0;
+  bool mBegun = false; // a task has been placed
+  bool mDone = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mSteps, mOpenedWallMs, mBegun, mDone);
+  }
+};
+
+enum class job_state : std::uint8_t
+{
+  Active,
+  Done,
+  Failed,
+  Cancelled,
+};
+
+struct job_record
+{
+  job_spec mSpec;
+  queue_row mQueue; // as it was when the job came in
+  job_state mState = job_state::Active;
+  std::int64_t mSubmittedWallMs = 0;
+  std::int64_t mEndedWallMs = 0;
+  std::uint32_t mNextOccurrence = 0;
+  bool mBegun = false;
+  std::map<std::uint32_t, occurrence_record> mOccurrences;
+  std::uint32_t mPlaced = 0; // runs that may be under way
+
+  [[nodiscard]] bool IsActive() const { return mState == job_state::Active; }
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mSpec,
+             mQueue,
+             mState,
+             mSubmittedWallMs,
+             mEndedWallMs,
+             mNextOccurrence,
+             mBegun,
+             mOccurrences,
+             mPlaced);
+  }
+};
+
+struct worker_record
+{
+  worker_facts mFacts;
+  bool mDraining = false;
+  // Up to here its ends are in the state: the worker may forget them.
+  std::uint64_t mCursor = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mFacts, mDraining, mCursor);
+  }
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -0,0 +1,550 @@
+#include "oriolewalk/flow/worker_keeper.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+#include "oriolewalk/base/overloaded.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// Covers the rounding of clocks to whole milliseconds on both sides.
+constexpr milliseconds kClockRounding{ 10 };
+// A list of ends is cut off by the worker at this many.
+constexpr std::size_t kMostListedEnds = 500;
+// How long a worker that refused a start as unhealthy gets no other.
+constexpr milliseconds kUnhealthyPause{ 1'000 };
+
+duration
+Stretch(duration aSpan, double aBySlow)
+{
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double, std::nano>(
+      static_cast<double>(aSpan.count()) / (1.0 - aBySlow)));
+}
+
+std::int64_t
+ToMs(duration aSpan)
+{
+  return std::chrono::duration_cast<milliseconds>(aSpan).count();
+}
+
+} // namespace
+
+worker_keeper::worker_keeper(const flow_state& aState,
+                             flow_options aOptions,
+                             std::uint64_t aFence,
+                             time_point aNow)
+  : mState(aState)
+  , mOptions(aOptions)
+  , mFence(aFence)
+{
+  for (const auto& [number, worker] : mState.Workers()) {
+    worker_view& view = mViews[number];
+    // An earlier leader may have given the longest lease just before it lost
+    // its place; it gives none afterwards.
+    view.mLapsesAt =
+      aNow + Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
+      kClockRounding;
+    view.mHeardAt = aNow;
+    view.mProbe = true;
+    view.mToldCursor = worker.mCursor;
+    for (const run_ref& run : mState.PlacedAt(number)) {
+      view.mRuns[run].mInherited = true;
+    }
+  }
+}
+
+void
+worker_keeper::Heard(worker_number aWorker,
+                     std::int64_t aBeat,
+                     std::int64_t aClockMs,
+                     time_point aNow)
+{
+  const auto found = mViews.find(aWorker);
+  if (found == mViews.end() || aBeat <= found->second.mBeat) {
+    return;
+  }
+  worker_view& view = found->second;
+  view.mBeat = aBeat;
+  view.mHeardAt = aNow;
+  // A heartbeat may have been under way for long: an answer of late is better.
+  if (!view.mHasClock || aNow - view.mClockAt > mOptions.mLease) {
+    NoteClock(view, aClockMs, aNow);
+  }
+}
+
+void
+worker_keeper::Registered(worker_number aWorker, time_point aNow)
+{
+  const worker_record* record = mState.FindWorker(aWorker);
+  if (record == nullptr) {
+    return;
+  }
+  const auto [found, fresh] = mViews.try_emplace(aWorker);
+  if (fresh) {
+    found->second.mHeardAt = aNow;
+    // Nothing ran in a new life, and no earlier leader knew of it.
+    found->second.mLapsesAt = aNow;
+    found->second.mProbe = true;
+  }
+  // Another life at the same address is over: one look there says so.
+  for (auto& [number, view] : mViews) {
+    const worker_record* other = mState.FindWorker(number);
+    if (number != aWorker && other != nullptr &&
+        other->mFacts.mAddress == record->mFacts.mAddress) {
+      view.mProbe = true;
+    }
+  }
+}
+
+void
+worker_keeper::Removed(worker_number aWorker)
+{
+  mViews.erase(aWorker);
+}
+
+void
+worker_keeper::NoteClock(worker_view& aView,
+                         std::int64_t aClockMs,
+                         time_point aNow)
+{
+  aView.mHasClock = true;
+  aView.mClockMs = aClockMs;
+  aView.mClockAt = aNow;
+}
+
+std::uint64_t
+worker_keeper::Send(worker_number aWorker,
+                    order_body aBody,
+                    bool aWithLease,
+                    time_point aNow)
+{
+  const worker_record* record = mState.FindWorker(aWorker);
+  worker_view& view = mViews[aWorker];
+  worker_order order;
+  order.mId = ++mLastOrder;
+  order.mWorker = aWorker;
+  order.mLife = record->mFacts.mId;
+  order.mAddress = record->mFacts.mAddress;
+  order.mFence = mFence;
+  if (aWithLease && view.mHasClock) {
+    const duration age = aNow - view.mClockAt;
+    order.mLeaseClockMs = view.mClockMs + ToMs(age) + mOptions.mLease.count();
+    // The worker's clock may have gained less than ours since its answer.
+    const duration lease =
+      mOptions.mLease + std::chrono::duration_cast<duration>(
+                          age * mOptions.mSlowClock);
+    view.mLapsesAt =
+      std::max(view.mLapsesAt,
+               aNow + Stretch(lease, mOptions.mSlowClock) + kClockRounding);
+  }
+  order.mBody = aBody;
+  mOpen[order.mId] = { aWorker, std::move(aBody), aNow };
+  mOrders.push_back(std::move(order));
+  return mLastOrder;
+}
+
+void
+worker_keeper::Begin(const run_start& aStart,
+                     std::string aTicket,
+                     time_point aNow)
+{
+  const auto found = mViews.find(aStart.mWorker);
+  const task_record* task = mState.FindTask(aStart.mRun.mTask);
+  const job_record* job = mState.FindJob(aStart.mRun.mTask.mJob);
+  if (found == mViews.end() || task == nullptr || job == nullptr) {
+    return;
+  }
+  found->second.mRuns[aStart.mRun] = {};
+  Send(aStart.mWorker,
+       start_order{ aStart.mRun,
+                    job->mSpec.mPayload,
+                    task->mCheckpoint,
+                    std::move(aTicket) },
+       true,
+       aNow);
+}
+
+void
+worker_keeper::WantStop(worker_number aWorker,
+                        const run_ref& aRun,
+                        time_point aNow)
+{
+  const auto found = mViews.find(aWorker);
+  if (found == mViews.end()) {
+    return;
+  }
+  const auto run = found->second.mRuns.find(aRun);
+  if (run != found->second.mRuns.end() && !run->second.mStopWanted) {
+    run->second.mStopWanted = true;
+    run->second.mStopAgainAt = aNow;
+  }
+}
+
+void
+worker_keeper::Pace(worker_number aWorker,
+                    const run_ref& aRun,
+                    int aPercent,
+                    time_point aNow)
+{
+  const auto found = mViews.find(aWorker);
+  if (found != mViews.end()) {
+    Send(aWorker, pace_order{ aRun, aPercent }, false, aNow);
+  }
+}
+
+void
+worker_keeper::EndsApplied(worker_number aWorker, time_point aNow)
+{
+  const auto found = mViews.find(aWorker);
+  if (found == mViews.end()) {
+    return;
+  }
+  found->second.mEndsUnderWay = false;
+  found->second.mNextLook = aNow;
+  SyncRuns(aWorker, found->second);
+}
+
+// What the state holds no more isn't watched any more.
+void
+worker_keeper::SyncRuns(worker_number aWorker, worker_view& aView)
+{
+  std::erase_if(aView.mRuns, [&](const auto& aRun) {
+    return !mState.IsPlaced(aRun.first, aWorker);
+  });
+}
+
+void
+worker_keeper::Answered(std::uint64_t aOrder,
+                        const order_answer& aAnswer,
+                        time_point aNow)
+{
+  auto open = mOpen.extract(aOrder);
+  if (open.empty()) {
+    return;
+  }
+  const open_order& order = open.mapped();
+  const auto found = mViews.find(order.mWorker);
+  if (found == mViews.end()) {
+    return;
+  }
+  worker_view& view = found->second;
+  NoteAnswer(order, view, aAnswer, aNow);
+  std::visit(overloaded{
+               [&](const start_order& aStart) {
+                 StartAnswered(order.mWorker, view, aStart, aAnswer, aNow);
+               },
+               [&](const stop_order& aStop) {
+                 StopAnswered(view, aStop, aAnswer, aNow);
+               },
+               [&](const hold_order&) {
+                 (aOrder == view.mQuickLook ? view.mQuickLook : view.mLook) = 0;
+                 LookAnswered(
+                   order.mWorker, view, order.mSentAt, aAnswer, aNow);
+               },
+               [](const pace_order&) {},
+             },
+             order.mBody);
+}
+
+void
+worker_keeper::NoteAnswer(const open_order& aOrder,
+                          worker_view& aView,
+                          const order_answer& aAnswer,
+                          time_point aNow)
+{
+  switch (aAnswer.mResult) {
+    case order_result::OtherLife:
+      mCommands.emplace_back(remove_worker{ aOrder.mWorker });
+      return;
+    case order_result::NoAnswer:
+    case order_result::NotSent:
+      // A single order may be lost; a look without an answer says that the
+      // worker can't be reached.
+      if (std::holds_alternative<hold_order>(aOrder.mBody)) {
+        ++aView.mFailures;
+      }
+      return;
+    default:
+      aView.mFailures = 0;
+      aView.mHeardAt = aNow;
+      if (aAnswer.mClockMs) {
+        NoteClock(aView, *aAnswer.mClockMs, aNow);
+      }
+  }
+}
+
+void
+worker_keeper::StartAnswered(worker_number aWorker,
+                             worker_view& aView,
+                             const start_order& aOrder,
+                             const order_answer& aAnswer,
+                             time_point aNow)
+{
+  const auto run = aView.mRuns.find(aOrder.mRun);
+  if (run == aView.mRuns.end()) {
+    return;
+  }
+  switch (aAnswer.mResult) {
+    case order_result::Done:
+      run->second.mStartedAt = aNow;
+      return;
+    case order_result::NoAnswer:
+      run->second.mUnsureSince = aNow;
+      return;
+    case order_result::Superseded:
+    case order_result::OtherLife:
+      return; // another leader's, or a life that is over
+    case order_result::TicketInvalid:
+      mTicketsRefused.push_back({ aOrder.mRun, aWorker });
+      break;
+    case order_result::Unhealthy:
+      aView.mUnhealthyUntil = aNow + kUnhealthyPause;
+      break;
+    default:
+      break;
+  }
+  mCommands.emplace_back(drop_runs{ aWorker, { aOrder.mRun } });
+}
+
+void
+worker_keeper::StopAnswered(worker_view& aView,
+                            const stop_order& aOrder,
+                            const order_answer& aAnswer,
+                            time_point aNow)
+{
+  const auto run = aView.mRuns.find(aOrder.mRun);
+  if (run == aView.mRuns.end()) {
+    return;
+  }
+  run->second.mStopUnderWay = false;
+  if (aAnswer.mResult == order_result::Done) {
+    run->second.mStoppedAt = aNow;
+    aView.mProbe = true;
+  } else {
+    run->second.mStopAgainAt = aNow + mOptions.mStopAgain;
+  }
+}
+
+void
+worker_keeper::LookAnswered(worker_number aWorker,
+                            worker_view& aView,
+                            time_point aSentAt,
+                            const order_answer& aAnswer,
+                            time_point aNow)
+{
+  if (aAnswer.mResult != order_result::Done) {
+    aView.mNextLook = aNow + mOptions.mLookAgain;
+    return;
+  }
+  aView.mNextLook = aNow;
+  aView.mSynced = true;
+  TakeRunning(aWorker, aView, aAnswer, aNow);
+  DropAbsent(aWorker, aView, aSentAt, aAnswer);
+  aView.mEndsUnderWay = TakeEnds(aWorker, aView, aAnswer);
+}
+
+void
+worker_keeper::TakeRunning(worker_number aWorker,
+                           worker_view& aView,
+                           const order_answer& aAnswer,
+                           time_point aNow)
+{
+  for (const listed_run& listed : aAnswer.mRunning) {
+    const auto run = aView.mRuns.find(listed.mRun);
+    if (run != aView.mRuns.end()) {
+      run->second.mSeen = true;
+      run->second.mStartedAt = run->second.mStartedAt.value_or(aNow);
+      run->second.mPercent = listed.mPercent;
+      run->second.mLoad = listed.mLoad;
+    } else if (!mState.IsPlaced(listed.mRun, aWorker)) {
+      // Nobody waits for it: a start that came late, of an attempt that was
+      // given up since.
+      Send(aWorker, stop_order{ listed.mRun }, false, aNow);
+    }
+  }
+}
+
+bool
+worker_keeper::TakeEnds(worker_number aWorker,
+                        worker_view& /*aView*/,
+                        const order_answer& aAnswer)
+{
+  const worker_record* record = mState.FindWorker(aWorker);
+  end_runs ends{ aWorker, {}, record->mCursor };
+  for (const listed_end& listed : aAnswer.mEnded) {
+    if (listed.mNumber > record->mCursor) {
+      ends.mEnds.push_back(listed.mEnd);
+      ends.mCursor = std::max(ends.mCursor, listed.mNumber);
+    }
+  }
+  if (ends.mEnds.empty()) {
+    return false;
+  }
+  mCommands.emplace_back(std::move(ends));
+  return true;
+}
+
+void
+worker_keeper::DropAbsent(worker_number aWorker,
+                          worker_view& aView,
+                          time_point aSentAt,
+                          const order_answer& aAnswer)
+{
+  if (aAnswer.mEnded.size() >= kMostListedEnds) {
+    return; // the rest comes with the next look
+  }
+  std::set<run_ref> present;
+  for (const listed_run& listed : aAnswer.mRunning) {
+    present.insert(listed.mRun);
+  }
+  for (const listed_end& listed : aAnswer.mEnded) {
+    present.insert(listed.mEnd.mRun);
+  }
+  drop_runs drop{ aWorker, {} };
+  for (const auto& [run, view] : aView.mRuns) {
+    // An earlier leader's start that is still under way carries a fence that
+    // this worker now refuses.
+    const bool mustShow =
+      view.mInherited || (view.mStartedAt && *view.mStartedAt <= aSentAt) ||
+      (view.mStoppedAt && *view.mStoppedAt <= aSentAt);
+    if (mustShow && !present.contains(run)) {
+      drop.mRuns.push_back(run);
+    }
+  }
+  if (!drop.mRuns.empty()) {
+    mCommands.emplace_back(std::move(drop));
+  }
+}
+
+void
+worker_keeper::DropLapsed(worker_number aWorker,
+                          worker_view& aView,
+                          time_point aNow)
+{
+  const std::set<run_ref>& placed = mState.PlacedAt(aWorker);
+  if (aView.mFailures == 0 || aNow < aView.mLapsesAt ||
+      aNow < aView.mNextDrop || placed.empty()) {
+    return;
+  }
+  mCommands.emplace_back(
+    drop_runs{ aWorker, { placed.begin(), placed.end() } });
+  aView.mNextDrop = aNow + mOptions.mAnswerBound;
+}
+
+bool
+worker_keeper::NeedsLook(worker_number aWorker, const worker_view& aView) const
+{
+  return !aView.mRuns.empty() ||
+         mState.FindWorker(aWorker)->mCursor > aView.mToldCursor;
+}
+
+std::uint64_t
+worker_keeper::Look(worker_number aWorker,
+                    worker_view& aView,
+                    milliseconds aWait,
+                    time_point aNow)
+{
+  aView.mToldCursor = mState.FindWorker(aWorker)->mCursor;
+  // Nothing is promised to a worker that doesn't answer: a lease that may have
+  // reached it would put off the moment when its work may go elsewhere.
+  const bool lease = aView.mFailures == 0;
+  return Send(aWorker,
+              hold_order{ aView.mToldCursor, aWait.count() },
+              lease,
+              aNow);
+}
+
+void
+worker_keeper::TickLooks(worker_number aWorker,
+                         worker_view& aView,
+                         time_point aNow)
+{
+  if (aNow < aView.mNextLook) {
+    return;
+  }
+  const bool quick = aView.mProbe || !aView.mSynced || aView.mFailures > 0;
+  if (quick && aView.mQuickLook == 0) {
+    aView.mProbe = false;
+    aView.mQuickLook = Look(aWorker, aView, milliseconds(0), aNow);
+  }
+  if (!quick && aView.mLook == 0 && !aView.mEndsUnderWay &&
+      NeedsLook(aWorker, aView)) {
+    aView.mLook = Look(aWorker, aView, mOptions.mLookWait, aNow);
+  }
+}
+
+void
+worker_keeper::TickRuns(worker_number aWorker,
+                        worker_view& aView,
+                        time_point aNow)
+{
+  for (auto& [run, view] : aView.mRuns) {
+    if (view.mUnsureSince && !view.mSeen &&
+        aNow >= *view.mUnsureSince + mOptions.mTakeBack) {
+      view.mStopWanted = true;
+    }
+    if (view.mStopWanted && !view.mStopUnderWay && !view.mStoppedAt &&
+        aNow >= view.mStopAgainAt) {
+      view.mStopUnderWay = true;
+      Send(aWorker, stop_order{ run }, false, aNow);
+    }
+  }
+}
+
+void
+worker_keeper::Tick(time_point aNow)
+{
+  for (auto& [number, view] : mViews) {
+    if (mState.FindWorker(number) == nullptr) {
+      continue; // its removal is being applied
+    }
+    SyncRuns(number, view);
+    TickRuns(number, view, aNow);
+    DropLapsed(number, view, aNow);
+    TickLooks(number, view, aNow);
+    if (view.mRuns.empty() && aNow >= view.mLapsesAt &&
+        aNow >= view.mHeardAt + mOptions.mGoneWorker) {
+      mCommands.emplace_back(remove_worker{ number });
+      view.mHeardAt = aNow; // once in a while, until it is applied
+    }
+  }
+}
+
+bool
+worker_keeper::IsUsable(worker_number aWorker, time_point aNow) const
+{
+  const auto found = mViews.find(aWorker);
+  if (found == mViews.end()) {
+    return false;
+  }
+  const worker_view& view = found->second;
+  return view.mSynced && view.mHasClock && view.mFailures == 0 &&
+         aNow >= view.mUnhealthyUntil &&
+         aNow < view.mHeardAt + mOptions.mQuietWorker;
+}
+
+std::vector<worker_order>
+worker_keeper::TakeOrders()
+{
+  return std::exchange(mOrders, {});
+}
+
+std::vector<command_body>
+worker_keeper::TakeCommands()
+{
+  return std::exchange(mCommands, {});
+}
+
+std::vector<run_start>
+worker_keeper::TakeTicketsRefused()
+{
+  return std::exchange(mTicketsRefused, {});
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/worker_keeper.h
@@ -0,0 +1,186 @@
+#pragma once
+
+// The leader's dealings with workers: leases, looks, starts and stops, and what
+// may be concluded from answers that are late, lost or out of order.
+//
+//   worker_keeper keeper(state, options, term, now);
+//   keeper.Began(outcome.mStarted, ...);   // committed: tell the workers
+//   for (auto& order : keeper.TakeOrders()) { /* send it */ }
+//   keeper.Answered(order.mId, answer, now);
+//   for (auto& command : keeper.TakeCommands()) { /* propose it */ }
+//
+// What it relies on: a worker does nothing for a fence lower than one it has
+// seen; a stop of an attempt that isn't there yet makes it impossible; leases
+// end on the worker's own clock, which may be slow by a bound.
+//
+// A run is given up (so that its task may start elsewhere) only if
+// - the worker listed its end, or refused the start before doing anything;
+// - a look that was sent after the start was answered, or after its stop was,
+//   shows neither the run nor its end;
+// - the worker's life is over;
+// - every lease that this or an earlier leader gave it has surely lapsed.
+//
+// Owned by the leading part of the flow core; made new for each term. No I/O.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/flow/command.h"
+#include "oriolewalk/flow/flow_state.h"
+#include "oriolewalk/flow/options.h"
+#include "oriolewalk/flow/worker_order.h"
+
+namespace oriolewalk::flow {
+
+// What the leader believes of a worker right now.
+struct worker_view
+{
+  struct run_view
+  {
+    // When the start was answered as done; a look sent later must show it.
+    std::optional<time_point> mStartedAt;
+    // Given when the start got no answer.
+    std::optional<time_point> mUnsureSince;
+    bool mInherited = false;   // an earlier leader may have sent the start
+    bool mSeen = false;        // in a look
+    bool mStopWanted = false;
+    bool mStopUnderWay = false;
+    time_point mStopAgainAt{};
+    std::optional<time_point> mStoppedAt; // the stop was answered
+    int mPercent = 100;
+    std::int64_t mLoad = 0;
+  };
+
+  bool mSynced = false; // it has answered under this term's fence
+  bool mHasClock = false;
+  std::int64_t mClockMs = 0;
+  time_point mClockAt{};
+  time_point mLapsesAt{}; // by then every lease there is over
+  std::uint64_t mLook = 0; // the look that waits there for an end
+  time_point mNextLook{};
+  bool mProbe = false; // a look that doesn't wait is wanted
+  std::uint64_t mQuickLook = 0;
+  time_point mNextDrop{};
+  int mFailures = 0;   // looks and starts without an answer, in a row
+  time_point mHeardAt{};
+  time_point mUnhealthyUntil{};
+  std::int64_t mBeat = -1; // the newest heartbeat's number
+  bool mEndsUnderWay = false;
+  std::uint64_t mToldCursor = 0; // what the worker knows that it may forget
+  std::map<run_ref, run_view> mRuns;
+};
+
+class worker_keeper
+{
+public:
+  worker_keeper(const flow_state& aState,
+                flow_options aOptions,
+                std::uint64_t aFence,
+                time_point aNow);
+
+  // A worker's heartbeat of a known life.
+  void Heard(worker_number aWorker,
+             std::int64_t aBeat,
+             std::int64_t aClockMs,
+             time_point aNow);
+  // The worker is in the state (anew or changed).
+  void Registered(worker_number aWorker, time_point aNow);
+  void Removed(worker_number aWorker);
+  // The starts were committed in this term: tell the workers. aTickets, by
+  // worker, where the queue asks for them.
+  void Begin(const run_start& aStart, std::string aTicket, time_point aNow);
+  // The ends of a look were committed.
+  void EndsApplied(worker_number aWorker, time_point aNow);
+  void Answered(std::uint64_t aOrder,
+                const order_answer& aAnswer,
+                time_point aNow);
+  void Tick(time_point aNow);
+  // Wishes a run's end (its job ended, its gang is broken, it must move).
+  void WantStop(worker_number aWorker, const run_ref& aRun, time_point aNow);
+  void Pace(worker_number aWorker,
+            const run_ref& aRun,
+            int aPercent,
+            time_point aNow);
+
+  std::vector<worker_order> TakeOrders();
+  std::vector<command_body> TakeCommands();
+  // Starts that a worker refused for its ticket, since the last call.
+  std::vector<run_start> TakeTicketsRefused();
+
+  // Whether new work may go there now.
+  [[nodiscard]] bool IsUsable(worker_number aWorker, time_point aNow) const;
+  [[nodiscard]] const std::map<worker_number, worker_view>& Views() const
+  {
+    return mViews;
+  }
+
+private:
+  struct open_order
+  {
+    worker_number mWorker = 0;
+    order_body mBody;
+    time_point mSentAt{};
+  };
+
+  std::uint64_t Send(worker_number aWorker,
+                     order_body aBody,
+                     bool aWithLease,
+                     time_point aNow);
+  std::uint64_t Look(worker_number aWorker,
+                     worker_view& aView,
+                     milliseconds aWait,
+                     time_point aNow);
+  void TickLooks(worker_number aWorker, worker_view& aView, time_point aNow);
+  void NoteClock(worker_view& aView, std::int64_t aClockMs, time_point aNow);
+  void NoteAnswer(const open_order& aOrder,
+                  worker_view& aView,
+                  const order_answer& aAnswer,
+                  time_point aNow);
+  void LookAnswered(worker_number aWorker,
+                    worker_view& aView,
+                    time_point aSentAt,
+                    const order_answer& aAnswer,
+                    time_point aNow);
+  void StartAnswered(worker_number aWorker,
+                     worker_view& aView,
+                     const start_order& aOrder,
+                     const order_answer& aAnswer,
+                     time_point aNow);
+  void StopAnswered(worker_view& aView,
+                    const stop_order& aOrder,
+                    const order_answer& aAnswer,
+                    time_point aNow);
+  void TakeRunning(worker_number aWorker,
+                   worker_view& aView,
+                   const order_answer& aAnswer,
+                   time_point aNow);
+  bool TakeEnds(worker_number aWorker,
+                worker_view& aView,
+                const order_answer& aAnswer);
+  void DropAbsent(worker_number aWorker,
+                  worker_view& aView,
+                  time_point aSentAt,
+                  const order_answer& aAnswer);
+  void DropLapsed(worker_number aWorker, worker_view& aView, time_point aNow);
+  void TickRuns(worker_number aWorker, worker_view& aView, time_point aNow);
+  void SyncRuns(worker_number aWorker, worker_view& aView);
+  [[nodiscard]] bool NeedsLook(worker_number aWorker,
+                               const worker_view& aView) const;
+
+  const flow_state& mState;
+  flow_options mOptions;
+  std::uint64_t mFence;
+  std::uint64_t mLastOrder = 0;
+  std::map<worker_number, worker_view> mViews;
+  std::map<std::uint64_t, open_order> mOpen;
+  std::vector<worker_order> mOrders;
+  std::vector<command_body> mCommands;
+  std::vector<run_start> mTicketsRefused;
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/host/control_host.cc
@@ -0,0 +1,447 @@
+#include "oriolewalk/host/control_host.h"
+
+#include <random>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+namespace oriolewalk::host {
+
+namespace {
+
+constexpr milliseconds kTick{ 10 };
+// A planned stop waits so long at most for another voter to lead.
+constexpr seconds kHandOverBound{ 2 };
+constexpr milliseconds kJoinEvery{ 500 };
+
+// A connection of ours that is silent for this long is dropped; four times the
+// longest commit on a sound disk, and well under an election's patience twice.
+constexpr milliseconds kPeerSilence{ 800 };
+
+std::vector<std::string>
+Addresses(const control_options& aOptions)
+{
+  std::vector<std::string> all{ aOptions.mAddress };
+  for (const auto& [number, address] : aOptions.mFounders) {
+    if (address != aOptions.mAddress) {
+      all.push_back(address);
+    }
+  }
+  return all;
+}
+
+consensus::membership
+Founders(const control_options& aOptions)
+{
+  consensus::membership founders;
+  for (const auto& [number, address] : aOptions.mFounders) {
+    founders.PutVoter(
+      { consensus::node_id(number), address, 0, false, std::nullopt });
+  }
+  return founders;
+}
+
+} // namespace
+
+control_host::control_host(boost::asio::io_context& aContext,
+                           control_options aOptions,
+                           worker_port aWorkers,
+                           policy_port aPolicy,
+                           observe::decision_log& aLog)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mWorkers(std::move(aWorkers))
+  , mPolicy(std::move(aPolicy))
+  , mLog(aLog)
+  , mTimer(aContext)
+  , mRpc({ .mSilence = kPeerSilence, .mSeed = std::random_device{}() })
+  , mLink(aContext, mRpc, Addresses(mOptions), std::random_device{}())
+{
+  mLink.SetLocal(
+    mOptions.mAddress,
+    [this](const flow::flow_request& aRequest, flow_callback aDone) {
+      AskLocal(aRequest, std::move(aDone));
+    });
+}
+
+control_host::~control_host()
+{
+  mRpc.Stop();
+}
+
+flow::instant
+control_host::Now()
+{
+  return { runtime_clock::now(), WallMilliseconds() };
+}
+
+result<void>
+control_host::Start()
+{
+  if (auto opened = OpenFolder(); !opened) {
+    return opened;
+  }
+  if (auto bound = Listen(); !bound) {
+    return bound;
+  }
+  ArmTick();
+  return {};
+}
+
+result<void>
+control_host::OpenFolder()
+{
+  auto opened = storage::data_folder::Open(mFiles,
+                                           mOptions.mDataFolder,
+                                           { mOptions.mCluster, mOptions.mNode },
+                                           {});
+  if (!opened) {
+    return Fail(opened.error());
+  }
+  const bool fresh = opened->mState.mFresh;
+  const bool founds =
+    mOptions.mFirstStart && mOptions.mFounders.contains(mOptions.mNode);
+  auto restored = voter::FromRecovered(std::move(opened->mState));
+  if (!restored) {
+    return Fail(restored.error());
+  }
+  if (fresh && founds) {
+    if (auto founded = Found(*opened->mFolder, *restored); !founded) {
+      return founded;
+    }
+  }
+  restored->mMayVote = !fresh || founds;
+  mLog.Write("storage.opened",
+             { { "fresh", fresh ? "yes" : "no" },
+               { "founds", founds ? "yes" : "no" },
+               { "entries", std::to_string(restored->mEntries.size()) },
+               { "term", std::to_string(restored->mHardState.mTerm) } });
+  flow::flow_config config;
+  config.mSelf = consensus::node_id(mOptions.mNode);
+  config.mAddress = mOptions.mAddress;
+  config.mFlow = mOptions.mFlow;
+  auto core = flow::flow_core::Make(config,
+                                    std::move(*restored),
+                                    std::random_device{}(),
+                                    runtime_clock::now());
+  if (!core) {
+    return Fail(core.error());
+  }
+  mCore = std::move(*core);
+  mStorage = std::make_unique<voter::storage_thread>(
+    std::move(opened->mFolder), [this](voter::write_done aDone) {
+      boost::asio::post(mContext,
+                        [this, done = std::move(aDone)]() { OnWritten(done); });
+    });
+  return {};
+}
+
+// The founders' group stands in the log as its first entry, the same at each
+// of them. Were it taken from the settings at each start, a founder that is
+// started again with other seeds would believe in another group.
+result<void>
+control_host::Found(storage::data_folder& aFolder,
+                    consensus::restored_state& aState) const
+{
+  constexpr consensus::term_t kFirstTerm = 1;
+  aState.mHardState.mTerm = kFirstTerm;
+  aState.mEntries = { { 1,
+                        kFirstTerm,
+                        consensus::entry_kind::Configuration,
+                        Encode(Founders(mOptions)) } };
+  const std::vector<storage::log_record> records{
+    voter::ToRecord(aState.mEntries.front())
+  };
+  if (auto saved = aFolder.SaveVote(Encode(aState.mHardState)); !saved) {
+    return saved;
+  }
+  if (auto appended = aFolder.Append(records); !appended) {
+    return appended;
+  }
+  return aFolder.Sync();
+}
+
+result<void>
+control_host::Listen()
+{
+  const auto port = mRpc.Listen(
+    mOptions.mAddress,
+    [this](
+      std::uint16_t aKind, const bytes& aBody, wire::reply_function aReply) {
+      OnCall(aKind, aBody, std::move(aReply));
+    },
+    [this](const bytes& aMessage) { OnDeliver(aMessage); });
+  if (!port) {
+    return Fail(port.error());
+  }
+  return {};
+}
+
+// The RPC node's thread: decodes there.
+void
+control_host::OnCall(std::uint16_t aKind,
+                     const bytes& aBody,
+                     wire::reply_function aReply)
+{
+  if (aKind == flow::kAdviceCall) {
+    auto asked = Decode<flow::advice_request>(aBody, "advice");
+    if (!asked) {
+      aReply(Fail(asked.error()));
+      return;
+    }
+    boost::asio::post(mContext,
+                      [this, request = std::move(*asked), aReply]() {
+                        OnAdviceCall(request, aReply);
+                      });
+    return;
+  }
+  auto asked = aKind == flow::kFlowCall
+                 ? Decode<flow::flow_request>(aBody, "call")
+                 : Fail(error_code::InvalidArgument, "call", "unknown kind");
+  if (!asked) {
+    aReply(Fail(asked.error()));
+    return;
+  }
+  boost::asio::post(mContext, [this, request = std::move(*asked), aReply]() {
+    OnFlowCall(request, aReply);
+  });
+}
+
+void
+control_host::OnFlowCall(const flow::flow_request& aRequest,
+                         wire::reply_function aReply)
+{
+  AskLocal(aRequest,
+           [reply = std::move(aReply)](result<flow::flow_answer> aAnswer) {
+             reply(aAnswer ? result<bytes>(Encode(*aAnswer))
+                           : Fail(aAnswer.error()));
+           });
+}
+
+void
+control_host::OnAdviceCall(const flow::advice_request& aRequest,
+                           wire::reply_function aReply)
+{
+  mPolicy(aRequest,
+          [reply = std::move(aReply)](result<flow::approvals> aAnswer) {
+            reply(aAnswer ? result<bytes>(Encode(*aAnswer))
+                          : Fail(aAnswer.error()));
+          });
+}
+
+void
+control_host::AskLocal(const flow::flow_request& aRequest, flow_callback aDone)
+{
+  const flow::call_number call = ++mLastCall;
+  mCalls.emplace(call, std::move(aDone));
+  mCore->Ask(call, aRequest, Now());
+  SchedulePump();
+}
+
+void
+control_host::Ask(flow::flow_request aRequest,
+                  time_point aUntil,
+                  flow_callback aDone)
+{
+  mLink.Ask(std::move(aRequest), aUntil, std::move(aDone));
+}
+
+void
+control_host::OnDeliver(const bytes& aMessage)
+{
+  auto received = Decode<consensus::message>(aMessage, "deliver");
+  if (!received) {
+    return;
+  }
+  boost::asio::post(mContext, [this, message = std::move(*received)]() {
+    mCore->Receive(message, Now());
+    SchedulePump();
+  });
+}
+
+void
+control_host::OnWritten(const voter::write_done& aDone)
+{
+  if (aDone.mFailure) {
+    // A voter that can't store must not go on: whatever it acknowledged next
+    // could be lost.
+    Broken("storage.failed", *aDone.mFailure);
+    return;
+  }
+  if (aDone.mTicket != 0) {
+    mCore->Persisted(aDone.mTicket, Now());
+  }
+  if (aDone.mSnapshot) {
+    mCore->SnapshotStored(*aDone.mSnapshot);
+  }
+  SchedulePump();
+}
+
+void
+control_host::Broken(std::string_view aWhat, const error& aError)
+{
+  mLog.Write(aWhat, { { "problem", aError.Describe() } });
+  mLog.Flush();
+  if (mOnBroken) {
+    mOnBroken();
+  }
+}
+
+void
+control_host::SchedulePump()
+{
+  if (!std::exchange(mPumpScheduled, true)) {
+    boost::asio::post(mContext, [this]() {
+      mPumpScheduled = false;
+      Pump();
+    });
+  }
+}
+
+void
+control_host::Pump()
+{
+  flow::flow_effects out = mCore->TakeEffects(Now());
+  if (out.mBroken) {
+    Broken("state.unreadable", *out.mBroken);
+    return;
+  }
+  if (Handle(std::move(out))) {
+    SchedulePump(); // applying may have made new proposals
+  }
+}
+
+bool
+control_host::Handle(flow::flow_effects aEffects)
+{
+  consensus::effects& raft = aEffects.mRaft;
+  const bool again = !raft.mCommitted.empty() || !aEffects.mReplies.empty() ||
+                     !raft.mMessages.empty() || raft.mTicket != 0;
+  for (const consensus::message& message : raft.mMessages) {
+    SendToPeer(message);
+  }
+  voter::write_batch batch{ raft.mTicket,
+                            std::move(raft.mHardState),
+                            std::move(raft.mSnapshot),
+                            raft.mTruncateFrom,
+                            std::move(raft.mAppend),
+                            std::move(aEffects.mSnapshot) };
+  if (!batch.IsEmpty()) {
+    mStorage->Write(std::move(batch));
+  }
+  for (const flow::decision& note : aEffects.mNotes) {
+    mLog.Write(note.mEvent, note.mFields);
+  }
+  for (flow::flow_reply& reply : aEffects.mReplies) {
+    if (auto found = mCalls.extract(reply.mCall); !found.empty()) {
+      found.mapped()(std::move(reply.mAnswer));
+    }
+  }
+  for (const flow::worker_order& order : aEffects.mOrders) {
+    SendOrder(order);
+  }
+  for (const flow::advice_order& order : aEffects.mQuestions) {
+    SendQuestion(order);
+  }
+  if (raft.mLeadership) {
+    mLog.Write("leader.changed",
+               { { "leader", mCore->LeaderAddress() },
+                 { "term", std::to_string(raft.mLeadership->mTerm) } });
+  }
+  return again;
+}
+
+void
+control_host::SendToPeer(const consensus::message& aMessage)
+{
+  const consensus::member* member = mCore->Raft().Members().Find(aMessage.mTo);
+  std::string address = member != nullptr ? member->mAddress : std::string();
+  if (address.empty()) {
+    const auto founder = mOptions.mFounders.find(aMessage.mTo.Value());
+    address = founder == mOptions.mFounders.end() ? "" : founder->second;
+  }
+  if (!address.empty()) {
+    mRpc.Deliver(address, Encode(aMessage));
+  }
+}
+
+void
+control_host::SendOrder(const flow::worker_order& aOrder)
+{
+  mWorkers(aOrder, [this, id = aOrder.mId](const flow::order_answer& aAnswer) {
+    mCore->OrderAnswered(id, aAnswer, Now());
+    SchedulePump();
+  });
+}
+
+void
+control_host::SendQuestion(const flow::advice_order& aOrder)
+{
+  const std::uint64_t id = aOrder.mId;
+  const auto done = [this, id](const result<flow::approvals>& aAnswer) {
+    mCore->AdviceAnswered(id, aAnswer, Now());
+    SchedulePump();
+  };
+  if (aOrder.mAdvisor == mOptions.mAddress) {
+    mPolicy(aOrder.mRequest, done);
+    return;
+  }
+  mRpc.Call(aOrder.mAdvisor,
+            flow::kAdviceCall,
+            Encode(aOrder.mRequest),
+            milliseconds(aOrder.mRequest.mBoundMs),
+            [this, done](result<bytes> aReply) {
+              result<flow::approvals> answer =
+                aReply ? Decode<flow::approvals>(*aReply, "reading advice")
+                       : Fail(aReply.error());
+              boost::asio::post(
+                mContext,
+                [done, got = std::move(answer)]() { done(got); });
+            });
+}
+
+void
+control_host::ArmTick()
+{
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](const auto& aProblem) {
+    if (aProblem) {
+      return;
+    }
+    mCore->Tick(Now());
+    SchedulePump();
+    AskToJoin();
+    if (mOnStopped &&
+        (!mCore->Raft().IsLeader() || runtime_clock::now() >= mStopAt)) {
+      std::exchange(mOnStopped, nullptr)();
+      return;
+    }
+    ArmTick();
+  });
+}
+
+void
+control_host::AskToJoin()
+{
+  const time_point now = runtime_clock::now();
+  if (now < mJoinAt || !mCore->WantsToJoin(now)) {
+    return;
+  }
+  mJoinAt = now + kJoinEvery;
+  mLink.Ask(flow::join_request{ mOptions.mNode, mOptions.mAddress },
+            now + kJoinEvery,
+            [](const result<flow::flow_answer>& /*aAnswer*/) {
+              // Whether it helped is seen by a leader's voice.
+            });
+}
+
+void
+control_host::Stop(std::function<void()> aDone)
+{
+  mOnStopped = std::move(aDone);
+  mStopAt = runtime_clock::now() + kHandOverBound;
+  mCore->HandOver(Now());
+  SchedulePump();
+}
+
+} // namespace oriolewalk::host
--- /dev/null
+++ b/oriolewalk/host/control_host.h
@@ -0,0 +1,129 @@
+#pragma once
+
+// The shell of a control process of the workflow rooms: one thread of Asio
+// around a flow_core, with the RPC node's and the storage's own threads.
+//
+//   control_host host(context, options, ports, log);
+//   if (auto started = host.Start(); !started) { ... }
+//   host.Ask(request, until, [](result<flow_answer> aAnswer) {...});
+//   context.run();
+//
+// Who founds: only a process whose folder is empty and that is told that the
+// whole system starts for the first time counts the founders as its group.
+// Any other one with an empty folder may not vote, and asks to be taken in.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/base/timer.h"
+#include "oriolewalk/flow/flow_core.h"
+#include "oriolewalk/host/leader_link.h"
+#include "oriolewalk/host/policy_port.h"
+#include "oriolewalk/observe/decision_log.h"
+#include "oriolewalk/storage/file_system.h"
+#include "oriolewalk/voter/storage_thread.h"
+#include "oriolewalk/wire/rpc_node.h"
+
+namespace oriolewalk::host {
+
+struct control_options
+{
+  std::string mCluster;
+  std::uint64_t mNode = 0;
+  std::string mAddress; // of our RPC, "IP:PORT"
+  std::string mDataFolder;
+  bool mFirstStart = false; // of the whole system, with empty disks
+  // The founders' RPC addresses with their numbers.
+  std::map<std::uint64_t, std::string> mFounders;
+  flow::flow_options mFlow;
+};
+
+class control_host
+{
+public:
+  control_host(boost::asio::io_context& aContext,
+               control_options aOptions,
+               worker_port aWorkers,
+               policy_port aPolicy,
+               observe::decision_log& aLog);
+  ~control_host();
+  control_host(const control_host&) = delete;
+  control_host& operator=(const control_host&) = delete;
+  control_host(control_host&&) = delete;
+  control_host& operator=(control_host&&) = delete;
+
+  // Errors: what keeps it from starting (folder, address).
+  result<void> Start();
+  // Of the leader, here or elsewhere.
+  void Ask(flow::flow_request aRequest,
+           time_point aUntil,
+           flow_callback aDone);
+  // Control processes that the settings name since.
+  void Learn(const std::vector<std::string>& aControls)
+  {
+    mLink.Learn(aControls);
+  }
+  // Hands leadership over, then calls aDone.
+  void Stop(std::function<void()> aDone);
+  // Called if the process must end; the reason is in the log.
+  void OnBroken(std::function<void()> aBroken)
+  {
+    mOnBroken = std::move(aBroken);
+  }
+  [[nodiscard]] const flow::flow_core& Core() const { return *mCore; }
+
+private:
+  result<void> OpenFolder();
+  result<void> Found(storage::data_folder& aFolder,
+                     consensus::restored_state& aState) const;
+  result<void> Listen();
+  void OnCall(std::uint16_t aKind,
+              const bytes& aBody,
+              wire::reply_function aReply);
+  void OnFlowCall(const flow::flow_request& aRequest,
+                  wire::reply_function aReply);
+  void OnAdviceCall(const flow::advice_request& aRequest,
+                    wire::reply_function aReply);
+  void OnDeliver(const bytes& aMessage);
+  void OnWritten(const voter::write_done& aDone);
+  void AskLocal(const flow::flow_request& aRequest, flow_callback aDone);
+  void SchedulePump();
+  void Pump();
+  bool Handle(flow::flow_effects aEffects);
+  void SendToPeer(const consensus::message& aMessage);
+  void SendOrder(const flow::worker_order& aOrder);
+  void SendQuestion(const flow::advice_order& aOrder);
+  void ArmTick();
+  void AskToJoin();
+  void Broken(std::string_view aWhat, const error& aError);
+  [[nodiscard]] static flow::instant Now();
+
+  boost::asio::io_context& mContext;
+  control_options mOptions;
+  worker_port mWorkers;
+  policy_port mPolicy;
+  observe::decision_log& mLog;
+  storage::posix_file_system mFiles;
+  std::unique_ptr<flow::flow_core> mCore;
+  std::unique_ptr<voter::storage_thread> mStorage;
+  runtime_timer mTimer;
+  std::map<flow::call_number, flow_callback> mCalls;
+  flow::call_number mLastCall = 0;
+  bool mPumpScheduled = false;
+  time_point mJoinAt{};
+  std::function<void()> mOnStopped;
+  time_point mStopAt{};
+  std::function<void()> mOnBroken;
+  wire::rpc_node mRpc;
+  leader_link mLink;
+};
+
+} // namespace oriolewalk::host
--- /dev/null
+++ b/oriolewalk/host/leader_link.h
@@ -0,0 +1,82 @@
+#pragma once
+
+// Asks the leading control process of the workflow rooms, whoever it is.
+//
+//   leader_link link(context, rpc, { "10.0.0.1:7720" }, seed);
+//   link.Ask(submission, until, [](result<flow_answer> aAnswer) {...});
+//
+// A question is asked again, of the leader that is named or of the next control
+// process, while the time lasts: every question is safe to ask twice. The end
+// says what is known: Unavailable, if the question was surely not taken up;
+// Timeout, if it may have been.
+//
+// Threads: that of the io_context, which also runs the callbacks.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/base/random.h"
+#include "oriolewalk/flow/messages.h"
+#include "oriolewalk/wire/leader_choice.h"
+#include "oriolewalk/wire/rpc_node.h"
+
+namespace oriolewalk::host {
+
+using flow_callback = std::function<void(result<flow::flow_answer>)>;
+
+class leader_link
+{
+public:
+  using local_ask =
+    std::function<void(const flow::flow_request&, flow_callback)>;
+
+  leader_link(boost::asio::io_context& aContext,
+              wire::rpc_node& aRpc,
+              std::vector<std::string> aControls,
+              std::uint64_t aSeed);
+
+  // Questions to aAddress go to aAsk: this process is a control process too.
+  void SetLocal(std::string aAddress, local_ask aAsk);
+  // Addresses of control processes that were learnt.
+  void Learn(const std::vector<std::string>& aControls);
+  void Ask(flow::flow_request aRequest,
+           time_point aUntil,
+           flow_callback aDone);
+  // Who answered last, or was named the leader.
+  [[nodiscard]] const std::string& Current() const
+  {
+    return mChoice.Current();
+  }
+
+private:
+  struct question
+  {
+    flow::flow_request mRequest;
+    bytes mEncoded;
+    time_point mUntil;
+    bool mMaybeTaken = false;
+    flow_callback mDone;
+  };
+
+  void Try(const std::shared_ptr<question>& aQuestion);
+  void OnReply(const std::shared_ptr<question>& aQuestion,
+               const std::string& aPeer,
+               result<flow::flow_answer> aReply);
+  void TryLater(const std::shared_ptr<question>& aQuestion, duration aPause);
+
+  boost::asio::io_context& mContext;
+  wire::rpc_node& mRpc;
+  wire::leader_choice mChoice;
+  random_source mRandom;
+  std::string mLocalAddress;
+  local_ask mLocalAsk;
+};
+
+} // namespace oriolewalk::host
--- a/oriolewalk/control/storage_thread.cc
+++ b/oriolewalk/voter/storage_thread.cc
@@ -1,4 +1,4 @@
-#include "oriolewalk/control/storage_thread.h"
+#include "oriolewalk/voter/storage_thread.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,19 +6,10 @@
 
 #include "oriolewalk/base/codec.h"
 
-namespace oriolewalk::control {
+namespace oriolewalk::voter {
 
 namespace {
 
-storage::log_record
-ToRecord(const consensus::log_entry& aEntry)
-{
-  return { aEntry.mIndex,
-           aEntry.mTerm,
-           static_cast<std::uint8_t>(aEntry.mKind),
-           aEntry.mPayload };
-}
-
 consensus::log_entry
 FromRecord(storage::log_record& aRecord)
 {
@@ -30,6 +21,15 @@
 
 } // namespace
 
+storage::log_record
+ToRecord(const consensus::log_entry& aEntry)
+{
+  return { aEntry.mIndex,
+           aEntry.mTerm,
+           static_cast<std::uint8_t>(aEntry.mKind),
+           aEntry.mPayload };
+}
+
 storage::snapshot_record
 ToRecord(const consensus::snapshot& aSnapshot)
 {
@@ -163,4 +163,4 @@
   return outcome;
 }
 
-} // namespace oriolewalk::control
+} // namespace oriolewalk::voter
--- a/oriolewalk/control/storage_thread.h
+++ b/oriolewalk/voter/storage_thread.h
@@ -18,11 +18,13 @@
 #include <thread>
 #include <vector>
 
+#include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/error.h"
-#include "oriolewalk/control/control_core.h"
+#include "oriolewalk/consensus/types.h"
 #include "oriolewalk/storage/data_folder.h"
+#include "oriolewalk/voter/write_batch.h"
 
-namespace oriolewalk::control {
+namespace oriolewalk::voter {
 
 // A sync is over: everything up to mTicket is durable, or mFailure says why
 // nothing more will ever be.
@@ -68,9 +70,11 @@
 };
 
 // The stored form of the log and back.
+storage::log_record
+ToRecord(const consensus::log_entry& aEntry);
 storage::snapshot_record
 ToRecord(const consensus::snapshot& aSnapshot);
 result<consensus::restored_state>
 FromRecovered(storage::recovered_state aRecovered);
 
-} // namespace oriolewalk::control
+} // namespace oriolewalk::voter
--- a/oriolewalk/entry/leader_choice.cc
+++ b/oriolewalk/wire/leader_choice.cc
@@ -1,9 +1,9 @@
-#include "oriolewalk/entry/leader_choice.h"
+#include "oriolewalk/wire/leader_choice.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace oriolewalk::entry {
+namespace oriolewalk::wire {
 
 leader_choice::leader_choice(std::vector<std::string> aPeers)
   : mPeers(std::move(aPeers))
@@ -38,4 +38,14 @@
   }
 }
 
-} // namespace oriolewalk::entry
+void
+leader_choice::Learn(const std::vector<std::string>& aPeers)
+{
+  for (const std::string& peer : aPeers) {
+    if (std::ranges::find(mPeers, peer) == mPeers.end()) {
+      mPeers.push_back(peer);
+    }
+  }
+}
+
+} // namespace oriolewalk::wire
--- a/oriolewalk/entry/leader_choice.h
+++ b/oriolewalk/wire/leader_choice.h
@@ -17,7 +17,7 @@
 #include <string_view>
 #include <vector>
 
-namespace oriolewalk::entry {
+namespace oriolewalk::wire {
 
 class leader_choice
 {
@@ -28,10 +28,12 @@
   [[nodiscard]] const std::string& Current() const { return mPeers[mCurrent]; }
   void Redirected(std::string_view aFrom, std::string_view aLeader);
   void Failed(std::string_view aPeer);
+  // Processes that joined since: they are asked too, the present choice stays.
+  void Learn(const std::vector<std::string>& aPeers);
 
 private:
   std::vector<std::string> mPeers;
   std::size_t mCurrent = 0;
 };
 
-} // namespace oriolewalk::entry
+} // namespace oriolewalk::wire
--- a/testing/entry/entry_test.cc
+++ b/testing/entry/entry_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "oriolewalk/entry/caller_api.h"
-#include "oriolewalk/entry/leader_choice.h"
+#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/entry/live_call.h"
 #include "oriolewalk/entry/platform_api.h"
 
@@ -39,7 +39,7 @@
 
 TEST_CASE("one failed leader moves the choice once, whoever reports it")
 {
-  leader_choice choice({ "a:1", "b:1", "c:1" });
+  wire::leader_choice choice({ "a:1", "b:1", "c:1" });
   choice.Failed("a:1");
   choice.Failed("a:1");
   CHECK(choice.Current() == "b:1");
--- a/testing/system/fake_cell.h
+++ b/testing/system/fake_cell.h
@@ -23,7 +23,7 @@
 #include <vector>
 
 #include "oriolewalk/control/control_core.h"
-#include "oriolewalk/entry/leader_choice.h"
+#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/entry/request_flow.h"
 
 namespace oriolewalk::testing {
@@ -127,7 +127,7 @@
   {
     fake_disk mDisk;
     std::unique_ptr<control::control_core> mCore;
-    std::deque<control::write_batch> mWrites; // not yet durable
+    std::deque<voter::write_batch> mWrites; // not yet durable
     bool mPaused = false;
     bool mCut = false;
     std::uint64_t mLives = 0;
