--- a/oriolewalk/entry/control_link.h
+++ b/oriolewalk/entry/control_link.h
@@ -22,9 +22,9 @@
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/random.h"
-#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/observe/event_log.h"
 #include "oriolewalk/protocol/messages.h"
+#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/wire/rpc_node.h"
 
 namespace oriolewalk::entry {
--- a/oriolewalk/flow/advice_book.cc
+++ b/oriolewalk/flow/advice_book.cc
@@ -30,8 +30,7 @@
   std::size_t fresh = 0;
   std::size_t good = 0;
   for (const auto& [number, id] : aAsked) {
-    const auto row =
-      std::ranges::find(aApproved, id, &approval::mWorker);
+    const auto row = std::ranges::find(aApproved, id, &approval::mWorker);
     const bool approved = row != aApproved.end();
     const bool known = tickets.contains(number);
     tickets[number] = { approved,
@@ -41,10 +40,8 @@
     good += !known && approved ? 1 : 0;
   }
   if (fresh > 0) {
-    auto [share, first] =
-      mShares.try_emplace(std::string(aQueue), kFirstShare);
-    const double seen =
-      static_cast<double>(good) / static_cast<double>(fresh);
+    auto [share, first] = mShares.try_emplace(std::string(aQueue), kFirstShare);
+    const double seen = static_cast<double>(good) / static_cast<double>(fresh);
     share->second += kLearning * (seen - share->second);
     share->second = std::max(share->second, kLeastShare);
   }
@@ -93,9 +90,8 @@
 void
 advice_book::Forget(const job_id& aJob)
 {
-  std::erase_if(mTickets, [&](const auto& aEntry) {
-    return aEntry.first.mJob == aJob;
-  });
+  std::erase_if(mTickets,
+                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
 }
 
 double
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -65,19 +65,20 @@
 leading_port
 flow_core::Port()
 {
-  return { .mPropose =
-             [this](command_body aBody, leading_port::on_applied aThen) {
-               return Propose(std::move(aBody), std::move(aThen));
-             },
-           .mAnswer =
-             [this](call_number aCall, flow_answer aAnswer) {
-               Answer(aCall, std::move(aAnswer));
-             },
-           .mFail = [this](call_number aCall,
-                           const error& aError) { Answer(aCall, Fail(aError)); },
-           .mNote =
-             [this](decision aNote) { mNotes.push_back(std::move(aNote)); },
-           .mMembers = [this]() { return HeardMembers(); } };
+  return {
+    .mPropose =
+      [this](command_body aBody, leading_port::on_applied aThen) {
+        return Propose(std::move(aBody), std::move(aThen));
+      },
+    .mAnswer =
+      [this](call_number aCall, flow_answer aAnswer) {
+        Answer(aCall, std::move(aAnswer));
+      },
+    .mFail = [this](call_number aCall,
+                    const error& aError) { Answer(aCall, Fail(aError)); },
+    .mNote = [this](decision aNote) { mNotes.push_back(std::move(aNote)); },
+    .mMembers = [this]() { return HeardMembers(); }
+  };
 }
 
 std::vector<std::string>
@@ -275,7 +276,8 @@
     mLeadingTerm = mRaft->Term();
     mLeading = std::make_unique<leading>(
       mState, mConfig.mFlow, Port(), mLeadingTerm, mAt);
-    mNotes.push_back({ "leading", { { "term", std::to_string(mLeadingTerm) } } });
+    mNotes.push_back(
+      { "leading", { { "term", std::to_string(mLeadingTerm) } } });
   }
 }
 
@@ -290,8 +292,7 @@
     { "stepped.down", { { "term", std::to_string(mLeadingTerm) } } });
   const std::set<call_number> open = mOpen;
   for (const call_number call : open) {
-    Answer(call,
-           Fail(error_code::Timeout, "ask", "the leader stepped down"));
+    Answer(call, Fail(error_code::Timeout, "ask", "the leader stepped down"));
   }
 }
 
--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -45,9 +45,7 @@
 };
 
 bool
-IsRunPlaced(const task_record& aTask,
-            attempt_t aAttempt,
-            worker_number aWorker)
+IsRunPlaced(const task_record& aTask, attempt_t aAttempt, worker_number aWorker)
 {
   return aTask.mPhase == task_phase::Placed && aTask.mAttempt == aAttempt &&
          aTask.mWorker == aWorker;
@@ -131,9 +129,8 @@
                    std::uint32_t aStep)
 {
   return std::ranges::all_of(
-    aJob.mSpec.mSteps[aStep].mDependsOn, [&](std::uint32_t aOther) {
-      return aOccurrence.mSteps[aOther].IsDone();
-    });
+    aJob.mSpec.mSteps[aStep].mDependsOn,
+    [&](std::uint32_t aOther) { return aOccurrence.mSteps[aOther].IsDone(); });
 }
 
 std::uint64_t
@@ -225,8 +222,7 @@
   }
   apply_outcome outcome;
   if (found->second.IsActive()) {
-    EndJob(
-      found->first, found->second, job_state::Cancelled, aWallMs, outcome);
+    EndJob(found->first, found->second, job_state::Cancelled, aWallMs, outcome);
   }
   return outcome;
 }
@@ -320,13 +316,9 @@
   if (!job.IsActive()) {
     return;
   }
-  step_record& step = job.mOccurrences.at(place.mOccurrence).mSteps[place.mStep];
-  CountEnd(aEnd,
-           job,
-           step,
-           job.mSpec.mSteps[place.mStep],
-           aWallMs,
-           aOutcome);
+  step_record& step =
+    job.mOccurrences.at(place.mOccurrence).mSteps[place.mStep];
+  CountEnd(aEnd, job, step, job.mSpec.mSteps[place.mStep], aWallMs, aOutcome);
 }
 
 void
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -132,8 +132,7 @@
   }
   if (const auto sound = CheckJob(aJob.mSpec); !sound) {
     mPort.mAnswer(
-      aCall,
-      job_answer{ job_reply::Malformed, sound.error().mMessage, 0, 0 });
+      aCall, job_answer{ job_reply::Malformed, sound.error().mMessage, 0, 0 });
     return;
   }
   mPort.mNote({ "job.accepted",
@@ -181,8 +180,7 @@
 leading::AnswerState(call_number aCall, const job_record& aJob)
 {
   mPort.mAnswer(
-    aCall,
-    job_answer{ job_reply::State, std::string(StateName(aJob)), 0, 0 });
+    aCall, job_answer{ job_reply::State, std::string(StateName(aJob)), 0, 0 });
 }
 
 void
@@ -283,11 +281,12 @@
   }
   for (const job_id& id : aOutcome.mEnded) {
     const job_record* job = mState.FindJob(id);
-    mPort.mNote({ "job.ended",
-                  { { "job", id.Value() },
-                    { "state", std::string(StateName(*job)) },
-                    { "after_ms",
-                      std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
+    mPort.mNote(
+      { "job.ended",
+        { { "job", id.Value() },
+          { "state", std::string(StateName(*job)) },
+          { "after_ms",
+            std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
     mAdvice.Forget(id);
     StopRuns(id, *job);
   }
@@ -406,8 +405,8 @@
 void
 leading::ForgetOld()
 {
-  const std::int64_t before = mAt.mWallMs - mOptions.mShowEnded.count() -
-                              mOptions.mShowMargin.count();
+  const std::int64_t before =
+    mAt.mWallMs - mOptions.mShowEnded.count() - mOptions.mShowMargin.count();
   forget_jobs old;
   for (const auto& [id, job] : mState.Jobs()) {
     if (!job.IsActive() && job.mEndedWallMs < before) {
@@ -440,8 +439,7 @@
 void
 leading::Decide()
 {
-  if (!std::exchange(mPlanDue, false) &&
-      mAt.mNow < mPlannedAt + kPlanEvery) {
+  if (!std::exchange(mPlanDue, false) && mAt.mNow < mPlannedAt + kPlanEvery) {
     return;
   }
   mPlannedAt = mAt.mNow;
@@ -503,7 +501,8 @@
           { "step", std::to_string(start.mRun.mTask.mStep) },
           { "task", std::to_string(start.mRun.mTask.mIndex) },
           { "attempt", std::to_string(start.mRun.mAttempt) },
-          { "worker", mState.FindWorker(start.mWorker)->mFacts.mId.Value() } } });
+          { "worker",
+            mState.FindWorker(start.mWorker)->mFacts.mId.Value() } } });
     const auto ticket = mTickets.find(start.mRun);
     mKeeper.Begin(start,
                   ticket == mTickets.end() ? std::string() : ticket->second,
@@ -585,11 +584,8 @@
                   { "asked", std::to_string(asked.mAsked.size()) },
                   { "approved", std::to_string(aAnswer->size()) } } });
   const milliseconds valid = milliseconds(asked.mValidMs) - kTicketMargin;
-  mAdvice.Answered(asked.mStep,
-                   asked.mQueue,
-                   asked.mAsked,
-                   *aAnswer,
-                   mAt.mNow + valid);
+  mAdvice.Answered(
+    asked.mStep, asked.mQueue, asked.mAsked, *aAnswer, mAt.mNow + valid);
 }
 
 std::vector<worker_order>
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -163,7 +163,7 @@
 enum class job_reply : std::uint8_t
 {
   Accepted,
-  Refused,      // not taken and never run; mRetryAfterMs says when to come back
+  Refused, // not taken and never run; mRetryAfterMs says when to come back
   NoQueue,
   NotConfigured, // there is no table yet
   Gone,          // no such job
@@ -176,7 +176,7 @@
 struct job_answer
 {
   job_reply mReply = job_reply::Gone;
-  std::string mText;              // the state's name, or the problem
+  std::string mText; // the state's name, or the problem
   std::uint64_t mPending = 0;
   std::int64_t mRetryAfterMs = 0;
 
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -64,12 +64,10 @@
         std::int64_t aWallMs)
 {
   const std::int64_t whole = ChainAfter(aStep.mJob->mSpec, 0);
-  const auto objective =
-    static_cast<std::int64_t>(aStep.mQueue->mStretch *
-                              static_cast<double>(whole)) +
-    aStep.mQueue->mTargetMs;
-  const std::int64_t left =
-    ChainAfter(aStep.mJob->mSpec, aStep.mRef.mStep);
+  const auto objective = static_cast<std::int64_t>(aStep.mQueue->mStretch *
+                                                   static_cast<double>(whole)) +
+                         aStep.mQueue->mTargetMs;
+  const std::int64_t left = ChainAfter(aStep.mJob->mSpec, aStep.mRef.mStep);
   return aOccurrence.mOpenedWallMs + objective - aWallMs - left;
 }
 
@@ -324,9 +322,9 @@
         continue;
       }
       constexpr double kKnownGood = 100;
-      candidates.emplace_back(
-        Score(aStep, worker) + (known == verdict::Expired ? kKnownGood : 0),
-        &worker);
+      candidates.emplace_back(Score(aStep, worker) +
+                                (known == verdict::Expired ? kKnownGood : 0),
+                              &worker);
     }
     std::ranges::sort(candidates, [](const auto& aLeft, const auto& aRight) {
       return std::make_pair(-aLeft.first, aLeft.second->mNumber) <
@@ -334,8 +332,7 @@
     });
     const double share = mInput.mAdvice->ApprovedShare(aStep.mQueue->mName);
     question asked{ aStep.mRef, {} };
-    const double wanted =
-      static_cast<double>(aTasks) * kNameMargin + kNameMore;
+    const double wanted = static_cast<double>(aTasks) * kNameMargin + kNameMore;
     for (const auto& [score, worker] : candidates) {
       if (good >= wanted || asked.mWorkers.size() >= kMostNamed) {
         break;
--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -132,8 +132,8 @@
   cell::resources mSize; // of one task
   std::int64_t mEstimateMs = 0;
   std::vector<std::uint32_t> mDependsOn; // earlier steps, from 0
-  std::string mImage; // tasks of one image behave alike
-  std::string mLabel; // that a worker must have
+  std::string mImage;                    // tasks of one image behave alike
+  std::string mLabel;                    // that a worker must have
   std::string mDataRack;
   std::uint32_t mMostPerWorker = 0; // 0: no bound
   std::int64_t mTailTargetMs = 0;   // of a task that serves; 0: none
@@ -142,9 +142,9 @@
   bool mCheckpoints = false;
   bool mGang = false;
   bool mSameRack = false;
-  bool mCopies = false;   // copies may run in parallel
-  bool mLasting = false;  // runs until the job is cancelled
-  bool mFills = false;    // takes what the others leave
+  bool mCopies = false;  // copies may run in parallel
+  bool mLasting = false; // runs until the job is cancelled
+  bool mFills = false;   // takes what the others leave
 
   // What it takes from a worker's capacity.
   [[nodiscard]] cell::resources Booked() const
@@ -265,8 +265,7 @@
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(
-      mId, mAddress, mDataCentre, mService, mLabels, mRack, mCapacity);
+    aArchive(mId, mAddress, mDataCentre, mService, mLabels, mRack, mCapacity);
   }
 };
 
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -47,9 +47,9 @@
     worker_view& view = mViews[number];
     // An earlier leader may have given the longest lease just before it lost
     // its place; it gives none afterwards.
-    view.mLapsesAt =
-      aNow + Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
-      kClockRounding;
+    view.mLapsesAt = aNow +
+                     Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
+                     kClockRounding;
     view.mHeardAt = aNow;
     view.mProbe = true;
     view.mToldCursor = worker.mCursor;
@@ -137,8 +137,8 @@
     order.mLeaseClockMs = view.mClockMs + ToMs(age) + mOptions.mLease.count();
     // The worker's clock may have gained less than ours since its answer.
     const duration lease =
-      mOptions.mLease + std::chrono::duration_cast<duration>(
-                          age * mOptions.mSlowClock);
+      mOptions.mLease +
+      std::chrono::duration_cast<duration>(age * mOptions.mSlowClock);
     view.mLapsesAt =
       std::max(view.mLapsesAt,
                aNow + Stretch(lease, mOptions.mSlowClock) + kClockRounding);
@@ -161,13 +161,12 @@
     return;
   }
   found->second.mRuns[aStart.mRun] = {};
-  Send(aStart.mWorker,
-       start_order{ aStart.mRun,
-                    job->mSpec.mPayload,
-                    task->mCheckpoint,
-                    std::move(aTicket) },
-       true,
-       aNow);
+  Send(
+    aStart.mWorker,
+    start_order{
+      aStart.mRun, job->mSpec.mPayload, task->mCheckpoint, std::move(aTicket) },
+    true,
+    aNow);
 }
 
 void
@@ -410,9 +409,9 @@
   for (const auto& [run, view] : aView.mRuns) {
     // An earlier leader's start that is still under way carries a fence that
     // this worker now refuses.
-    const bool mustShow =
-      view.mInherited || (view.mStartedAt && *view.mStartedAt <= aSentAt) ||
-      (view.mStoppedAt && *view.mStoppedAt <= aSentAt);
+    const bool mustShow = view.mInherited ||
+                          (view.mStartedAt && *view.mStartedAt <= aSentAt) ||
+                          (view.mStoppedAt && *view.mStoppedAt <= aSentAt);
     if (mustShow && !present.contains(run)) {
       drop.mRuns.push_back(run);
     }
@@ -454,10 +453,8 @@
   // Nothing is promised to a worker that doesn't answer: a lease that may have
   // reached it would put off the moment when its work may go elsewhere.
   const bool lease = aView.mFailures == 0;
-  return Send(aWorker,
-              hold_order{ aView.mToldCursor, aWait.count() },
-              lease,
-              aNow);
+  return Send(
+    aWorker, hold_order{ aView.mToldCursor, aWait.count() }, lease, aNow);
 }
 
 void
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -46,8 +46,8 @@
     std::optional<time_point> mStartedAt;
     // Given when the start got no answer.
     std::optional<time_point> mUnsureSince;
-    bool mInherited = false;   // an earlier leader may have sent the start
-    bool mSeen = false;        // in a look
+    bool mInherited = false; // an earlier leader may have sent the start
+    bool mSeen = false;      // in a look
     bool mStopWanted = false;
     bool mStopUnderWay = false;
     time_point mStopAgainAt{};
@@ -60,13 +60,13 @@
   bool mHasClock = false;
   std::int64_t mClockMs = 0;
   time_point mClockAt{};
-  time_point mLapsesAt{}; // by then every lease there is over
+  time_point mLapsesAt{};  // by then every lease there is over
   std::uint64_t mLook = 0; // the look that waits there for an end
   time_point mNextLook{};
   bool mProbe = false; // a look that doesn't wait is wanted
   std::uint64_t mQuickLook = 0;
   time_point mNextDrop{};
-  int mFailures = 0;   // looks and starts without an answer, in a row
+  int mFailures = 0; // looks and starts without an answer, in a row
   time_point mHeardAt{};
   time_point mUnhealthyUntil{};
   std::int64_t mBeat = -1; // the newest heartbeat's number
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -91,10 +91,8 @@
 result<void>
 control_host::OpenFolder()
 {
-  auto opened = storage::data_folder::Open(mFiles,
-                                           mOptions.mDataFolder,
-                                           { mOptions.mCluster, mOptions.mNode },
-                                           {});
+  auto opened = storage::data_folder::Open(
+    mFiles, mOptions.mDataFolder, { mOptions.mCluster, mOptions.mNode }, {});
   if (!opened) {
     return Fail(opened.error());
   }
@@ -120,10 +118,8 @@
   config.mSelf = consensus::node_id(mOptions.mNode);
   config.mAddress = mOptions.mAddress;
   config.mFlow = mOptions.mFlow;
-  auto core = flow::flow_core::Make(config,
-                                    std::move(*restored),
-                                    std::random_device{}(),
-                                    runtime_clock::now());
+  auto core = flow::flow_core::Make(
+    config, std::move(*restored), std::random_device{}(), runtime_clock::now());
   if (!core) {
     return Fail(core.error());
   }
@@ -149,9 +145,8 @@
                         kFirstTerm,
                         consensus::entry_kind::Configuration,
                         Encode(Founders(mOptions)) } };
-  const std::vector<storage::log_record> records{
-    voter::ToRecord(aState.mEntries.front())
-  };
+  const std::vector<storage::log_record> records{ voter::ToRecord(
+    aState.mEntries.front()) };
   if (auto saved = aFolder.SaveVote(Encode(aState.mHardState)); !saved) {
     return saved;
   }
@@ -189,10 +184,9 @@
       aReply(Fail(asked.error()));
       return;
     }
-    boost::asio::post(mContext,
-                      [this, request = std::move(*asked), aReply]() {
-                        OnAdviceCall(request, aReply);
-                      });
+    boost::asio::post(mContext, [this, request = std::move(*asked), aReply]() {
+      OnAdviceCall(request, aReply);
+    });
     return;
   }
   auto asked = aKind == flow::kFlowCall
@@ -211,22 +205,20 @@
 control_host::OnFlowCall(const flow::flow_request& aRequest,
                          wire::reply_function aReply)
 {
-  AskLocal(aRequest,
-           [reply = std::move(aReply)](result<flow::flow_answer> aAnswer) {
-             reply(aAnswer ? result<bytes>(Encode(*aAnswer))
-                           : Fail(aAnswer.error()));
-           });
+  AskLocal(
+    aRequest, [reply = std::move(aReply)](result<flow::flow_answer> aAnswer) {
+      reply(aAnswer ? result<bytes>(Encode(*aAnswer)) : Fail(aAnswer.error()));
+    });
 }
 
 void
 control_host::OnAdviceCall(const flow::advice_request& aRequest,
                            wire::reply_function aReply)
 {
-  mPolicy(aRequest,
-          [reply = std::move(aReply)](result<flow::approvals> aAnswer) {
-            reply(aAnswer ? result<bytes>(Encode(*aAnswer))
-                          : Fail(aAnswer.error()));
-          });
+  mPolicy(
+    aRequest, [reply = std::move(aReply)](result<flow::approvals> aAnswer) {
+      reply(aAnswer ? result<bytes>(Encode(*aAnswer)) : Fail(aAnswer.error()));
+    });
 }
 
 void
@@ -395,8 +387,7 @@
                 aReply ? Decode<flow::approvals>(*aReply, "reading advice")
                        : Fail(aReply.error());
               boost::asio::post(
-                mContext,
-                [done, got = std::move(answer)]() { done(got); });
+                mContext, [done, got = std::move(answer)]() { done(got); });
             });
 }
 
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -63,9 +63,7 @@
   // Errors: what keeps it from starting (folder, address).
   result<void> Start();
   // Of the leader, here or elsewhere.
-  void Ask(flow::flow_request aRequest,
-           time_point aUntil,
-           flow_callback aDone);
+  void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
   // Control processes that the settings name since.
   void Learn(const std::vector<std::string>& aControls)
   {
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -58,21 +58,18 @@
                    const bytes& aBody,
                    wire::reply_function aReply)
 {
-  auto asked =
-    aKind == flow::kAdviceCall
-      ? Decode<flow::advice_request>(aBody, "advice")
-      : Fail(error_code::InvalidArgument, "call", "unknown kind");
+  auto asked = aKind == flow::kAdviceCall
+                 ? Decode<flow::advice_request>(aBody, "advice")
+                 : Fail(error_code::InvalidArgument, "call", "unknown kind");
   if (!asked) {
     aReply(Fail(asked.error()));
     return;
   }
-  boost::asio::post(
-    mContext, [this, request = std::move(*asked), aReply]() {
-      mPolicy(request, [aReply](result<flow::approvals> aAnswer) {
-        aReply(aAnswer ? result<bytes>(Encode(*aAnswer))
-                       : Fail(aAnswer.error()));
-      });
+  boost::asio::post(mContext, [this, request = std::move(*asked), aReply]() {
+    mPolicy(request, [aReply](result<flow::approvals> aAnswer) {
+      aReply(aAnswer ? result<bytes>(Encode(*aAnswer)) : Fail(aAnswer.error()));
     });
+  });
 }
 
 void
--- a/oriolewalk/host/entry_host.h
+++ b/oriolewalk/host/entry_host.h
@@ -28,8 +28,8 @@
 
 struct entry_options
 {
-  std::string mAddress;                // of our RPC
-  std::vector<std::string> mControls;  // RPC addresses, at least one
+  std::string mAddress;               // of our RPC
+  std::vector<std::string> mControls; // RPC addresses, at least one
 };
 
 class entry_host
@@ -46,9 +46,7 @@
   entry_host& operator=(entry_host&&) = delete;
 
   result<void> Start();
-  void Ask(flow::flow_request aRequest,
-           time_point aUntil,
-           flow_callback aDone);
+  void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
   // Control processes that the settings name since.
   void Learn(const std::vector<std::string>& aControls)
   {
--- a/oriolewalk/host/leader_link.cc
+++ b/oriolewalk/host/leader_link.cc
@@ -60,11 +60,10 @@
 {
   const time_point now = runtime_clock::now();
   if (now >= aQuestion->mUntil) {
-    aQuestion->mDone(
-      Fail(aQuestion->mMaybeTaken ? error_code::Timeout
-                                  : error_code::Unavailable,
-           "asking control",
-           "no leader answered in time"));
+    aQuestion->mDone(Fail(aQuestion->mMaybeTaken ? error_code::Timeout
+                                                 : error_code::Unavailable,
+                          "asking control",
+                          "no leader answered in time"));
     return;
   }
   const std::string peer = mChoice.Current();
--- a/oriolewalk/host/leader_link.h
+++ b/oriolewalk/host/leader_link.h
@@ -46,14 +46,9 @@
   void SetLocal(std::string aAddress, local_ask aAsk);
   // Addresses of control processes that were learnt.
   void Learn(const std::vector<std::string>& aControls);
-  void Ask(flow::flow_request aRequest,
-           time_point aUntil,
-           flow_callback aDone);
+  void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
   // Who answered last, or was named the leader.
-  [[nodiscard]] const std::string& Current() const
-  {
-    return mChoice.Current();
-  }
+  [[nodiscard]] const std::string& Current() const { return mChoice.Current(); }
 
 private:
   struct question
--- a/programs/oriole_platform_control.cc
+++ b/programs/oriole_platform_control.cc
@@ -1,5 +1,6 @@
-// oriole-platform-control: the control process on the users' platform. Its settings are
-// the file that ORIOLEWALK_SETTINGS names; --check reads them and ends.
+// oriole-platform-control: the control process on the users' platform. Its
+// settings are the file that ORIOLEWALK_SETTINGS names; --check reads them and
+// ends.
 
 #include "platform/main.h"
 #include "platform/process.h"
--- a/programs/oriole_platform_entry.cc
+++ b/programs/oriole_platform_entry.cc
@@ -1,5 +1,5 @@
-// oriole-platform-entry: the entry process on the users' platform. Its settings are
-// the file that ORIOLEWALK_SETTINGS names; --check reads them and ends.
+// oriole-platform-entry: the entry process on the users' platform. Its settings
+// are the file that ORIOLEWALK_SETTINGS names; --check reads them and ends.
 
 #include "platform/main.h"
 #include "platform/process.h"
--- a/testing/entry/entry_test.cc
+++ b/testing/entry/entry_test.cc
@@ -3,9 +3,9 @@
 #include <string>
 
 #include "oriolewalk/entry/caller_api.h"
-#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/entry/live_call.h"
 #include "oriolewalk/entry/platform_api.h"
+#include "oriolewalk/wire/leader_choice.h"
 
 namespace oriolewalk::entry {
 namespace {
--- a/testing/system/fake_cell.cc
+++ b/testing/system/fake_cell.cc
@@ -192,8 +192,7 @@
 fake_cell::Store(fake_control& aControl)
 {
   consensus::restored_state& disk = aControl.mDisk.mState;
-  for (const voter::write_batch& batch :
-       std::exchange(aControl.mWrites, {})) {
+  for (const voter::write_batch& batch : std::exchange(aControl.mWrites, {})) {
     aControl.mDisk.mInitialised = true;
     if (batch.mHardState) {
       disk.mHardState = *batch.mHardState;
--- a/testing/system/fake_cell.h
+++ b/testing/system/fake_cell.h
@@ -23,8 +23,8 @@
 #include <vector>
 
 #include "oriolewalk/control/control_core.h"
-#include "oriolewalk/wire/leader_choice.h"
 #include "oriolewalk/entry/request_flow.h"
+#include "oriolewalk/wire/leader_choice.h"
 
 namespace oriolewalk::testing {
 
