--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -410,8 +410,8 @@
     // An earlier leader's start that is still under way carries a fence that
     // this worker now refuses.
     const bool mustShow = view.mInherited ||
-                          (view.mStartedAt && *view.mStartedAt <= aSentAt) ||
-                          (view.mStoppedAt && *view.mStoppedAt <= aSentAt);
+                          (view.mStartedAt && *view.mStartedAt < aSentAt) ||
+                          (view.mStoppedAt && *view.mStoppedAt < aSentAt);
     if (mustShow && !present.contains(run)) {
       drop.mRuns.push_back(run);
     }
--- /dev/null
+++ b/testing/flow/flow_state_test.cc
@@ -0,0 +1,223 @@
+#include <catch2/catch.hpp>
+
+#include "oriolewalk/flow/flow_state.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+using testing::Queue;
+using testing::state_builder;
+using testing::Step;
+using testing::Worker;
+
+TEST_CASE("a job sent again is one job")
+{
+  // A caller's connection breaks after the commit. It sends the same id
+  // again, at another entry, and must not get a second job.
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(1, 1'000) });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  made.Start(state_builder::Run(job, 1), worker);
+  made.AddJob("00", { Step(5, 1'000) });
+  CHECK(made.mState.FindJob(job)->mSpec.mSteps[0].mCount == 1);
+  CHECK(made.mState.FindJob(job)->mBegun);
+}
+
+TEST_CASE("a step waits for those that it depends on")
+{
+  state_builder made;
+  step_spec second = Step(1, 1'000);
+  second.mDependsOn = { 0 };
+  const job_id job = made.AddJob("00", { Step(1, 1'000), second });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  const run_ref later = state_builder::Run(job, 1, 0, 1);
+  CHECK(made.Start(later, worker).mStarted.empty());
+  made.Start(state_builder::Run(job, 1), worker);
+  CHECK(made.Start(later, worker).mStarted.empty());
+  made.End(state_builder::Run(job, 1), worker, run_outcome::Done);
+  CHECK(made.Start(later, worker).mStarted.size() == 1);
+}
+
+TEST_CASE(
+  "a task is not placed twice, and an old attempt's end changes nothing")
+{
+  // A worker is cut off; its lease lapses; the task starts elsewhere. Then the
+  // first worker is back and lists its end as done: the second attempt is
+  // under way, and must stay the one that counts.
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(1, 1'000) });
+  const worker_number first = made.AddWorker(Worker("w"));
+  const worker_number second = made.AddWorker(Worker("ww"));
+  made.Start(state_builder::Run(job, 1), first);
+  CHECK(made.Start(state_builder::Run(job, 2), second).mStarted.empty());
+  made.Apply(drop_runs{ first, { state_builder::Run(job, 1) } });
+  CHECK(made.Start(state_builder::Run(job, 1), second).mStarted.empty());
+  CHECK(made.Start(state_builder::Run(job, 2), second).mStarted.size() == 1);
+  made.End(state_builder::Run(job, 1), first, run_outcome::Done);
+  CHECK(made.mState.FindJob(job)->IsActive());
+  CHECK(made.mState.IsPlaced(state_builder::Run(job, 2), second));
+  made.End(state_builder::Run(job, 2), second, run_outcome::Done);
+  CHECK(made.mState.FindJob(job)->mState == job_state::Done);
+}
+
+TEST_CASE("failures count up to the queue's bound, other ends don't")
+{
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(1, 1'000) });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  const run_outcome ends[] = { run_outcome::Failed,
+                               run_outcome::Lapsed,
+                               run_outcome::Stopped };
+  attempt_t attempt = 0;
+  for (const run_outcome how : ends) {
+    made.Start(state_builder::Run(job, ++attempt), worker);
+    made.End(state_builder::Run(job, attempt), worker, how, attempt);
+    CHECK(made.mState.FindJob(job)->IsActive());
+  }
+  made.Start(state_builder::Run(job, ++attempt), worker);
+  made.End(
+    state_builder::Run(job, attempt), worker, run_outcome::Failed, attempt);
+  CHECK(made.mState.FindJob(job)->mState == job_state::Failed);
+}
+
+TEST_CASE("a gang's failure counts once, its success stands for all")
+{
+  state_builder made;
+  step_spec gang = Step(3, 1'000);
+  gang.mGang = true;
+  const job_id job = made.AddJob("00", { gang });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  const auto startAll = [&](attempt_t aAttempt) {
+    for (std::uint32_t index = 0; index < 3; ++index) {
+      made.Start(state_builder::Run(job, aAttempt, index), worker);
+    }
+  };
+  startAll(1);
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    made.End(state_builder::Run(job, 1, index),
+             worker,
+             run_outcome::Failed,
+             index + 1);
+  }
+  CHECK(made.mState.FindJob(job)->IsActive());
+  startAll(2);
+  made.End(state_builder::Run(job, 2, 1), worker, run_outcome::Done, 4);
+  CHECK(made.mState.FindJob(job)->mState == job_state::Done);
+  CHECK(made.mState.BookedAt(worker) == cell::resources{});
+}
+
+TEST_CASE("a lasting task starts again however it ends")
+{
+  state_builder made;
+  step_spec lasting = Step(1, 1'000);
+  lasting.mLasting = true;
+  const job_id job = made.AddJob("00", { lasting });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  for (attempt_t attempt = 1; attempt <= 5; ++attempt) {
+    CHECK(
+      made.Start(state_builder::Run(job, attempt), worker).mStarted.size() ==
+      1);
+    made.End(
+      state_builder::Run(job, attempt), worker, run_outcome::Failed, attempt);
+  }
+  CHECK(made.mState.FindJob(job)->IsActive());
+}
+
+TEST_CASE("nothing starts on a worker that drains, or of a job that ended")
+{
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(2, 1'000) });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  made.Start(state_builder::Run(job, 1), worker);
+  made.Apply(register_worker{ Worker("w"), true });
+  CHECK(made.Start(state_builder::Run(job, 1, 1), worker).mStarted.empty());
+  const worker_number other = made.AddWorker(Worker("ww"));
+  made.Apply(cancel_job{ job });
+  CHECK(made.Start(state_builder::Run(job, 1, 1), other).mStarted.empty());
+  CHECK(made.mState.Live().contains(job)); // a run may be under way
+  made.End(state_builder::Run(job, 1), worker, run_outcome::Stopped);
+  CHECK_FALSE(made.mState.Live().contains(job));
+  CHECK(made.mState.FindJob(job)->mState == job_state::Cancelled);
+}
+
+TEST_CASE("a worker's end frees all that ran there")
+{
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(2, 1'000) });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  made.Start(state_builder::Run(job, 1, 0), worker);
+  made.Start(state_builder::Run(job, 1, 1), worker);
+  CHECK(made.mState.BookedAt(worker).mMilliProcessors == 2'000);
+  made.Apply(remove_worker{ worker });
+  CHECK(made.mState.PlacedAt(worker).empty());
+  CHECK(made.mState.FindTask({ job, 0, 0, 0 })->mPhase == task_phase::Waiting);
+  // The next life has a number of its own.
+  CHECK(made.AddWorker(Worker("w")) != worker);
+}
+
+TEST_CASE("the table's version only rises")
+{
+  state_builder made;
+  queue_table older = made.mState.Table();
+  older.mQueues.clear();
+  made.Apply(put_table{ older, "other" });
+  CHECK(made.mState.TableSource() == "source");
+  older.mVersion = 5;
+  made.Apply(put_table{ older, "newer" });
+  CHECK(made.mState.Table().mVersion == 5);
+  CHECK(made.mState.TableSource() == "newer");
+}
+
+TEST_CASE("a table with a fault is refused")
+{
+  state_builder made;
+  queue_table table = made.mState.Table();
+  CHECK(CheckTable(table));
+  queue_table unknown = table;
+  unknown.mQueues[0].mService = service_id("other");
+  CHECK_FALSE(CheckTable(unknown));
+  queue_table twice = table;
+  twice.mQueues[1].mPrefix = twice.mQueues[0].mPrefix;
+  CHECK_FALSE(CheckTable(twice));
+  queue_table never = table;
+  never.mQueues[0].mTimeoutMs = 0;
+  CHECK_FALSE(CheckTable(never));
+}
+
+TEST_CASE("a snapshot gives back the same state")
+{
+  state_builder made;
+  const job_id job = made.AddJob("00", { Step(2, 1'000) });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  made.Start(state_builder::Run(job, 1), worker);
+  flow_state read;
+  REQUIRE(read.Restore(made.mState.Save()));
+  CHECK(read.Save() == made.mState.Save());
+  CHECK(read.IsPlaced(state_builder::Run(job, 1), worker));
+  CHECK(read.BookedAt(worker).mMilliProcessors == 1'000);
+  CHECK_FALSE(read.Restore("rubbish"));
+}
+
+TEST_CASE("a recurring job ends with its last occurrence")
+{
+  state_builder made;
+  job_spec spec;
+  spec.mSteps = { Step(1, 1'000) };
+  spec.mRecurrence = { 2, 5'000, 1'000 };
+  const job_id job("00");
+  made.Apply(submit_job{ job, *made.mState.Table().FindQueue("fees"), spec });
+  const worker_number worker = made.AddWorker(Worker("w"));
+  CHECK(made.Start(state_builder::Run(job, 1), worker).mStarted.empty());
+  CHECK(made.Apply(open_occurrence{ job, 1 }).mError);
+  made.Apply(open_occurrence{ job, 0 });
+  made.Start(state_builder::Run(job, 1), worker);
+  made.End(state_builder::Run(job, 1), worker, run_outcome::Done);
+  CHECK(made.mState.FindJob(job)->IsActive());
+  made.Apply(open_occurrence{ job, 1 });
+  const run_ref second{ { job, 1, 0, 0 }, 1 };
+  made.Start(second, worker);
+  made.End(second, worker, run_outcome::Done, 2);
+  CHECK(made.mState.FindJob(job)->mState == job_state::Done);
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/planner_test.cc
@@ -0,0 +1,167 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+
+#include "oriolewalk/flow/planner.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::Queue;
+using testing::state_builder;
+using testing::Step;
+using testing::Worker;
+
+struct plan_scene
+{
+  state_builder mMade;
+  advice_book mAdvice;
+  std::map<task_ref, worker_number> mProposed;
+  std::set<step_ref> mAsking;
+  time_point mNow{ seconds(100) };
+
+  explicit plan_scene(std::vector<queue_row> aQueues = { Queue("fees", 0),
+                                                         Queue("runs", 2) })
+    : mMade(std::move(aQueues))
+  {
+  }
+
+  plan_result Plan()
+  {
+    plan_input input;
+    input.mState = &mMade.mState;
+    input.mAdvice = &mAdvice;
+    for (const auto& [number, worker] : mMade.mState.Workers()) {
+      input.mWorkers.push_back(
+        { number,
+          &worker.mFacts,
+          worker.mFacts.mCapacity - mMade.mState.BookedAt(number),
+          1 });
+    }
+    input.mProposed = &mProposed;
+    input.mAsking = &mAsking;
+    input.mFreeAdvisors = 8;
+    input.mNow = mNow;
+    input.mWallMs = 1'000;
+    return MakePlan(std::move(input));
+  }
+};
+
+} // namespace
+
+TEST_CASE("a worker's capacity is never planned beyond")
+{
+  plan_scene scene;
+  scene.mMade.AddWorker(Worker("w", 2'500));
+  scene.mMade.AddJob("00", { Step(5, 1'000) });
+  const plan_result plan = scene.Plan();
+  CHECK(plan.mStarts.size() == 2);
+  CHECK(plan.mWaiting == 3);
+}
+
+TEST_CASE("most per worker counts what is proposed and not yet applied")
+{
+  // Two plans in quick succession: the first one's starts are on their way
+  // through the log. A second plan that doesn't count them would put more
+  // tasks of the step on a worker than may be there.
+  plan_scene scene;
+  const worker_number worker = scene.mMade.AddWorker(Worker("w"));
+  step_spec apart = Step(4, 100);
+  apart.mMostPerWorker = 2;
+  const job_id job = scene.mMade.AddJob("00", { apart });
+  CHECK(scene.Plan().mStarts.size() == 2);
+  scene.mProposed[{ job, 0, 0, 0 }] = worker;
+  scene.mProposed[{ job, 0, 0, 1 }] = worker;
+  CHECK(scene.Plan().mStarts.empty());
+}
+
+TEST_CASE("the queue that comes first gets the room")
+{
+  plan_scene scene;
+  scene.mMade.AddWorker(Worker("w", 1'000));
+  scene.mMade.AddJob("00", { Step(1, 1'000) }, "runs");
+  const job_id urgent = scene.mMade.AddJob("01", { Step(1, 1'000) }, "fees");
+  const plan_result plan = scene.Plan();
+  REQUIRE(plan.mStarts.size() == 1);
+  CHECK(plan.mStarts[0].mStart.mRun.mTask.mJob == urgent);
+}
+
+TEST_CASE("a gang is planned whole or not at all")
+{
+  plan_scene scene;
+  scene.mMade.AddWorker(Worker("w", 2'000));
+  step_spec gang = Step(3, 1'000);
+  gang.mGang = true;
+  scene.mMade.AddJob("00", { gang });
+  CHECK(scene.Plan().mStarts.empty());
+  scene.mMade.AddWorker(Worker("ww", 1'000));
+  const plan_result plan = scene.Plan();
+  CHECK(plan.mStarts.size() == 3);
+}
+
+TEST_CASE("a gang's next attempt is above all of its members'")
+{
+  plan_scene scene;
+  const worker_number worker = scene.mMade.AddWorker(Worker("w", 8'000));
+  step_spec gang = Step(2, 1'000);
+  gang.mGang = true;
+  const job_id job = scene.mMade.AddJob("00", { gang });
+  scene.mMade.Start(state_builder::Run(job, 3, 1), worker);
+  CHECK(scene.Plan().mStarts.empty()); // a member of the last one is there
+  scene.mMade.End(state_builder::Run(job, 3, 1), worker, run_outcome::Alone);
+  const plan_result plan = scene.Plan();
+  REQUIRE(plan.mStarts.size() == 2);
+  CHECK(plan.mStarts[0].mStart.mRun.mAttempt == 4);
+  CHECK(plan.mStarts[1].mStart.mRun.mAttempt == 4);
+}
+
+TEST_CASE("a step bound to one rack stays in one")
+{
+  plan_scene scene;
+  worker_facts other = Worker("ww", 2'000);
+  other.mRack = rack_id("r2");
+  scene.mMade.AddWorker(Worker("w", 1'000));
+  const worker_number there = scene.mMade.AddWorker(other);
+  step_spec tight = Step(2, 1'000);
+  tight.mSameRack = true;
+  tight.mGang = true;
+  scene.mMade.AddJob("00", { tight });
+  const plan_result plan = scene.Plan();
+  REQUIRE(plan.mStarts.size() == 2);
+  CHECK(plan.mStarts[0].mStart.mWorker == there);
+  CHECK(plan.mStarts[1].mStart.mWorker == there);
+}
+
+TEST_CASE("where the policy must approve, tickets come first")
+{
+  queue_row queue = Queue("fees", 0);
+  queue.mAdvice = advice_terms{ 20, 0.3, 2'000 };
+  plan_scene scene({ queue });
+  const worker_number good = scene.mMade.AddWorker(Worker("w"));
+  const worker_number bad = scene.mMade.AddWorker(Worker("ww"));
+  const job_id job = scene.mMade.AddJob("00", { Step(2, 1'000) });
+  plan_result plan = scene.Plan();
+  CHECK(plan.mStarts.empty());
+  REQUIRE(plan.mQuestions.size() == 1);
+  const step_ref step{ job, 0, 0 };
+  scene.mAdvice.Answered(step,
+                         "fees",
+                         { { good, worker_id("w") }, { bad, worker_id("ww") } },
+                         { { worker_id("w"), "t1" } },
+                         scene.mNow + seconds(2));
+  plan = scene.Plan();
+  REQUIRE(plan.mStarts.size() == 2);
+  CHECK(plan.mStarts[0].mStart.mWorker == good);
+  CHECK(plan.mStarts[0].mTicket == "t1");
+  // A ticket that has run out is asked for again, and only that one.
+  scene.mNow += seconds(3);
+  plan = scene.Plan();
+  CHECK(plan.mStarts.empty());
+  REQUIRE(plan.mQuestions.size() == 1);
+  CHECK(plan.mQuestions[0].mWorkers == std::vector{ good });
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/worker_keeper_test.cc
@@ -0,0 +1,319 @@
+#include <algorithm>
+#include <optional>
+#include <variant>
+
+#include <catch2/catch.hpp>
+
+#include "oriolewalk/flow/worker_keeper.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::state_builder;
+using testing::Step;
+using testing::Worker;
+
+// One worker, one job, and a keeper whose orders the test answers by hand.
+struct keeper_scene
+{
+  state_builder mMade;
+  worker_number mWorker = mMade.AddWorker(Worker("w"));
+  job_id mJob = mMade.AddJob("00", { Step(4, 1'000) });
+  flow_options mOptions;
+  time_point mNow{ seconds(100) };
+  worker_keeper mKeeper{ mMade.mState, mOptions, 7, mNow };
+  std::vector<worker_order> mSeen;
+  std::vector<command_body> mCommands;
+
+  void Advance(duration aBy)
+  {
+    constexpr milliseconds kTick{ 10 };
+    for (const time_point until = mNow + aBy; mNow < until;) {
+      mNow += kTick;
+      mKeeper.Tick(mNow);
+      Take();
+    }
+  }
+
+  void Take()
+  {
+    for (worker_order& order : mKeeper.TakeOrders()) {
+      mSeen.push_back(std::move(order));
+    }
+    for (command_body& body : mKeeper.TakeCommands()) {
+      mCommands.push_back(std::move(body));
+    }
+  }
+
+  // The oldest order of that kind that wasn't taken yet.
+  template<class Body>
+  std::optional<worker_order> Next()
+  {
+    Take();
+    const auto found = std::ranges::find_if(mSeen, [](const auto& aOrder) {
+      return std::holds_alternative<Body>(aOrder.mBody);
+    });
+    if (found == mSeen.end()) {
+      return std::nullopt;
+    }
+    worker_order order = *found;
+    mSeen.erase(found);
+    return order;
+  }
+
+  void Answer(const worker_order& aOrder, order_answer aAnswer)
+  {
+    aAnswer.mClockMs = 5'000;
+    mKeeper.Answered(aOrder.mId, aAnswer, mNow);
+    Take();
+  }
+
+  static order_answer With(order_result aResult)
+  {
+    order_answer answer;
+    answer.mResult = aResult;
+    return answer;
+  }
+
+  static order_answer Showing(std::vector<run_ref> aRunning)
+  {
+    order_answer answer = With(order_result::Done);
+    for (const run_ref& run : aRunning) {
+      answer.mRunning.push_back({ run, {}, 100, 0 });
+    }
+    return answer;
+  }
+
+  // The first look under this fence.
+  void Sync()
+  {
+    Advance(milliseconds(10));
+    Answer(*Next<hold_order>(), Showing({}));
+    mCommands.clear();
+  }
+
+  run_ref Begin(std::uint32_t aIndex = 0)
+  {
+    const run_ref run = state_builder::Run(mJob, 1, aIndex);
+    mMade.Start(run, mWorker);
+    mKeeper.Begin({ run, mWorker }, "ticket", mNow);
+    return run;
+  }
+
+  [[nodiscard]] bool IsDropped(const run_ref& aRun) const
+  {
+    return std::ranges::any_of(mCommands, [&](const command_body& aBody) {
+      const auto* drop = std::get_if<drop_runs>(&aBody);
+      return drop != nullptr && std::ranges::count(drop->mRuns, aRun) > 0;
+    });
+  }
+};
+
+} // namespace
+
+TEST_CASE("a look that may be older than a start says nothing of it")
+{
+  // Answers on two connections overtake each other: a look that was sent
+  // before the start was answered may not show it yet. Were that taken for its
+  // end, the task would start a second time elsewhere.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Advance(milliseconds(10));
+  const worker_order start = *scene.Next<start_order>();
+  const worker_order look = *scene.Next<hold_order>();
+  scene.Answer(start, keeper_scene::With(order_result::Done));
+  scene.Answer(look, keeper_scene::Showing({}));
+  CHECK_FALSE(scene.IsDropped(run));
+  scene.Advance(milliseconds(10));
+  scene.Answer(*scene.Next<hold_order>(), keeper_scene::Showing({}));
+  CHECK(scene.IsDropped(run));
+}
+
+TEST_CASE("a start without an answer is taken back before its task goes on")
+{
+  // The worker leaves the order unanswered and carries it out seconds later.
+  // The stop makes the attempt impossible there; only when it was answered and
+  // a later look shows nothing may the task start elsewhere.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::NoAnswer));
+  scene.Advance(scene.mOptions.mTakeBack + milliseconds(20));
+  const worker_order look = *scene.Next<hold_order>();
+  scene.Answer(look, keeper_scene::Showing({}));
+  CHECK_FALSE(scene.IsDropped(run));
+  const auto stop = scene.Next<stop_order>();
+  REQUIRE(stop);
+  scene.Answer(*stop, keeper_scene::With(order_result::NoAnswer));
+  scene.Advance(scene.mOptions.mStopAgain + milliseconds(20));
+  const auto again = scene.Next<stop_order>();
+  REQUIRE(again);
+  scene.Answer(*again, keeper_scene::With(order_result::Done));
+  CHECK_FALSE(scene.IsDropped(run));
+  scene.Advance(milliseconds(20));
+  for (auto next = scene.Next<hold_order>(); next;
+       next = scene.Next<hold_order>()) {
+    scene.Answer(*next, keeper_scene::Showing({}));
+  }
+  scene.Advance(milliseconds(20));
+  for (auto next = scene.Next<hold_order>(); next;
+       next = scene.Next<hold_order>()) {
+    scene.Answer(*next, keeper_scene::Showing({}));
+  }
+  CHECK(scene.IsDropped(run));
+}
+
+TEST_CASE("a start without an answer that a look shows goes on")
+{
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::NoAnswer));
+  scene.Advance(milliseconds(10));
+  scene.Answer(*scene.Next<hold_order>(), keeper_scene::Showing({ run }));
+  scene.Advance(scene.mOptions.mTakeBack + milliseconds(20));
+  CHECK_FALSE(scene.Next<stop_order>());
+  // And if a later look doesn't show it, it is over.
+  scene.Answer(*scene.Next<hold_order>(), keeper_scene::Showing({}));
+  CHECK(scene.IsDropped(run));
+}
+
+TEST_CASE("a refused start frees its task at once")
+{
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::TicketInvalid));
+  CHECK(scene.IsDropped(run));
+  CHECK(scene.mKeeper.TakeTicketsRefused().size() == 1);
+}
+
+TEST_CASE("work on a worker that can't be reached waits for the lapse")
+{
+  // The worker is cut off and runs on. Its work may start elsewhere only when
+  // its lease is over on a clock that may be slow; and a look that might still
+  // reach it must not renew the lease.
+  keeper_scene scene;
+  scene.Sync();
+  scene.Advance(seconds(7)); // whatever an earlier leader gave is over
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::Done));
+  scene.Advance(milliseconds(10));
+  const worker_order first = *scene.Next<hold_order>();
+  CHECK(first.mLeaseClockMs);
+  const time_point given = scene.mNow;
+  scene.Answer(first, keeper_scene::With(order_result::NoAnswer));
+  while (scene.mNow < given + scene.mOptions.mLease * 1.02) {
+    scene.Advance(milliseconds(50));
+    while (const auto look = scene.Next<hold_order>()) {
+      CHECK_FALSE(look->mLeaseClockMs);
+      scene.Answer(*look, keeper_scene::With(order_result::NoAnswer));
+    }
+    CHECK_FALSE(scene.IsDropped(run));
+  }
+  CHECK_FALSE(scene.mKeeper.IsUsable(scene.mWorker, scene.mNow));
+  scene.Advance(milliseconds(200));
+  CHECK(scene.IsDropped(run));
+}
+
+TEST_CASE("a new leader takes over what runs, and gives up what doesn't")
+{
+  // The old leader committed two starts and died; one had reached the worker.
+  // Under the new fence the other can't start any more.
+  keeper_scene scene;
+  const run_ref runs = state_builder::Run(scene.mJob, 1, 0);
+  const run_ref never = state_builder::Run(scene.mJob, 1, 1);
+  scene.mMade.Start(runs, scene.mWorker);
+  scene.mMade.Start(never, scene.mWorker);
+  worker_keeper next(scene.mMade.mState, scene.mOptions, 8, scene.mNow);
+  next.Tick(scene.mNow);
+  const auto orders = next.TakeOrders();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].mFence == 8);
+  CHECK_FALSE(next.IsUsable(scene.mWorker, scene.mNow));
+  next.Answered(orders[0].mId, keeper_scene::Showing({ runs }), scene.mNow);
+  const auto commands = next.TakeCommands();
+  REQUIRE(commands.size() == 1);
+  CHECK(std::get<drop_runs>(commands[0]).mRuns == std::vector{ never });
+}
+
+TEST_CASE("a new leader waits for the longest lease of a silent worker")
+{
+  keeper_scene scene;
+  scene.mMade.Start(state_builder::Run(scene.mJob, 1), scene.mWorker);
+  worker_keeper next(scene.mMade.mState, scene.mOptions, 8, scene.mNow);
+  const time_point begun = scene.mNow;
+  const auto dropped = [&]() { return !next.TakeCommands().empty(); };
+  for (time_point now = begun;
+       now < begun + scene.mOptions.mLongestLease * 1.02;
+       now += milliseconds(50)) {
+    next.Tick(now);
+    for (const worker_order& order : next.TakeOrders()) {
+      next.Answered(order.mId, keeper_scene::With(order_result::NoAnswer), now);
+    }
+    CHECK_FALSE(dropped());
+  }
+  next.Tick(begun + milliseconds(static_cast<int>(
+                      scene.mOptions.mLongestLease.count() * 1.05)));
+  CHECK(dropped());
+}
+
+TEST_CASE("an end is forgotten by its worker only when it is in the state")
+{
+  // Acknowledging an end that is then lost with the leader would start a
+  // finished task again.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::Done));
+  scene.Advance(milliseconds(10));
+  order_answer ended = keeper_scene::Showing({});
+  ended.mEnded.push_back({ 3, { run, run_outcome::Done, {} } });
+  scene.Answer(*scene.Next<hold_order>(), ended);
+  REQUIRE(scene.mCommands.size() == 1);
+  scene.Advance(milliseconds(500));
+  CHECK_FALSE(scene.Next<hold_order>()); // nothing is told meanwhile
+  scene.mMade.Apply(scene.mCommands[0]);
+  scene.mKeeper.EndsApplied(scene.mWorker, scene.mNow);
+  scene.Advance(milliseconds(10));
+  const auto look = scene.Next<hold_order>();
+  REQUIRE(look);
+  CHECK(std::get<hold_order>(look->mBody).mCursor == 3);
+}
+
+TEST_CASE("another life at the address ends the old one")
+{
+  keeper_scene scene;
+  scene.Sync();
+  scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::OtherLife));
+  REQUIRE(scene.mCommands.size() == 1);
+  CHECK(std::get<remove_worker>(scene.mCommands[0]).mWorker == scene.mWorker);
+}
+
+TEST_CASE("a run that nobody waits for is stopped")
+{
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref known = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::Done));
+  scene.Advance(milliseconds(10));
+  const run_ref stray = state_builder::Run(scene.mJob, 9, 2);
+  scene.Answer(*scene.Next<hold_order>(),
+               keeper_scene::Showing({ known, stray }));
+  const auto stop = scene.Next<stop_order>();
+  REQUIRE(stop);
+  CHECK(std::get<stop_order>(stop->mBody).mRun == stray);
+}
+
+} // namespace oriolewalk::flow
