--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -224,7 +224,7 @@
   }
   for (const consensus::peer_status& peer : mRaft->Peers()) {
     const consensus::member* member = members.Find(peer.mId);
-    if (member == nullptr || mAt.mNow < peer.mHeardAt + kRemoveAfter) {
+    if (member == nullptr || SilenceOf(peer) < kRemoveAfter) {
       continue;
     }
     const std::string address = member->mAddress;
@@ -235,6 +235,14 @@
   }
 }
 
+// A new leader has heard nobody yet: counted from its own beginning, or it
+// would take out whoever answers a moment later than the others.
+duration
+flow_core::SilenceOf(const consensus::peer_status& aPeer) const
+{
+  return mAt.mNow - std::max(aPeer.mHeardAt, mLeadingSince);
+}
+
 void
 flow_core::TakeIn(const join_request& aJoin)
 {
@@ -244,7 +252,7 @@
   }
   mNotes.push_back({ "member.joins", { { "address", aJoin.mAddress } } });
   for (const consensus::peer_status& peer : mRaft->Peers()) {
-    if (peer.mVoter && mAt.mNow >= peer.mHeardAt + kReplaceAfter &&
+    if (peer.mVoter && SilenceOf(peer) >= kReplaceAfter &&
         mRaft->Replace(peer.mId, id, aJoin.mAddress, mAt.mNow)) {
       return;
     }
@@ -274,6 +282,7 @@
   const bool leads = mRaft->IsLeader() && barrier && mApplied >= *barrier;
   if (!mLeading && leads) {
     mLeadingTerm = mRaft->Term();
+    mLeadingSince = mAt.mNow;
     mLeading = std::make_unique<leading>(
       mState, mConfig.mFlow, Port(), mLeadingTerm, mAt);
     mNotes.push_back(
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -108,6 +108,7 @@
   void StartSnapshot();
   void TendMembers();
   void TakeIn(const join_request& aJoin);
+  [[nodiscard]] duration SilenceOf(const consensus::peer_status& aPeer) const;
   [[nodiscard]] std::vector<std::string> HeardMembers() const;
   leading_port Port();
 
@@ -116,6 +117,7 @@
   flow_state mState;
   std::unique_ptr<leading> mLeading;
   consensus::term_t mLeadingTerm = 0;
+  time_point mLeadingSince{};
   consensus::log_index mApplied = 0;
   consensus::log_index mSnapshotAt = 0;
   bool mSnapshotUnderWay = false;
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -268,6 +268,12 @@
   mPort.mAnswer(aCall, acknowledged{}); // the flow core has seen to it
 }
 
+void
+leading::On(call_number aCall, const leader_probe& /*aProbe*/)
+{
+  mPort.mAnswer(aCall, acknowledged{});
+}
+
 void
 leading::Applied(const command_body& aCommand, const apply_outcome& aOutcome)
 {
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -102,6 +102,7 @@
   void On(call_number aCall, const table_change& aChange);
   void On(call_number aCall, const table_read& aRead);
   void On(call_number aCall, const join_request& aJoin);
+  void On(call_number aCall, const leader_probe& aProbe);
 
   void Propose(command_body aBody, leading_port::on_applied aThen = {});
   // Proposes; the call is answered with aAnswer once it is applied.
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -30,6 +30,15 @@
   }
 };
 
+// "Do you lead?" Answered by a leader that may serve.
+struct leader_probe
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/) // NOLINT(readability-identifier-naming)
+  {
+  }
+};
+
 // What a caller named: a queue by its place, and the rest of the path.
 struct caller_path
 {
@@ -145,7 +154,8 @@
                                   worker_farewell,
                                   table_change,
                                   table_read,
-                                  join_request>;
+                                  join_request,
+                                  leader_probe>;
 
 struct beat_answer
 {
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -17,6 +17,8 @@
 // A connection of ours that is silent for this long is dropped; four times the
 // longest commit on a sound disk, and well under an election's patience twice.
 constexpr milliseconds kPeerSilence{ 800 };
+// Under an election's time, so that a restarted process is found at once.
+constexpr milliseconds kMostBackoff{ 250 };
 
 std::vector<std::string>
 Addresses(const control_options& aOptions)
@@ -54,7 +56,9 @@
   , mPolicy(std::move(aPolicy))
   , mLog(aLog)
   , mTimer(aContext)
-  , mRpc({ .mSilence = kPeerSilence, .mSeed = std::random_device{}() })
+  , mRpc({ .mMostBackoff = kMostBackoff,
+           .mSilence = kPeerSilence,
+           .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, Addresses(mOptions), std::random_device{}())
 {
   mLink.SetLocal(
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -14,6 +14,8 @@
 // After three beats without an answer callers are better served elsewhere.
 constexpr milliseconds kReadyFor{ 1'800 };
 constexpr milliseconds kPeerSilence{ 800 };
+// Under an election's time, so that a restarted process is found at once.
+constexpr milliseconds kMostBackoff{ 250 };
 
 } // namespace
 
@@ -26,7 +28,9 @@
   , mPolicy(std::move(aPolicy))
   , mLog(aLog)
   , mTimer(aContext)
-  , mRpc({ .mSilence = kPeerSilence, .mSeed = std::random_device{}() })
+  , mRpc({ .mMostBackoff = kMostBackoff,
+           .mSilence = kPeerSilence,
+           .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, mOptions.mControls, std::random_device{}())
 {
 }
--- a/oriolewalk/host/leader_link.cc
+++ b/oriolewalk/host/leader_link.cc
@@ -16,6 +16,14 @@
 // One control process is waited for so long: a commit takes two round trips
 // and a sync, 30 ms; a slow disk ten times that.
 constexpr milliseconds kTryBound{ 700 };
+// A leader that answered this lately is taken to be there. Callers' questions
+// come every few ms under load, so that probes are rare; each costs 2 ms.
+constexpr milliseconds kFresh{ 150 };
+constexpr milliseconds kProbeBound{ 200 };
+// While nobody leads a caller is refused after this: a plain election is over
+// by then more often than not, and a caller who comes back in a second is
+// better off than one who waits for his deadline.
+constexpr milliseconds kRefuseAfter{ 500 };
 
 } // namespace
 
@@ -51,6 +59,7 @@
   auto asked = std::make_shared<question>();
   asked->mRequest = std::move(aRequest);
   asked->mUntil = aUntil;
+  asked->mRefuseAt = runtime_clock::now() + kRefuseAfter;
   asked->mDone = std::move(aDone);
   Try(asked);
 }
@@ -59,7 +68,7 @@
 leader_link::Try(const std::shared_ptr<question>& aQuestion)
 {
   const time_point now = runtime_clock::now();
-  if (now >= aQuestion->mUntil) {
+  if (now >= aQuestion->End()) {
     aQuestion->mDone(Fail(aQuestion->mMaybeTaken ? error_code::Timeout
                                                  : error_code::Unavailable,
                           "asking control",
@@ -74,21 +83,64 @@
               });
     return;
   }
+  const bool fresh = mAnsweredBy == peer && now < mAnsweredAt + kFresh;
+  if (fresh || aQuestion->mMaybeTaken) {
+    Send(aQuestion, peer);
+  } else {
+    Probe(aQuestion, peer);
+  }
+}
+
+void
+leader_link::Probe(const std::shared_ptr<question>& aQuestion,
+                   const std::string& aPeer)
+{
+  const duration bound =
+    std::min<duration>(aQuestion->End() - runtime_clock::now(), kProbeBound);
+  mRpc.Call(aPeer,
+            flow::kFlowCall,
+            Encode(flow::flow_request(flow::leader_probe{})),
+            bound,
+            [this, aQuestion, aPeer](const result<bytes>& aReply) {
+              boost::asio::post(mContext,
+                                [this,
+                                 aQuestion,
+                                 aPeer,
+                                 problem = aReply ? error{} : aReply.error(),
+                                 there = aReply.has_value()]() {
+                                  if (there) {
+                                    mAnsweredBy = aPeer;
+                                    mAnsweredAt = runtime_clock::now();
+                                    Send(aQuestion, aPeer);
+                                  } else {
+                                    NoteProblem(aPeer, problem);
+                                    TryLater(aQuestion, Pause());
+                                  }
+                                });
+            });
+}
+
+void
+leader_link::Send(const std::shared_ptr<question>& aQuestion,
+                  const std::string& aPeer)
+{
   if (aQuestion->mEncoded.empty()) {
     aQuestion->mEncoded = Encode(aQuestion->mRequest);
   }
+  const duration bound =
+    std::min<duration>(aQuestion->mUntil - runtime_clock::now(), kTryBound);
   mRpc.Call(
-    peer,
+    aPeer,
     flow::kFlowCall,
     aQuestion->mEncoded,
-    std::min<duration>(aQuestion->mUntil - now, kTryBound),
-    [this, aQuestion, peer](result<bytes> aReply) {
+    bound,
+    [this, aQuestion, aPeer](result<bytes> aReply) {
       result<flow::flow_answer> answer =
         aReply ? Decode<flow::flow_answer>(*aReply, "reading control's answer")
                : Fail(aReply.error());
       boost::asio::post(
-        mContext, [this, aQuestion, peer, got = std::move(answer)]() mutable {
-          OnReply(aQuestion, peer, std::move(got));
+        mContext, [this, aQuestion, aPeer, got = std::move(answer)]() mutable {
+          OnReply(aQuestion, aPeer, std::move(got));
         });
     });
 }
@@ -99,30 +151,44 @@
                      result<flow::flow_answer> aReply)
 {
   if (aReply) {
+    mAnsweredBy = aPeer;
+    mAnsweredAt = runtime_clock::now();
     aQuestion->mDone(std::move(aReply));
     return;
   }
   const error& problem = aReply.error();
   switch (problem.mCode) {
-    case error_code::NotLeader:
-      mChoice.Redirected(aPeer, problem.mMessage);
-      break;
     case error_code::Timeout:
       aQuestion->mMaybeTaken = true;
-      mChoice.Failed(aPeer);
       break;
+    case error_code::NotLeader:
     case error_code::Unavailable:
-      mChoice.Failed(aPeer);
-      break;
     case error_code::Busy:
-      break; // the same one, a little later
+      break;
     default:
       aQuestion->mDone(std::move(aReply));
       return;
   }
+  NoteProblem(aPeer, problem);
+  TryLater(aQuestion, Pause());
+}
+
+void
+leader_link::NoteProblem(const std::string& aPeer, const error& aProblem)
+{
+  if (aProblem.mCode == error_code::NotLeader) {
+    mChoice.Redirected(aPeer, aProblem.mMessage);
+  } else if (aProblem.mCode != error_code::Busy) {
+    mChoice.Failed(aPeer);
+  }
+}
+
+duration
+leader_link::Pause()
+{
   constexpr auto kSpan =
     static_cast<std::uint64_t>((kMostPause - kLeastPause).count());
-  TryLater(aQuestion, kLeastPause + milliseconds(mRandom.Below(kSpan)));
+  return kLeastPause + milliseconds(mRandom.Below(kSpan));
 }
 
 void
--- a/oriolewalk/host/leader_link.h
+++ b/oriolewalk/host/leader_link.h
@@ -10,8 +10,16 @@
 // says what is known: Unavailable, if the question was surely not taken up;
 // Timeout, if it may have been.
 //
+// The load it answers: a leader that died, and callers who go on asking. Each
+// question that was sent to it and not answered can't be refused truthfully any
+// more, so that its caller can't safely go elsewhere. Hence a leader that said
+// nothing for kFresh is first asked whether it is there, by a question that may
+// be lost; and a caller is refused soon while nobody leads, but one whose
+// question may have been taken up is kept until the next leader knows.
+//
 // Threads: that of the io_context, which also runs the callbacks.
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -56,20 +64,37 @@
     flow::flow_request mRequest;
     bytes mEncoded;
     time_point mUntil;
+    time_point mRefuseAt; // if it was surely not taken up by then
     bool mMaybeTaken = false;
     flow_callback mDone;
+
+    [[nodiscard]] time_point End() const
+    {
+      return mMaybeTaken ? mUntil : std::min(mUntil, mRefuseAt);
+    }
   };
 
   void Try(const std::shared_ptr<question>& aQuestion);
+  void Probe(const std::shared_ptr<question>& aQuestion,
+             const std::string& aPeer);
+  void Send(const std::shared_ptr<question>& aQuestion,
+            const std::string& aPeer);
+  // Notes what a failure says of the peer; how long to pause before the next
+  // try.
+  void NoteProblem(const std::string& aPeer, const error& aProblem);
   void OnReply(const std::shared_ptr<question>& aQuestion,
                const std::string& aPeer,
                result<flow::flow_answer> aReply);
+  duration Pause();
   void TryLater(const std::shared_ptr<question>& aQuestion, duration aPause);
 
   boost::asio::io_context& mContext;
   wire::rpc_node& mRpc;
   wire::leader_choice mChoice;
   random_source mRandom;
+  // When the present choice last answered as the leader.
+  std::string mAnsweredBy;
+  time_point mAnsweredAt{};
   std::string mLocalAddress;
   local_ask mLocalAsk;
 };
--- a/oriolewalk/http/server.cc
+++ b/oriolewalk/http/server.cc
@@ -87,6 +87,7 @@
   }
 
   result<std::uint16_t> Start();
+  void BeginDraining() { mShared->mDraining = true; }
   void StopAccepting();
   void Close();
   [[nodiscard]] const session_shared& Shared() const { return *mShared; }
@@ -179,7 +180,7 @@
 void
 server::core::StopAccepting()
 {
-  mShared->mDraining = true;
+  BeginDraining();
   asio::dispatch(mAcceptor.get_executor(), [self = shared_from_this()] {
     error_code ignored;
     self->mAcceptor.close(ignored);
@@ -228,6 +229,12 @@
   return mCore->Start();
 }
 
+void
+server::BeginDraining()
+{
+  mCore->BeginDraining();
+}
+
 void
 server::StopAccepting()
 {
--- a/oriolewalk/http/server.h
+++ b/oriolewalk/http/server.h
@@ -87,6 +87,9 @@
 
   // The port that is listened on. Errors: Io.
   result<std::uint16_t> Start();
+  // Answers ask to close their connections, so that callers go elsewhere; new
+  // connections are still served.
+  void BeginDraining();
   // No new connections, and answers ask to close theirs. Open connections
   // still get their requests answered: a close could cut one that is on its
   // way.
