--- a/oriolewalk/host/entry_host.h
+++ b/oriolewalk/host/entry_host.h
@@ -52,6 +52,10 @@
   {
     mLink.Learn(aControls);
   }
+  [[nodiscard]] milliseconds ComeBackAfter() const
+  {
+    return mLink.ComeBackAfter();
+  }
   // Whether callers are served here: the leader answered of late, and there is
   // a table.
   [[nodiscard]] bool IsReady() const;
--- a/oriolewalk/host/leader_link.cc
+++ b/oriolewalk/host/leader_link.cc
@@ -1,6 +1,7 @@
 #include "oriolewalk/host/leader_link.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -20,10 +21,15 @@
 // come every few ms under load, so that probes are rare; each costs 2 ms.
 constexpr milliseconds kFresh{ 150 };
 constexpr milliseconds kProbeBound{ 200 };
-// While nobody leads a caller is refused after this: a plain election is over
-// by then more often than not, and a caller who comes back in a second is
-// better off than one who waits for his deadline.
-constexpr milliseconds kRefuseAfter{ 500 };
+// For so long after a leader's last answer the next one may be there at any
+// moment: an election takes 0.4 to 0.9 s.
+constexpr milliseconds kElection{ 1'000 };
+// Then a caller is kept for this long, and later hardly at all: one who comes
+// back in a second is better off than one who waits for his deadline.
+constexpr milliseconds kRefuseAfter{ 350 };
+constexpr milliseconds kRefuseSoon{ 40 };
+constexpr milliseconds kLeastComeBack{ 1'000 };
+constexpr milliseconds kMostComeBack{ 3'000 };
 
 } // namespace
 
@@ -59,7 +65,9 @@
   auto asked = std::make_shared<question>();
   asked->mRequest = std::move(aRequest);
   asked->mUntil = aUntil;
-  asked->mRefuseAt = runtime_clock::now() + kRefuseAfter;
+  const time_point now = runtime_clock::now();
+  const bool known = now < mAnsweredAt + kElection;
+  asked->mRefuseAt = now + (known ? kRefuseAfter : kRefuseSoon);
   asked->mDone = std::move(aDone);
   Try(asked);
 }
@@ -183,6 +191,14 @@
   }
 }
 
+milliseconds
+leader_link::ComeBackAfter() const
+{
+  const auto lasted = std::chrono::duration_cast<milliseconds>(
+    runtime_clock::now() - mAnsweredAt);
+  return std::clamp(lasted, kLeastComeBack, kMostComeBack);
+}
+
 duration
 leader_link::Pause()
 {
--- a/oriolewalk/host/leader_link.h
+++ b/oriolewalk/host/leader_link.h
@@ -55,6 +55,10 @@
   // Addresses of control processes that were learnt.
   void Learn(const std::vector<std::string>& aControls);
   void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
+  // When a caller who is refused now should come back: while nobody leads, in
+  // about as long again as it has lasted, so that a short election costs one
+  // second and a long outage doesn't use up the caller's tries.
+  [[nodiscard]] milliseconds ComeBackAfter() const;
   // Who answered last, or was named the leader.
   [[nodiscard]] const std::string& Current() const { return mChoice.Current(); }
 
