--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -48,6 +48,36 @@
          });
 }
 
+// "8x2500m,gang 4x500m,after=1": what decides where and when steps run.
+std::string
+Describe(const job_spec& aSpec)
+{
+  std::string text;
+  for (const step_spec& step : aSpec.mSteps) {
+    text += text.empty() ? "" : " ";
+    text += std::to_string(step.mCount) + "x" +
+            std::to_string(step.mSize.mMilliProcessors) + "m";
+    const std::pair<bool, std::string_view> wishes[] = {
+      { step.mGang, ",gang" },
+      { step.mLasting, ",lasting" },
+      { step.mFills, ",fills" },
+      { step.mCopies, ",copies" },
+      { step.mCheckpoints, ",checkpoints" },
+      { step.mSameRack, ",one-rack" },
+      { !step.mDataRack.empty(), ",near-data" },
+      { !step.mLabel.empty(), ",label" },
+      { step.mMostPerWorker > 0, ",apart" },
+      { step.mTailTargetMs > 0, ",tail-target" },
+      { step.mLimitsMisses, ",may-miss" },
+      { !step.mDependsOn.empty(), ",after" },
+    };
+    for (const auto& [holds, word] : wishes) {
+      text += holds ? word : "";
+    }
+  }
+  return text;
+}
+
 } // namespace
 
 leading::leading(const flow_state& aState,
@@ -139,7 +169,7 @@
                 { { "job", id },
                   { "queue", queue->mName },
                   { "table", std::to_string(mState.Table().mVersion) },
-                  { "steps", std::to_string(aJob.mSpec.mSteps.size()) } } });
+                  { "steps", Describe(aJob.mSpec) } } });
   ProposeAndAnswer(
     aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, accepted);
 }
