--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -274,7 +274,9 @@
 {
   job_record& job = mJobs.at(aRun.mTask.mJob);
   task_record* task = Task(job, aRun.mTask);
-  task->mPhase = task_phase::Waiting;
+  const step_record& step =
+    job.mOccurrences.at(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep];
+  task->mPhase = step.IsDone() ? task_phase::Done : task_phase::Waiting;
   task->mWorker = 0;
   --job.mPlaced;
   const auto book = mPlaced.find(aWorker);
@@ -313,12 +315,11 @@
   const task_ref& place = aEnd.mRun.mTask;
   job_record& job = mJobs.at(place.mJob);
   Release(aEnd.mRun, aWorker);
-  if (!job.IsActive()) {
-    return;
-  }
   step_record& step =
     job.mOccurrences.at(place.mOccurrence).mSteps[place.mStep];
-  CountEnd(aEnd, job, step, job.mSpec.mSteps[place.mStep], aWallMs, aOutcome);
+  if (job.IsActive() && !step.IsDone()) {
+    CountEnd(aEnd, job, step, job.mSpec.mSteps[place.mStep], aWallMs, aOutcome);
+  }
 }
 
 void
@@ -351,31 +352,23 @@
 }
 
 // A gang's members end as done together: one such end stands for all, so that
-// a member whose worker was lost just then is not started again alone.
+// a member whose worker was lost just then is not started again alone. Until a
+// member's own end is listed its room stays booked.
 void
 flow_state::MarkDone(const run_ref& aRun,
                      step_record& aStep,
                      const step_spec& aSpec)
 {
-  const auto finish = [&](task_record& aTask) {
-    aTask.mPhase = task_phase::Done;
-    ++aStep.mDone;
-  };
-  finish(aStep.mTasks[aRun.mTask.mIndex]);
   if (!aSpec.mGang) {
+    aStep.mTasks[aRun.mTask.mIndex].mPhase = task_phase::Done;
+    ++aStep.mDone;
     return;
   }
-  for (std::uint32_t index = 0; index < aStep.mTasks.size(); ++index) {
-    task_record& member = aStep.mTasks[index];
-    if (member.mPhase == task_phase::Done) {
-      continue;
-    }
-    if (member.mPhase == task_phase::Placed) {
-      run_ref other = aRun;
-      other.mTask.mIndex = index;
-      Release(other, member.mWorker);
+  aStep.mDone = static_cast<std::uint32_t>(aStep.mTasks.size());
+  for (task_record& member : aStep.mTasks) {
+    if (member.mPhase == task_phase::Waiting) {
+      member.mPhase = task_phase::Done;
     }
-    finish(member);
   }
 }
 
@@ -535,18 +528,25 @@
     UpdateLive(id, job);
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-        const auto& tasks = occurrence.mSteps[step].mTasks;
-        for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-          const task_record& task = tasks[index];
-          if (task.mPhase == task_phase::Placed) {
-            placed_book& book = mPlaced[task.mWorker];
-            book.mRuns.insert({ { id, number, step, index }, task.mAttempt });
-            book.mBooked += job.mSpec.mSteps[step].Booked();
-          }
-        }
+        BookPlaced({ id, number, step, 0 }, job, occurrence.mSteps[step]);
       }
     }
   }
 }
 
+void
+flow_state::BookPlaced(task_ref aFirst,
+                       const job_record& aJob,
+                       const step_record& aStep)
+{
+  for (const task_record& task : aStep.mTasks) {
+    if (task.mPhase == task_phase::Placed) {
+      placed_book& book = mPlaced[task.mWorker];
+      book.mRuns.insert({ aFirst, task.mAttempt });
+      book.mBooked += aJob.mSpec.mSteps[aFirst.mStep].Booked();
+    }
+    ++aFirst.mIndex;
+  }
+}
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -138,6 +138,10 @@
               apply_outcome& aOutcome);
   void UpdateLive(const job_id& aId, const job_record& aJob);
   void RebuildIndexes();
+  // aFirst: the step's first task.
+  void BookPlaced(task_ref aFirst,
+                  const job_record& aJob,
+                  const step_record& aStep);
   [[nodiscard]] std::uint32_t MostAttempts(const job_record& aJob) const;
 
   queue_table mTable;
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -1,6 +1,7 @@
 #include "oriolewalk/flow/leading.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 #include <utility>
 #include <variant>
@@ -57,7 +58,7 @@
     text += text.empty() ? "" : " ";
     text += std::to_string(step.mCount) + "x" +
             std::to_string(step.mSize.mMilliProcessors) + "m";
-    const std::pair<bool, std::string_view> wishes[] = {
+    const auto wishes = std::to_array<std::pair<bool, std::string_view>>({
       { step.mGang, ",gang" },
       { step.mLasting, ",lasting" },
       { step.mFills, ",fills" },
@@ -70,7 +71,7 @@
       { step.mTailTargetMs > 0, ",tail-target" },
       { step.mLimitsMisses, ",may-miss" },
       { !step.mDependsOn.empty(), ",after" },
-    };
+    });
     for (const auto& [holds, word] : wishes) {
       text += holds ? word : "";
     }
@@ -372,6 +373,7 @@
       const auto placed =
         std::ranges::count(tasks, task_phase::Placed, &task_record::mPhase);
       if (!aJob.mSpec.mSteps[step].mGang || placed == 0 ||
+          occurrence.mSteps[step].IsDone() ||
           static_cast<std::size_t>(placed) == tasks.size()) {
         continue;
       }
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -118,10 +118,10 @@
   void OpenDue();
   void ForgetOld();
   void PumpKeeper();
-  std::vector<plan_worker> UsableWorkers() const;
+  [[nodiscard]] std::vector<plan_worker> UsableWorkers() const;
   void Start(std::vector<planned_start> aStarts);
   void AskPolicy(const question& aQuestion);
-  std::vector<std::string> FreeAdvisors() const;
+  [[nodiscard]] std::vector<std::string> FreeAdvisors() const;
   [[nodiscard]] bool IsWorkerChanged(const worker_beat& aBeat,
                                      worker_number aNumber) const;
 
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -137,8 +137,9 @@
     return found;
   }
 
-  std::vector<std::uint32_t> WaitingOf(const step_ref& aStep,
-                                       const step_record& aRecord) const
+  [[nodiscard]] std::vector<std::uint32_t> WaitingOf(
+    const step_ref& aStep,
+    const step_record& aRecord) const
   {
     std::vector<std::uint32_t> waiting;
     for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
@@ -184,7 +185,8 @@
   }
 
   // Those of this step that are or will be at each worker.
-  std::map<worker_number, std::uint32_t> CountAt(const open_step& aStep) const
+  [[nodiscard]] std::map<worker_number, std::uint32_t> CountAt(
+    const open_step& aStep) const
   {
     std::map<worker_number, std::uint32_t> counts;
     for (const task_record& task : aStep.mRecord->mTasks) {
@@ -237,7 +239,7 @@
 
   // Where the whole may go: one rack after the other, or anywhere (an empty
   // name) where it isn't bound to one.
-  std::vector<rack_id> RacksFor(const open_step& aStep) const
+  [[nodiscard]] std::vector<rack_id> RacksFor(const open_step& aStep) const
   {
     if (!aStep.mSpec->mSameRack) {
       return { rack_id() };
--- /dev/null
+++ b/testing/flow/fake_group.h
@@ -0,0 +1,118 @@
+#pragma once
+
+// Control processes and workers together, in one thread and in made time:
+// messages, syncs and orders take a millisecond or so, and may be cut, lost or
+// carried out late.
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/random.h"
+#include "oriolewalk/flow/flow_core.h"
+#include "testing/consensus/fake_disk.h"
+#include "testing/flow/fake_worker.h"
+
+namespace oriolewalk::flow {
+
+class fake_group
+{
+public:
+  // aFounders of aNodes found the group; the others ask to be taken in.
+  fake_group(std::size_t aNodes, std::size_t aFounders, std::uint64_t aSeed);
+
+  // Lets time pass, in steps of aStep.
+  void Run(duration aFor);
+  // Until aDone, at most aAtMost. False: it didn't come to that.
+  bool RunUntil(const std::function<bool()>& aDone, duration aAtMost);
+
+  std::size_t AddWorker(const std::string& aId, double aSlow = 0);
+  void Kill(std::size_t aNode, bool aLoseUnsynced = false);
+  void Wipe(std::size_t aNode); // and kills
+  void Restart(std::size_t aNode);
+  void Pause(std::size_t aNode, bool aPaused);
+  // Cuts the node from the other control processes; workers still hear it.
+  void Cut(std::size_t aNode, bool aCut);
+  void CutWorker(std::size_t aWorker, bool aCut);
+  // The share of orders that get no answer and are carried out up to 12 s
+  // later.
+  void SetLateShare(double aShare) { mLateShare = aShare; }
+
+  // Asks all nodes in turn until one answers as the leader.
+  std::optional<flow_answer> Ask(const flow_request& aRequest);
+  void Submit(const std::string& aId, std::vector<step_spec> aSteps);
+  std::string StateOf(const std::string& aId);
+  std::optional<std::size_t> Leader() const;
+
+  [[nodiscard]] flow_core& Core(std::size_t aNode)
+  {
+    return *mNodes[aNode].mCore;
+  }
+  [[nodiscard]] bool IsUp(std::size_t aNode) const
+  {
+    return mNodes[aNode].mCore != nullptr;
+  }
+  [[nodiscard]] std::size_t Size() const { return mNodes.size(); }
+  [[nodiscard]] fake_worker& Worker(std::size_t aWorker)
+  {
+    return *mWorkers[aWorker].mWorker;
+  }
+  [[nodiscard]] run_oracle& Oracle() { return mOracle; }
+  [[nodiscard]] time_point Now() const { return mNow; }
+  // What was decided, by event, since the beginning.
+  [[nodiscard]] std::size_t Count(const std::string& aEvent) const;
+
+private:
+  struct process
+  {
+    consensus::fake_disk mDisk;
+    std::unique_ptr<flow_core> mCore;
+    bool mPaused = false;
+    bool mCut = false;
+    bool mFresh = false;
+    std::uint64_t mLife = 0;
+    std::vector<flow_reply> mReplies;
+  };
+  struct worker_place
+  {
+    std::unique_ptr<fake_worker> mWorker;
+    bool mCut = false;
+    std::int64_t mBeat = 0;
+    time_point mBeatAt{};
+  };
+  struct event
+  {
+    time_point mDue;
+    std::function<void()> mDo;
+  };
+
+  [[nodiscard]] instant At() const;
+  void Make(std::size_t aNode);
+  void Step();
+  void Pump(std::size_t aNode);
+  void Deliver(std::size_t aFrom, const consensus::message& aMessage);
+  void Order(std::size_t aFrom, const worker_order& aOrder);
+  void Beats();
+  void Joins();
+  void At(duration aAfter, std::function<void()> aDo);
+  static consensus::node_id Id(std::size_t aNode);
+
+  random_source mRandom;
+  std::size_t mFounders;
+  time_point mNow{ seconds(1'000) };
+  std::vector<process> mNodes;
+  std::vector<worker_place> mWorkers;
+  std::multimap<time_point, std::function<void()>> mEvents;
+  run_oracle mOracle;
+  double mLateShare = 0;
+  call_number mLastCall = 0;
+  std::map<std::string, std::size_t> mCounts;
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/fake_worker.cc
@@ -0,0 +1,205 @@
+#include "testing/flow/fake_worker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <variant>
+
+#include "oriolewalk/base/overloaded.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+constexpr std::int64_t kLongestLeaseMs = 6'000;
+
+std::string
+Name(const run_ref& aRun)
+{
+  return aRun.mTask.mJob.Value() + "." + std::to_string(aRun.mTask.mStep) +
+         "." + std::to_string(aRun.mTask.mIndex) + " attempt " +
+         std::to_string(aRun.mAttempt);
+}
+
+order_answer
+With(order_result aResult)
+{
+  order_answer answer;
+  answer.mResult = aResult;
+  return answer;
+}
+
+} // namespace
+
+void
+run_oracle::Started(const run_ref& aRun, const std::string& aWhere)
+{
+  ++mStarts;
+  auto& running = mRunning[aRun.mTask];
+  if (!running.empty()) {
+    mBroken.push_back(Name(aRun) + " starts at " + aWhere +
+                      " while another attempt runs");
+  }
+  if (mDoneNoted.contains(aRun.mTask)) {
+    mBroken.push_back(Name(aRun) + " starts at " + aWhere +
+                      " after its end as done was noted");
+  }
+  running.insert(aRun.mAttempt);
+}
+
+void
+run_oracle::Ended(const run_ref& aRun, run_outcome aHow)
+{
+  mRunning[aRun.mTask].erase(aRun.mAttempt);
+  mEnds[aRun] = aHow;
+}
+
+void
+run_oracle::Noted(const run_ref& aRun)
+{
+  if (mEnds[aRun] == run_outcome::Done && !mExcused.contains(aRun)) {
+    mDoneNoted.insert(aRun.mTask);
+  }
+}
+
+void
+run_oracle::NoteOverBooked(const std::string& aWhere)
+{
+  mBroken.push_back(aWhere + " is booked over its capacity");
+}
+
+fake_worker::fake_worker(worker_facts aFacts, double aSlow, run_oracle& aOracle)
+  : mFacts(std::move(aFacts))
+  , mSlow(aSlow)
+  , mOracle(aOracle)
+{
+}
+
+std::int64_t
+fake_worker::ClockMs(time_point aNow) const
+{
+  const auto since =
+    std::chrono::duration_cast<milliseconds>(aNow.time_since_epoch()).count();
+  return static_cast<std::int64_t>(static_cast<double>(since) * (1.0 - mSlow));
+}
+
+order_answer
+fake_worker::Handle(const worker_order& aOrder, time_point aNow)
+{
+  Advance(aNow);
+  if (!mUp || aOrder.mLife != mFacts.mId) {
+    return With(mUp ? order_result::OtherLife : order_result::NotSent);
+  }
+  order_answer answer = With(order_result::Done);
+  if (aOrder.mFence < mFence) {
+    answer.mResult = order_result::Superseded;
+    return answer;
+  }
+  mFence = aOrder.mFence;
+  if (aOrder.mLeaseClockMs) {
+    const std::int64_t most = ClockMs(aNow) + kLongestLeaseMs;
+    mLeaseClockMs =
+      std::max(mLeaseClockMs, std::min(*aOrder.mLeaseClockMs, most));
+  }
+  std::visit(overloaded{
+               [&](const start_order& aStart) {
+                 answer = *aOrder.mLeaseClockMs <= ClockMs(aNow)
+                            ? With(order_result::Late)
+                            : Start(aStart, aNow);
+               },
+               [&](const stop_order& aStop) {
+                 attempt_t& over = mOver[aStop.mRun.mTask];
+                 over = std::max(over, aStop.mRun.mAttempt);
+                 if (mRuns.contains(aStop.mRun)) {
+                   End(aStop.mRun, run_outcome::Stopped);
+                 }
+               },
+               [&](const hold_order& aHold) {
+                 std::erase_if(mEnds, [&](const listed_end& aEnd) {
+                   const bool told = aEnd.mNumber <= aHold.mCursor;
+                   if (told) {
+                     mOracle.Noted(aEnd.mEnd.mRun);
+                   }
+                   return told;
+                 });
+                 for (const auto& [run, live] : mRuns) {
+                   answer.mRunning.push_back({ run, {}, 100, 0 });
+                 }
+                 answer.mEnded = mEnds;
+               },
+               [](const pace_order&) {},
+             },
+             aOrder.mBody);
+  answer.mClockMs = ClockMs(aNow);
+  return answer;
+}
+
+order_answer
+fake_worker::Start(const start_order& aStart, time_point aNow)
+{
+  if (mRuns.contains(aStart.mRun)) {
+    return With(order_result::Done);
+  }
+  const auto over = mOver.find(aStart.mRun.mTask);
+  if (over != mOver.end() && aStart.mRun.mAttempt <= over->second) {
+    return With(order_result::Outlived);
+  }
+  mOracle.Started(aStart.mRun, mFacts.mId.Value());
+  mRuns[aStart.mRun] = { aNow + mWorkTime };
+  const cell::resources used = mSize * static_cast<std::int64_t>(mRuns.size());
+  if (!used.FitsIn(mFacts.mCapacity)) {
+    mOracle.NoteOverBooked(mFacts.mId.Value());
+  }
+  return With(order_result::Done);
+}
+
+void
+fake_worker::End(const run_ref& aRun, run_outcome aHow)
+{
+  mRuns.erase(aRun);
+  attempt_t& over = mOver[aRun.mTask];
+  over = std::max(over, aRun.mAttempt);
+  mEnds.push_back({ ++mLastEnd, { aRun, aHow, {} } });
+  mOracle.Ended(aRun, aHow);
+}
+
+void
+fake_worker::Advance(time_point aNow)
+{
+  if (!mUp) {
+    return;
+  }
+  std::vector<std::pair<run_ref, run_outcome>> over;
+  const bool lapsed = ClockMs(aNow) >= mLeaseClockMs;
+  if (lapsed) {
+    // What ended before the lapse and isn't acknowledged by then doesn't bind
+    // leaders any more: they could only have waited for the lapse.
+    for (const listed_end& end : mEnds) {
+      mOracle.Excused(end.mEnd.mRun);
+    }
+  }
+  for (const auto& [run, live] : mRuns) {
+    if (live.mDoneAt <= aNow && !lapsed) {
+      const bool fails =
+        mFailsFirst && run.mAttempt == 1 && run.mTask.mIndex % 2 == 1;
+      over.emplace_back(run, fails ? run_outcome::Failed : run_outcome::Done);
+    } else if (lapsed) {
+      over.emplace_back(run, run_outcome::Lapsed);
+    }
+  }
+  for (const auto& [run, how] : over) {
+    End(run, how);
+  }
+}
+
+void
+fake_worker::Crash(time_point aNow)
+{
+  Advance(aNow);
+  mUp = false;
+  for (const auto& [run, live] : std::exchange(mRuns, {})) {
+    mOracle.Ended(run, run_outcome::Lapsed);
+  }
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/fake_worker.h
@@ -0,0 +1,89 @@
+#pragma once
+
+// A worker as leaders meet it: fences, leases on a clock of its own that may be
+// slow, attempts that a stop makes impossible, ends that stay listed until they
+// are acknowledged. It also judges: a start that breaks a promise is noted.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/flow/worker_order.h"
+
+namespace oriolewalk::flow {
+
+// What all workers together have seen of the tasks. One thread.
+class run_oracle
+{
+public:
+  void Started(const run_ref& aRun, const std::string& aWhere);
+  void Ended(const run_ref& aRun, run_outcome aHow);
+  // A worker was told that it may forget the run's end.
+  void Noted(const run_ref& aRun);
+  // Its worker's lease lapsed between the end and its acknowledgement.
+  void Excused(const run_ref& aRun) { mExcused.insert(aRun); }
+  void NoteOverBooked(const std::string& aWhere);
+
+  [[nodiscard]] const std::vector<std::string>& Broken() const
+  {
+    return mBroken;
+  }
+  [[nodiscard]] std::size_t Starts() const { return mStarts; }
+
+private:
+  std::map<task_ref, std::set<attempt_t>> mRunning;
+  std::map<run_ref, run_outcome> mEnds;
+  std::set<run_ref> mExcused;
+  std::set<task_ref> mDoneNoted;
+  std::vector<std::string> mBroken;
+  std::size_t mStarts = 0;
+};
+
+class fake_worker
+{
+public:
+  // aSlow: by how much its clock runs slower than true time.
+  fake_worker(worker_facts aFacts, double aSlow, run_oracle& aOracle);
+
+  // What it would answer at aNow.
+  order_answer Handle(const worker_order& aOrder, time_point aNow);
+  // Ends what is due: work that is done (or fails, for odd indices of
+  // attempt 1 if mFailsFirst), leases that lapse.
+  void Advance(time_point aNow);
+  // Its process dies; everything on it is over, unlisted.
+  void Crash(time_point aNow);
+  [[nodiscard]] std::int64_t ClockMs(time_point aNow) const;
+  [[nodiscard]] const worker_facts& Facts() const { return mFacts; }
+  [[nodiscard]] bool IsUp() const { return mUp; }
+
+  milliseconds mWorkTime{ 300 };
+  cell::resources mSize; // of any task; for the booking judged here
+  bool mFailsFirst = false;
+  bool mDraining = false;
+
+private:
+  struct live_run
+  {
+    time_point mDoneAt;
+  };
+
+  order_answer Start(const start_order& aStart, time_point aNow);
+  void End(const run_ref& aRun, run_outcome aHow);
+
+  worker_facts mFacts;
+  double mSlow;
+  run_oracle& mOracle;
+  bool mUp = true;
+  std::uint64_t mFence = 0;
+  std::int64_t mLeaseClockMs = 0;
+  std::map<run_ref, live_run> mRuns;
+  std::map<task_ref, attempt_t> mOver; // the highest that ended or was stopped
+  std::vector<listed_end> mEnds;
+  std::uint64_t mLastEnd = 0;
+};
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/flow_history.cc
@@ -0,0 +1,196 @@
+#include "testing/flow/flow_history.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "testing/flow/fake_group.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+constexpr std::size_t kNodes = 3;
+constexpr std::size_t kWorkers = 3;
+
+class player
+{
+public:
+  player(const flow_choices& aChoose, std::uint64_t aSeed)
+    : mChoose(aChoose)
+    , mGroup(kNodes, kNodes, aSeed)
+  {
+    for (std::size_t worker = 0; worker < kWorkers; ++worker) {
+      AddWorker();
+    }
+    mGroup.Run(seconds(2));
+  }
+
+  std::optional<std::string> Play(int aMost)
+  {
+    for (int done = 0; done < aMost; ++done) {
+      const auto chosen = mChoose(mActions.size());
+      if (!chosen) {
+        break;
+      }
+      (this->*mActions[*chosen])();
+      if (!mGroup.Oracle().Broken().empty()) {
+        return mGroup.Oracle().Broken().front();
+      }
+    }
+    return Finish();
+  }
+
+private:
+  using action_function = void (player::*)();
+
+  std::uint64_t Choose(std::uint64_t aBound)
+  {
+    return mChoose(aBound).value_or(0);
+  }
+
+  void AddWorker()
+  {
+    const std::size_t made = mGroup.AddWorker(
+      "w" + std::to_string(mWorkers.size()), Choose(2) == 0 ? 0 : 0.02);
+    mGroup.Worker(made).mSize = testing::Step(1, 2'000).mSize;
+    mGroup.Worker(made).mWorkTime = milliseconds(100 + 100 * Choose(20));
+    mGroup.Worker(made).mFailsFirst = Choose(3) == 0;
+    mWorkers.push_back(made);
+  }
+
+  void LetTimePass() { mGroup.Run(milliseconds(50 * (1 + Choose(40)))); }
+
+  void Submit()
+  {
+    constexpr const char* kHex = "0123456789abcdef";
+    const std::string id = std::string(15, '0') + kHex[mJobs.size() % 16];
+    if (mJobs.size() >= 16) {
+      return;
+    }
+    step_spec first =
+      testing::Step(1 + static_cast<std::uint32_t>(Choose(5)), 2'000);
+    first.mGang = Choose(4) == 0;
+    step_spec second = testing::Step(2, 2'000);
+    second.mDependsOn = { 0 };
+    const auto answer = mGroup.Ask(job_submission{
+      { "jobs.example", "/fees/" + id }, { "", { first, second }, {} } });
+    if (answer) {
+      mJobs[id] = false;
+    }
+  }
+
+  void Cancel()
+  {
+    if (mJobs.empty()) {
+      return;
+    }
+    auto job = mJobs.begin();
+    std::advance(job, static_cast<long>(Choose(mJobs.size())));
+    job->second = true; // also if the answer is lost
+    mGroup.Ask(job_cancellation{ { "jobs.example", "/fees/" + job->first } });
+  }
+
+  void Kill() { mGroup.Kill(Choose(kNodes), Choose(2) == 0); }
+
+  // One disk at a time may be lost, and only while the others are there.
+  void Wipe()
+  {
+    const std::size_t chosen = Choose(kNodes);
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      if (node != chosen && !mGroup.IsUp(node)) {
+        return;
+      }
+    }
+    const auto leader = mGroup.Leader();
+    if (mWiped || !leader || *leader == chosen) {
+      return;
+    }
+    mWiped = true;
+    mGroup.Wipe(chosen);
+  }
+
+  void Restart()
+  {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      mGroup.Restart(node);
+      mGroup.Pause(node, false);
+    }
+  }
+
+  void Pause() { mGroup.Pause(Choose(kNodes), true); }
+  void Cut() { mGroup.Cut(Choose(kNodes), Choose(2) == 0); }
+  void CutWorker()
+  {
+    mGroup.CutWorker(mWorkers[Choose(mWorkers.size())], Choose(2) == 0);
+  }
+  void LoseOrders() { mGroup.SetLateShare(Choose(2) == 0 ? 0.0 : 0.4); }
+  void Crash()
+  {
+    constexpr std::size_t kMostWorkers = 8;
+    if (mWorkers.size() < kMostWorkers) {
+      mGroup.Worker(mWorkers[Choose(mWorkers.size())]).Crash(mGroup.Now());
+      AddWorker();
+    }
+  }
+  void Drain()
+  {
+    const std::size_t chosen = Choose(mWorkers.size());
+    if (chosen > 0) {
+      mGroup.Worker(mWorkers[chosen]).mDraining = true;
+      AddWorker();
+    }
+  }
+
+  std::optional<std::string> Finish()
+  {
+    mGroup.SetLateShare(0);
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      mGroup.Cut(node, false);
+    }
+    Restart();
+    for (const std::size_t worker : mWorkers) {
+      mGroup.CutWorker(worker, false);
+    }
+    for (int extra = 0; extra < 2; ++extra) {
+      AddWorker();
+    }
+    mGroup.Run(seconds(45));
+    if (!mGroup.Oracle().Broken().empty()) {
+      return mGroup.Oracle().Broken().front();
+    }
+    for (const auto& [id, cancelled] : mJobs) {
+      const std::string state = mGroup.StateOf(id);
+      if (state != "done" && !(cancelled && state == "cancelled")) {
+        return "job " + id + " is '" + state + "' in the end";
+      }
+    }
+    return std::nullopt;
+  }
+
+  const flow_choices& mChoose;
+  fake_group mGroup;
+  std::vector<std::size_t> mWorkers;
+  std::map<std::string, bool> mJobs; // whether a cancel was sent
+  bool mWiped = false;
+  const std::vector<action_function> mActions = {
+    &player::LetTimePass, &player::LetTimePass, &player::LetTimePass,
+    &player::LetTimePass, &player::Submit,      &player::Submit,
+    &player::Submit,      &player::Cancel,      &player::Kill,
+    &player::Wipe,        &player::Restart,     &player::Restart,
+    &player::Pause,       &player::Cut,         &player::CutWorker,
+    &player::LoseOrders,  &player::Crash,       &player::Drain,
+  };
+};
+
+} // namespace
+
+std::optional<std::string>
+PlayFlowHistory(const flow_choices& aChoose, int aMost)
+{
+  const std::uint64_t seed = aChoose(1U << 16U).value_or(1);
+  return player(aChoose, seed).Play(aMost);
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/flow_history.h
@@ -0,0 +1,26 @@
+#pragma once
+
+// A history of faults on a fake group, drawn from a source of choices, judged
+// by what its workers and callers see.
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace oriolewalk::flow {
+
+// A number below the bound; none when there are no more.
+using flow_choices =
+  std::function<std::optional<std::uint64_t>(std::uint64_t aBound)>;
+
+// Plays aMost actions at most, then heals everything and waits. The first
+// promise that was broken, or nothing:
+// - no task runs twice at once, or starts after its end as done was noted;
+// - no worker is booked over its capacity;
+// - an accepted job that nobody cancelled ends as done (its tasks fail once at
+//   most), and is never unknown to a leader that answers.
+std::optional<std::string>
+PlayFlowHistory(const flow_choices& aChoose, int aMost);
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/group_test.cc
@@ -0,0 +1,183 @@
+#include <algorithm>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "testing/flow/fake_group.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::Step;
+
+constexpr const char* kJob = "00000000000000aa";
+
+struct group_scene
+{
+  fake_group mGroup;
+
+  explicit group_scene(std::uint64_t aSeed, std::size_t aWorkers = 2)
+    : mGroup(3, 3, aSeed)
+  {
+    for (std::size_t worker = 0; worker < aWorkers; ++worker) {
+      const std::size_t made =
+        mGroup.AddWorker("w" + std::to_string(worker), 0.02);
+      mGroup.Worker(made).mSize = Step(1, 1'000).mSize;
+    }
+    mGroup.Run(seconds(2));
+  }
+
+  bool EndsAs(const std::string& aState, duration aWithin)
+  {
+    return mGroup.RunUntil([&]() { return mGroup.StateOf(kJob) == aState; },
+                           aWithin);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a job of two steps runs to its end")
+{
+  group_scene scene(1);
+  step_spec second = Step(2, 1'000);
+  second.mDependsOn = { 0 };
+  scene.mGroup.Submit(kJob, { Step(6, 1'000), second });
+  CHECK(scene.EndsAs("done", seconds(5)));
+  CHECK(scene.mGroup.Oracle().Starts() == 8);
+  CHECK(scene.mGroup.Oracle().Broken().empty());
+}
+
+TEST_CASE("a killed leader's work goes on and nothing starts twice")
+{
+  // The leader dies while tasks run, starts are on their way and ends are
+  // listed. The next one takes over what runs, and starts again only what
+  // can't have been started.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    group_scene scene(seed);
+    scene.mGroup.Worker(0).mWorkTime = milliseconds(1'500);
+    scene.mGroup.Submit(kJob, { Step(12, 1'000) });
+    scene.mGroup.Run(milliseconds(5 * (seed % 10)));
+    const std::size_t leader = *scene.mGroup.Leader();
+    scene.mGroup.Kill(leader, true);
+    scene.mGroup.Run(seconds(3));
+    scene.mGroup.Restart(leader);
+    CHECK(scene.EndsAs("done", seconds(15)));
+    CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+    CHECK(scene.mGroup.Oracle().Starts() <= 24);
+  }
+}
+
+TEST_CASE("a paused leader that wakes can't act")
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    group_scene scene(seed);
+    scene.mGroup.Submit(kJob, { Step(12, 1'000) });
+    const std::size_t leader = *scene.mGroup.Leader();
+    scene.mGroup.Pause(leader, true);
+    scene.mGroup.Run(seconds(4));
+    scene.mGroup.Pause(leader, false);
+    CHECK(scene.EndsAs("done", seconds(15)));
+    CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
+TEST_CASE("a new leader takes nobody out whom it hasn't heard yet")
+{
+  // All processes lose power and come back together. The first one to lead
+  // has heard nobody: a member that answers a moment later must not be taken
+  // out or replaced as one that is silent for long.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    fake_group group(5, 3, seed);
+    group.RunUntil(
+      [&]() {
+        const auto leader = group.Leader();
+        return leader &&
+               group.Core(*leader).Raft().Members().mVoters.size() == 5;
+      },
+      seconds(20));
+    for (std::size_t node = 0; node < 5; ++node) {
+      group.Kill(node, true);
+    }
+    group.Run(seconds(1));
+    for (std::size_t node = 0; node < 5; ++node) {
+      group.Restart(node);
+      group.Run(milliseconds(50));
+    }
+    REQUIRE(group.RunUntil([&]() { return group.Leader().has_value(); },
+                           seconds(10)));
+    group.Run(seconds(3));
+    CHECK(group.Count("member.removed") == 0);
+    CHECK(group.Core(*group.Leader()).Raft().Members().mVoters.size() == 5);
+  }
+}
+
+TEST_CASE("a wiped voter comes back as one that counts")
+{
+  group_scene scene(4);
+  const std::size_t leader = *scene.mGroup.Leader();
+  const std::size_t lost = (leader + 1) % 3;
+  const std::size_t other = (leader + 2) % 3;
+  scene.mGroup.Wipe(lost);
+  scene.mGroup.Run(seconds(1));
+  scene.mGroup.Restart(lost);
+  scene.mGroup.Run(seconds(5));
+  // With its vote and data back, the loss of another one is borne.
+  scene.mGroup.Kill(other);
+  scene.mGroup.Submit(kJob, { Step(2, 1'000) });
+  CHECK(scene.EndsAs("done", seconds(10)));
+}
+
+TEST_CASE("work on a worker that is cut off starts elsewhere, and only once")
+{
+  group_scene scene(5);
+  scene.mGroup.Worker(0).mWorkTime = seconds(20);
+  scene.mGroup.Worker(1).mWorkTime = seconds(20);
+  scene.mGroup.Submit(kJob, { Step(4, 1'000) });
+  scene.mGroup.Run(seconds(1));
+  scene.mGroup.CutWorker(0, true);
+  scene.mGroup.Worker(1).mWorkTime = milliseconds(300);
+  scene.mGroup.Run(seconds(3));
+  CHECK(scene.mGroup.Oracle().Starts() == 4);
+  scene.mGroup.Run(seconds(4));
+  CHECK(scene.mGroup.Oracle().Starts() > 4);
+  CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+}
+
+TEST_CASE("orders carried out seconds late start nothing twice")
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    group_scene scene(seed, 3);
+    scene.mGroup.SetLateShare(0.3);
+    scene.mGroup.Worker(1).mFailsFirst = true;
+    scene.mGroup.Submit(kJob, { Step(15, 1'000) });
+    scene.mGroup.Run(seconds(10));
+    if (const auto leader = scene.mGroup.Leader()) {
+      scene.mGroup.Kill(*leader);
+      scene.mGroup.Run(seconds(1));
+      scene.mGroup.Restart(*leader);
+    }
+    scene.mGroup.SetLateShare(0);
+    CHECK(scene.EndsAs("done", seconds(40)));
+    CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
+TEST_CASE("a crashed worker's next life gets the work")
+{
+  group_scene scene(6, 1);
+  scene.mGroup.Worker(0).mWorkTime = seconds(2);
+  scene.mGroup.Submit(kJob, { Step(3, 1'000) });
+  scene.mGroup.Run(seconds(1));
+  scene.mGroup.Worker(0).Crash(scene.mGroup.Now());
+  scene.mGroup.AddWorker("v2");
+  CHECK(scene.EndsAs("done", seconds(20)));
+  CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+}
+
+} // namespace oriolewalk::flow
