--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -13,6 +13,8 @@
 // A planned stop waits so long at most for another voter to lead.
 constexpr seconds kHandOverBound{ 2 };
 constexpr milliseconds kJoinEvery{ 500 };
+// A failed disk is tried again so often: each try reads the folder once.
+constexpr milliseconds kReopenEvery{ 1'000 };
 
 // A connection of ours that is silent for this long is dropped; four times the
 // longest commit on a sound disk, and well under an election's patience twice.
@@ -83,7 +85,10 @@
 control_host::Start()
 {
   if (auto opened = OpenFolder(); !opened) {
-    return opened;
+    if (opened.error().mCode != error_code::Io) {
+      return opened;
+    }
+    Halt(opened.error());
   }
   if (auto bound = Listen(); !bound) {
     return bound;
@@ -128,10 +133,14 @@
     return Fail(core.error());
   }
   mCore = std::move(*core);
+  ++mLife;
   mStorage = std::make_unique<voter::storage_thread>(
-    std::move(opened->mFolder), [this](voter::write_done aDone) {
-      boost::asio::post(mContext,
-                        [this, done = std::move(aDone)]() { OnWritten(done); });
+    std::move(opened->mFolder), [this, life = mLife](voter::write_done aDone) {
+      boost::asio::post(mContext, [this, life, done = std::move(aDone)]() {
+        if (life == mLife) {
+          OnWritten(done);
+        }
+      });
     });
   return {};
 }
@@ -165,9 +174,10 @@
 {
   const auto port = mRpc.Listen(
     mOptions.mAddress,
-    [this](
-      std::uint16_t aKind, const bytes& aBody, wire::reply_function aReply) {
-      OnCall(aKind, aBody, std::move(aReply));
+    [this](std::uint16_t aKind,
+           const bytes& aBody,
+           const wire::reply_function& aReply) {
+      OnCall(aKind, aBody, aReply);
     },
     [this](const bytes& aMessage) { OnDeliver(aMessage); });
   if (!port) {
@@ -180,7 +190,7 @@
 void
 control_host::OnCall(std::uint16_t aKind,
                      const bytes& aBody,
-                     wire::reply_function aReply)
+                     const wire::reply_function& aReply)
 {
   if (aKind == flow::kAdviceCall) {
     auto asked = Decode<flow::advice_request>(aBody, "advice");
@@ -228,6 +238,10 @@
 void
 control_host::AskLocal(const flow::flow_request& aRequest, flow_callback aDone)
 {
+  if (!mCore) {
+    aDone(Fail(error_code::NotLeader, "ask", ""));
+    return;
+  }
   const flow::call_number call = ++mLastCall;
   mCalls.emplace(call, std::move(aDone));
   mCore->Ask(call, aRequest, Now());
@@ -250,18 +264,23 @@
     return;
   }
   boost::asio::post(mContext, [this, message = std::move(*received)]() {
-    mCore->Receive(message, Now());
-    SchedulePump();
+    if (mCore) {
+      mCore->Receive(message, Now());
+      SchedulePump();
+    }
   });
 }
 
 void
 control_host::OnWritten(const voter::write_done& aDone)
 {
+  if (!mCore) {
+    return; // of the storage that was given up
+  }
   if (aDone.mFailure) {
     // A voter that can't store must not go on: whatever it acknowledged next
     // could be lost.
-    Broken("storage.failed", *aDone.mFailure);
+    Halt(*aDone.mFailure);
     return;
   }
   if (aDone.mTicket != 0) {
@@ -283,6 +302,31 @@
   }
 }
 
+void
+control_host::Halt(const error& aError)
+{
+  mLog.Write("storage.failed", { { "problem", aError.Describe() } });
+  mReopenAt = runtime_clock::now() + kReopenEvery;
+  mStorage.reset();
+  mCore.reset();
+  for (auto& [call, done] : std::exchange(mCalls, {})) {
+    done(Fail(error_code::Timeout, "ask", "the disk failed"));
+  }
+}
+
+void
+control_host::TryReopen()
+{
+  const time_point now = runtime_clock::now();
+  if (mCore || now < mReopenAt) {
+    return;
+  }
+  mReopenAt = now + kReopenEvery;
+  if (const auto opened = OpenFolder(); !opened) {
+    mLog.Write("storage.failed", { { "problem", opened.error().Describe() } });
+  }
+}
+
 void
 control_host::SchedulePump()
 {
@@ -297,6 +341,9 @@
 void
 control_host::Pump()
 {
+  if (!mCore) {
+    return;
+  }
   flow::flow_effects out = mCore->TakeEffects(Now());
   if (out.mBroken) {
     Broken("state.unreadable", *out.mBroken);
@@ -316,12 +363,10 @@
   for (const consensus::message& message : raft.mMessages) {
     SendToPeer(message);
   }
-  voter::write_batch batch{ raft.mTicket,
-                            std::move(raft.mHardState),
-                            std::move(raft.mSnapshot),
-                            raft.mTruncateFrom,
-                            std::move(raft.mAppend),
-                            std::move(aEffects.mSnapshot) };
+  voter::write_batch batch{
+    raft.mTicket,       raft.mHardState,         std::move(raft.mSnapshot),
+    raft.mTruncateFrom, std::move(raft.mAppend), std::move(aEffects.mSnapshot)
+  };
   if (!batch.IsEmpty()) {
     mStorage->Write(std::move(batch));
   }
@@ -364,20 +409,27 @@
 void
 control_host::SendOrder(const flow::worker_order& aOrder)
 {
-  mWorkers(aOrder, [this, id = aOrder.mId](const flow::order_answer& aAnswer) {
-    mCore->OrderAnswered(id, aAnswer, Now());
-    SchedulePump();
-  });
+  mWorkers(
+    aOrder,
+    [this, id = aOrder.mId, life = mLife](const flow::order_answer& aAnswer) {
+      if (mCore && life == mLife) {
+        mCore->OrderAnswered(id, aAnswer, Now());
+        SchedulePump();
+      }
+    });
 }
 
 void
 control_host::SendQuestion(const flow::advice_order& aOrder)
 {
   const std::uint64_t id = aOrder.mId;
-  const auto done = [this, id](const result<flow::approvals>& aAnswer) {
-    mCore->AdviceAnswered(id, aAnswer, Now());
-    SchedulePump();
-  };
+  const auto done =
+    [this, id, life = mLife](const result<flow::approvals>& aAnswer) {
+      if (mCore && life == mLife) {
+        mCore->AdviceAnswered(id, aAnswer, Now());
+        SchedulePump();
+      }
+    };
   if (aOrder.mAdvisor == mOptions.mAddress) {
     mPolicy(aOrder.mRequest, done);
     return;
@@ -403,11 +455,13 @@
     if (aProblem) {
       return;
     }
-    mCore->Tick(Now());
-    SchedulePump();
-    AskToJoin();
-    if (mOnStopped &&
-        (!mCore->Raft().IsLeader() || runtime_clock::now() >= mStopAt)) {
+    TryReopen();
+    if (mCore) {
+      mCore->Tick(Now());
+      SchedulePump();
+      AskToJoin();
+    }
+    if (mOnStopped && (!Leads() || runtime_clock::now() >= mStopAt)) {
       std::exchange(mOnStopped, nullptr)();
       return;
     }
@@ -435,8 +489,10 @@
 {
   mOnStopped = std::move(aDone);
   mStopAt = runtime_clock::now() + kHandOverBound;
-  mCore->HandOver(Now());
-  SchedulePump();
+  if (mCore) {
+    mCore->HandOver(Now());
+    SchedulePump();
+  }
 }
 
 } // namespace oriolewalk::host
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -11,6 +11,11 @@
 // Who founds: only a process whose folder is empty and that is told that the
 // whole system starts for the first time counts the founders as its group.
 // Any other one with an empty folder may not vote, and asks to be taken in.
+//
+// A disk that fails: what was written last is unknown, so the core is dropped
+// and made again from what the folder holds, once it can be read and written.
+// Until then this process answers like one that leads nobody. Ending instead
+// would make the platform restart it many times a second of a full disk.
 
 #include <cstdint>
 #include <functional>
@@ -60,7 +65,8 @@
   control_host(control_host&&) = delete;
   control_host& operator=(control_host&&) = delete;
 
-  // Errors: what keeps it from starting (folder, address).
+  // Errors: what keeps it from starting (address, a folder that is damaged or
+  // another's). A folder that can't be written now is tried again.
   result<void> Start();
   // Of the leader, here or elsewhere.
   void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
@@ -76,7 +82,12 @@
   {
     mOnBroken = std::move(aBroken);
   }
-  [[nodiscard]] const flow::flow_core& Core() const { return *mCore; }
+  // Empty if none is known.
+  [[nodiscard]] std::string LeaderAddress() const
+  {
+    return mCore ? mCore->LeaderAddress() : std::string();
+  }
+  [[nodiscard]] bool Leads() const { return mCore && mCore->Raft().IsLeader(); }
 
 private:
   result<void> OpenFolder();
@@ -85,7 +96,7 @@
   result<void> Listen();
   void OnCall(std::uint16_t aKind,
               const bytes& aBody,
-              wire::reply_function aReply);
+              const wire::reply_function& aReply);
   void OnFlowCall(const flow::flow_request& aRequest,
                   wire::reply_function aReply);
   void OnAdviceCall(const flow::advice_request& aRequest,
@@ -102,6 +113,9 @@
   void ArmTick();
   void AskToJoin();
   void Broken(std::string_view aWhat, const error& aError);
+  // Drops the core; it is made again from the folder in a while.
+  void Halt(const error& aError);
+  void TryReopen();
   [[nodiscard]] static flow::instant Now();
 
   boost::asio::io_context& mContext;
@@ -115,8 +129,10 @@
   runtime_timer mTimer;
   std::map<flow::call_number, flow_callback> mCalls;
   flow::call_number mLastCall = 0;
+  std::uint64_t mLife = 0; // of mCore: late answers to an older one are dropped
   bool mPumpScheduled = false;
   time_point mJoinAt{};
+  time_point mReopenAt{};
   std::function<void()> mOnStopped;
   time_point mStopAt{};
   std::function<void()> mOnBroken;
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -45,9 +45,10 @@
 {
   const auto port = mRpc.Listen(
     mOptions.mAddress,
-    [this](
-      std::uint16_t aKind, const bytes& aBody, wire::reply_function aReply) {
-      OnCall(aKind, aBody, std::move(aReply));
+    [this](std::uint16_t aKind,
+           const bytes& aBody,
+           const wire::reply_function& aReply) {
+      OnCall(aKind, aBody, aReply);
     },
     [](const bytes& /*aMessage*/) {});
   if (!port) {
@@ -60,7 +61,7 @@
 void
 entry_host::OnCall(std::uint16_t aKind,
                    const bytes& aBody,
-                   wire::reply_function aReply)
+                   const wire::reply_function& aReply)
 {
   auto asked = aKind == flow::kAdviceCall
                  ? Decode<flow::advice_request>(aBody, "advice")
--- a/oriolewalk/host/entry_host.h
+++ b/oriolewalk/host/entry_host.h
@@ -63,7 +63,7 @@
 private:
   void OnCall(std::uint16_t aKind,
               const bytes& aBody,
-              wire::reply_function aReply);
+              const wire::reply_function& aReply);
   void Beat();
   void BeatAnswered(const result<flow::flow_answer>& aAnswer);
   void ArmBeat();
--- a/testing/flow/flow_state_test.cc
+++ b/testing/flow/flow_state_test.cc
@@ -5,7 +5,6 @@
 
 namespace oriolewalk::flow {
 
-using testing::Queue;
 using testing::state_builder;
 using testing::Step;
 using testing::Worker;
@@ -65,9 +64,9 @@
   state_builder made;
   const job_id job = made.AddJob("00", { Step(1, 1'000) });
   const worker_number worker = made.AddWorker(Worker("w"));
-  const run_outcome ends[] = { run_outcome::Failed,
-                               run_outcome::Lapsed,
-                               run_outcome::Stopped };
+  const std::vector ends{ run_outcome::Failed,
+                          run_outcome::Lapsed,
+                          run_outcome::Stopped };
   attempt_t attempt = 0;
   for (const run_outcome how : ends) {
     made.Start(state_builder::Run(job, ++attempt), worker);
--- a/testing/flow/worker_keeper_test.cc
+++ b/testing/flow/worker_keeper_test.cc
@@ -77,7 +77,7 @@
     return answer;
   }
 
-  static order_answer Showing(std::vector<run_ref> aRunning)
+  static order_answer Showing(const std::vector<run_ref>& aRunning)
   {
     order_answer answer = With(order_result::Done);
     for (const run_ref& run : aRunning) {
@@ -96,7 +96,7 @@
 
   run_ref Begin(std::uint32_t aIndex = 0)
   {
-    const run_ref run = state_builder::Run(mJob, 1, aIndex);
+    run_ref run = state_builder::Run(mJob, 1, aIndex);
     mMade.Start(run, mWorker);
     mKeeper.Begin({ run, mWorker }, "ticket", mNow);
     return run;
@@ -260,8 +260,7 @@
     }
     CHECK_FALSE(dropped());
   }
-  next.Tick(begun + milliseconds(static_cast<int>(
-                      scene.mOptions.mLongestLease.count() * 1.05)));
+  next.Tick(begun + scene.mOptions.mLongestLease + milliseconds(300));
   CHECK(dropped());
 }
 
