flow: workers that fail or stall are learnt, stragglers taken back

Cause: workers that fail all they start draw the retries, and jobs that could be done end as failed; a slow worker holds a whole step. Pure modules with tests (learning_test.cc).

--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -313,8 +313,10 @@
     mKeeper.Registered(mState.NumberOf(worker->mFacts.mId), mAt.mNow);
   } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
     mKeeper.Removed(gone->mWorker);
+    mHealth.Forget(gone->mWorker);
   } else if (const auto* ends = std::get_if<end_runs>(&aCommand)) {
     mKeeper.EndsApplied(ends->mWorker, mAt.mNow);
+    LearnFrom(*ends);
   }
   for (const job_id& id : aOutcome.mEnded) {
     const job_record* job = mState.FindJob(id);
@@ -325,6 +327,7 @@
           { "after_ms",
             std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
     mAdvice.Forget(id);
+    mStragglers.Forget(id);
     StopRuns(id, *job);
   }
 }
@@ -358,6 +361,48 @@
       StopRuns(id, job);
     } else if (job.mPlaced > 0) {
       StopBrokenGangs(id, job);
+      StopStragglers(id, job);
+    }
+  }
+}
+
+void
+leading::LearnFrom(const end_runs& aEnds)
+{
+  for (const run_end& end : aEnds.mEnds) {
+    mHealth.Ended(aEnds.mWorker, end.mOutcome, mAt.mNow);
+    const auto ratio = mStragglers.Ended(end.mRun, end.mOutcome, mAt.mNow);
+    if (ratio) {
+      mHealth.Took(aEnds.mWorker, *ratio);
+    }
+  }
+}
+
+void
+leading::StopStragglers(const job_id& aId, const job_record& aJob)
+{
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      const step_spec& spec = aJob.mSpec.mSteps[step];
+      const auto& tasks = occurrence.mSteps[step].mTasks;
+      // A gang ends together, and what lasts has no time to compare.
+      if (spec.mGang || spec.mLasting || occurrence.mSteps[step].mDone == 0) {
+        continue;
+      }
+      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        const run_ref run{ { aId, number, step, index },
+                           tasks[index].mAttempt };
+        if (tasks[index].mPhase != task_phase::Placed ||
+            !mStragglers.IsStraggler(run, mAt.mNow)) {
+          continue;
+        }
+        mPort.mNote({ "run.straggles",
+                      { { "job", aId.Value() },
+                        { "step", std::to_string(step) },
+                        { "task", std::to_string(index) } } });
+        mHealth.Stalled(tasks[index].mWorker, mAt.mNow);
+        mKeeper.WantStop(tasks[index].mWorker, run, mAt.mNow);
+      }
     }
   }
 }
@@ -469,7 +514,19 @@
         found != mProposedRoom.end()) {
       free -= found->second;
     }
-    workers.push_back({ number, &worker.mFacts, free, 1 });
+    workers.push_back({ number,
+                        &worker.mFacts,
+                        free,
+                        mHealth.Speed(number),
+                        mHealth.IsAvoided(number, mAt.mNow) });
+  }
+  // If many seem bad, something else is: nobody is avoided then.
+  constexpr std::ptrdiff_t kLeastOthers = 3;
+  if (std::ranges::count(workers, true, &plan_worker::mAvoided) * kLeastOthers >
+      std::ssize(workers)) {
+    for (plan_worker& worker : workers) {
+      worker.mAvoided = false;
+    }
   }
   return workers;
 }
@@ -542,6 +599,7 @@
           { "worker",
             mState.FindWorker(start.mWorker)->mFacts.mId.Value() } } });
     const auto ticket = mTickets.find(start.mRun);
+    mStragglers.Began(start.mRun, mAt.mNow);
     mKeeper.Begin(start,
                   ticket == mTickets.end() ? std::string() : ticket->second,
                   mAt.mNow);
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -29,6 +29,8 @@
 #include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
 #include "oriolewalk/flow/planner.h"
+#include "oriolewalk/flow/stragglers.h"
+#include "oriolewalk/flow/worker_health.h"
 #include "oriolewalk/flow/worker_keeper.h"
 
 namespace oriolewalk::flow {
@@ -114,6 +116,8 @@
                     const apply_outcome& aOutcome);
   void StopRuns(const job_id& aId, const job_record& aJob);
   void StopUnwanted();
+  void StopStragglers(const job_id& aId, const job_record& aJob);
+  void LearnFrom(const end_runs& aEnds);
   void StopBrokenGangs(const job_id& aId, const job_record& aJob);
   void OpenDue();
   void ForgetOld();
@@ -131,6 +135,8 @@
   instant mAt;
   worker_keeper mKeeper;
   advice_book mAdvice;
+  worker_health mHealth;
+  straggler_watch mStragglers;
   bool mPlanDue = true;
   time_point mPlannedAt{};
   time_point mSweptAt{};
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -20,6 +20,10 @@
 constexpr double kNameMargin = 1.3;
 constexpr std::size_t kNameMore = 1;
 
+// A worker that is a quarter faster is worth half of its room: a step is as
+// slow as its slowest task.
+constexpr double kSpeedWeight = 2;
+
 // An open step with tasks that wait.
 struct open_step
 {
@@ -170,18 +174,29 @@
              verdict::Approved;
   }
 
+  // Its next failure may be the last one: it waits rather than go where others
+  // fail.
+  [[nodiscard]] static bool HasFailed(const open_step& aStep,
+                                      std::uint32_t aIndex)
+  {
+    return aStep.mRecord->mGangFailures > 0 ||
+           aStep.mRecord->mTasks[aIndex].mFailures > 0;
+  }
+
   // Higher is better: near its data, on a fast worker with room to spare.
   [[nodiscard]] static double Score(const open_step& aStep,
                                     const plan_worker& aWorker)
   {
     constexpr double kNear = 10;
+    constexpr double kAvoided = 100;
     const std::string& rack = aStep.mSpec->mDataRack;
     const bool near = rack.empty() || aWorker.mFacts->mRack.Value() == rack;
     const double spare =
       static_cast<double>(aWorker.mFree.mMilliProcessors) /
       std::max<double>(
         1, static_cast<double>(aWorker.mFacts->mCapacity.mMilliProcessors));
-    return (near ? kNear : 0) + spare + aWorker.mSpeed;
+    return (near ? kNear : 0) + spare + kSpeedWeight * aWorker.mSpeed -
+           (aWorker.mAvoided ? kAvoided : 0);
   }
 
   // Those of this step that are or will be at each worker.
@@ -271,6 +286,7 @@
         const std::uint32_t most = aStep.mSpec->mMostPerWorker;
         if ((!aRack.Value().empty() && worker.mFacts->mRack != aRack) ||
             !Suits(aStep, worker) || !MayRun(aStep, worker) ||
+            (worker.mAvoided && HasFailed(aStep, index)) ||
             (most > 0 && counts[worker.mNumber] >= most)) {
           continue;
         }
@@ -319,8 +335,8 @@
     for (const plan_worker& worker : mInput.mWorkers) {
       const verdict known =
         mInput.mAdvice->On(aStep.mRef, worker.mNumber, mInput.mNow);
-      if (!Suits(aStep, worker) || known == verdict::Refused ||
-          known == verdict::Approved) {
+      if (!Suits(aStep, worker) || worker.mAvoided ||
+          known == verdict::Refused || known == verdict::Approved) {
         continue;
       }
       constexpr double kKnownGood = 100;
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -32,7 +32,8 @@
   worker_number mNumber = 0;
   const worker_facts* mFacts = nullptr;
   cell::resources mFree;
-  double mSpeed = 1; // learnt; above 1 is faster than its peers
+  double mSpeed = 1;     // learnt; above 1 is faster than its peers
+  bool mAvoided = false; // fails or stalls of late: the last choice
 };
 
 struct plan_input
--- /dev/null
+++ b/oriolewalk/flow/stragglers.cc
@@ -0,0 +1,86 @@
+#include "oriolewalk/flow/stragglers.h"
+
+#include <chrono>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// Workers differ in speed by 0.8 to 1.25 and tasks of a step by a third: twice
+// the mean is hardly reached by chance, and what is lost is one task's work.
+constexpr double kFactor = 2.2;
+// Added for short tasks: a stop and a new start take about this long.
+constexpr double kAddedMs = 400;
+// A task that was taken back twice is slow by itself.
+constexpr int kMostTakenBack = 2;
+
+step_ref
+StepOf(const task_ref& aTask)
+{
+  return { aTask.mJob, aTask.mOccurrence, aTask.mStep };
+}
+
+double
+ToMs(duration aSpan)
+{
+  return std::chrono::duration<double, std::milli>(aSpan).count();
+}
+
+} // namespace
+
+void
+straggler_watch::Began(const run_ref& aRun, time_point aNow)
+{
+  mBegan[aRun] = aNow;
+}
+
+std::optional<double>
+straggler_watch::Ended(const run_ref& aRun,
+                       run_outcome aOutcome,
+                       time_point aNow)
+{
+  const auto began = mBegan.extract(aRun);
+  if (began.empty() || aOutcome != run_outcome::Done) {
+    return std::nullopt;
+  }
+  const double took = ToMs(aNow - began.mapped());
+  step_times& step = mSteps[StepOf(aRun.mTask)];
+  std::optional<double> ratio;
+  if (step.mFinished > 0 && step.mMeanMs > 0) {
+    ratio = took / step.mMeanMs;
+  }
+  ++step.mFinished;
+  step.mMeanMs += (took - step.mMeanMs) / step.mFinished;
+  return ratio;
+}
+
+bool
+straggler_watch::IsStraggler(const run_ref& aRun, time_point aNow)
+{
+  const auto began = mBegan.find(aRun);
+  const auto step = mSteps.find(StepOf(aRun.mTask));
+  if (began == mBegan.end() || step == mSteps.end() ||
+      ToMs(aNow - began->second) < kFactor * step->second.mMeanMs + kAddedMs) {
+    return false;
+  }
+  int& taken = mTakenBack[aRun.mTask];
+  if (taken >= kMostTakenBack) {
+    return false;
+  }
+  ++taken;
+  return true;
+}
+
+void
+straggler_watch::Forget(const job_id& aJob)
+{
+  std::erase_if(mBegan, [&](const auto& aEntry) {
+    return aEntry.first.mTask.mJob == aJob;
+  });
+  std::erase_if(mSteps,
+                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
+  std::erase_if(mTakenBack,
+                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/oriolewalk/flow/worker_health.cc
@@ -0,0 +1,78 @@
+#include "oriolewalk/flow/worker_health.h"
+
+#include <algorithm>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// One in twenty tasks fails by its own fault; two in a row on one worker by
+// chance is one in four hundred.
+constexpr int kFailuresInRow = 2;
+// Then it is left alone for this long; each further failure in a row doubles
+// it, up to the bound. Faults of workers last for several seconds.
+constexpr milliseconds kFirstPause{ 1'500 };
+constexpr int kMostDoublings = 2;
+// A task that stands still says that the worker does.
+constexpr milliseconds kStalledPause{ 4'000 };
+// About five ends decide.
+constexpr double kLearning = 0.2;
+constexpr double kLeastSpeed = 0.2;
+constexpr double kMostSpeed = 2;
+
+} // namespace
+
+void
+worker_health::Ended(worker_number aWorker,
+                     run_outcome aOutcome,
+                     time_point aNow)
+{
+  record& worker = mWorkers[aWorker];
+  if (aOutcome == run_outcome::Done) {
+    worker.mFailuresInRow = 0;
+    return;
+  }
+  if (aOutcome != run_outcome::Failed) {
+    return;
+  }
+  ++worker.mFailuresInRow;
+  if (worker.mFailuresInRow >= kFailuresInRow) {
+    const int doublings =
+      std::min(worker.mFailuresInRow - kFailuresInRow, kMostDoublings);
+    worker.mAvoidedUntil = aNow + kFirstPause * (1 << doublings);
+  }
+}
+
+void
+worker_health::Took(worker_number aWorker, double aRatio)
+{
+  if (aRatio <= 0) {
+    return;
+  }
+  record& worker = mWorkers[aWorker];
+  const double seen = std::clamp(1 / aRatio, kLeastSpeed, kMostSpeed);
+  worker.mSpeed += kLearning * (seen - worker.mSpeed);
+}
+
+void
+worker_health::Stalled(worker_number aWorker, time_point aNow)
+{
+  record& worker = mWorkers[aWorker];
+  worker.mAvoidedUntil = std::max(worker.mAvoidedUntil, aNow + kStalledPause);
+}
+
+bool
+worker_health::IsAvoided(worker_number aWorker, time_point aNow) const
+{
+  const auto found = mWorkers.find(aWorker);
+  return found != mWorkers.end() && aNow < found->second.mAvoidedUntil;
+}
+
+double
+worker_health::Speed(worker_number aWorker) const
+{
+  const auto found = mWorkers.find(aWorker);
+  return found == mWorkers.end() ? 1 : found->second.mSpeed;
+}
+
+} // namespace oriolewalk::flow
--- /dev/null
+++ b/testing/flow/learning_test.cc
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+
+#include "oriolewalk/flow/stragglers.h"
+#include "oriolewalk/flow/worker_health.h"
+#include "testing/flow/fixtures.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::state_builder;
+
+constexpr time_point kStart{ seconds(100) };
+
+} // namespace
+
+TEST_CASE("a worker that fails what it starts is left alone for a while")
+{
+  // It fails everything at once, looks free, and would draw every retry.
+  worker_health health;
+  health.Ended(1, run_outcome::Failed, kStart);
+  CHECK_FALSE(health.IsAvoided(1, kStart)); // tasks fail by themselves too
+  health.Ended(1, run_outcome::Failed, kStart);
+  CHECK(health.IsAvoided(1, kStart));
+  CHECK_FALSE(health.IsAvoided(2, kStart));
+  CHECK_FALSE(health.IsAvoided(1, kStart + seconds(10)));
+  // Tried again and still bad: at once, and for longer.
+  health.Ended(1, run_outcome::Failed, kStart + seconds(10));
+  CHECK(health.IsAvoided(1, kStart + seconds(12)));
+  health.Ended(1, run_outcome::Done, kStart + seconds(20));
+  health.Ended(1, run_outcome::Failed, kStart + seconds(21));
+  CHECK_FALSE(health.IsAvoided(1, kStart + seconds(21)));
+}
+
+TEST_CASE("speed is learnt within bounds")
+{
+  worker_health health;
+  for (int end = 0; end < 50; ++end) {
+    health.Took(1, 0.8);
+    health.Took(2, 100);
+  }
+  CHECK(health.Speed(1) == Approx(1.25).margin(0.01));
+  CHECK(health.Speed(2) == Approx(0.2).margin(0.01));
+  CHECK(health.Speed(3) == 1);
+}
+
+TEST_CASE("a run far behind its siblings is taken back, and only so often")
+{
+  // Tasks stand still on one worker while their siblings are done long ago:
+  // the step, and the job's caller, would wait for them.
+  straggler_watch watch;
+  const job_id job("00");
+  const run_ref quick = state_builder::Run(job, 1, 0);
+  const run_ref slow = state_builder::Run(job, 1, 1);
+  watch.Began(quick, kStart);
+  watch.Began(slow, kStart);
+  CHECK_FALSE(watch.IsStraggler(slow, kStart + seconds(60))); // no sibling yet
+  CHECK_FALSE(watch.Ended(quick, run_outcome::Done, kStart + seconds(1)));
+  CHECK_FALSE(watch.IsStraggler(slow, kStart + seconds(2)));
+  CHECK(watch.IsStraggler(slow, kStart + seconds(3)));
+  for (attempt_t attempt = 2; attempt <= 4; ++attempt) {
+    const run_ref again = state_builder::Run(job, attempt, 1);
+    watch.Began(again, kStart);
+    CHECK(watch.IsStraggler(again, kStart + seconds(30)) == (attempt == 2));
+  }
+}
+
+TEST_CASE("how long a run took is compared with its siblings")
+{
+  straggler_watch watch;
+  const job_id job("00");
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    watch.Began(state_builder::Run(job, 1, index), kStart);
+  }
+  CHECK_FALSE(watch.Ended(
+    state_builder::Run(job, 1, 0), run_outcome::Done, kStart + seconds(1)));
+  CHECK_FALSE(watch.Ended(
+    state_builder::Run(job, 1, 1), run_outcome::Failed, kStart + seconds(1)));
+  const auto ratio = watch.Ended(
+    state_builder::Run(job, 1, 2), run_outcome::Done, kStart + seconds(2));
+  REQUIRE(ratio);
+  CHECK(*ratio == Approx(2));
+}
+
+} // namespace oriolewalk::flow
--- a/testing/flow/planner_test.cc
+++ b/testing/flow/planner_test.cc
@@ -39,7 +39,8 @@
         { number,
           &worker.mFacts,
           worker.mFacts.mCapacity - mMade.mState.BookedAt(number),
-          1 });
+          1,
+          false });
     }
     input.mProposed = &mProposed;
     input.mAsking = &mAsking;
