--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -317,6 +317,7 @@
   } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
     mKeeper.Removed(gone->mWorker);
     mHealth.Forget(gone->mWorker);
+    mSharing.Forget(gone->mWorker);
   } else if (const auto* ends = std::get_if<end_runs>(&aCommand)) {
     mKeeper.EndsApplied(ends->mWorker, mAt.mNow);
     LearnFrom(*ends);
@@ -471,6 +472,39 @@
     OpenDue();
     ForgetOld();
     StopUnwanted();
+    for (const auto& [number, view] : mKeeper.Views()) {
+      SharePace(number, view);
+    }
+  }
+}
+
+void
+leading::SharePace(worker_number aWorker, const worker_view& aView)
+{
+  std::vector<sharing_run> runs;
+  bool fills = false;
+  for (const auto& [run, seen] : aView.mRuns) {
+    const step_spec* step = mState.FindStep(run.mTask);
+    if (step == nullptr || !seen.mSeen) {
+      continue;
+    }
+    fills = fills || step->mFills;
+    runs.push_back({ run,
+                     step->mTailTargetMs,
+                     step->mTailTargetMs > 0 ? seen.mLoad : 0,
+                     step->mFills,
+                     seen.mPercent });
+  }
+  if (!fills) {
+    return;
+  }
+  for (const pace_change& change : mSharing.Decide(aWorker, runs, mAt.mNow)) {
+    mPort.mNote({ "run.pace",
+                  { { "job", change.mRun.mTask.mJob.Value() },
+                    { "step", std::to_string(change.mRun.mTask.mStep) },
+                    { "task", std::to_string(change.mRun.mTask.mIndex) },
+                    { "percent", std::to_string(change.mPercent) } } });
+    mKeeper.Pace(aWorker, change.mRun, change.mPercent, mAt.mNow);
   }
 }
 
@@ -517,11 +551,17 @@
         found != mProposedRoom.end()) {
       free -= found->second;
     }
-    workers.push_back({ number,
-                        &worker.mFacts,
-                        free,
-                        mHealth.Speed(number),
-                        mHealth.IsAvoided(number, mAt.mNow) });
+    plan_worker& planned = workers.emplace_back();
+    planned.mNumber = number;
+    planned.mFacts = &worker.mFacts;
+    planned.mFree = free;
+    planned.mSpeed = mHealth.Speed(number);
+    planned.mAvoided = mHealth.IsAvoided(number, mAt.mNow);
+    for (const run_ref& run : mState.PlacedAt(number)) {
+      const step_spec* step = mState.FindStep(run.mTask);
+      planned.mServes = planned.mServes || step->mTailTargetMs > 0;
+      planned.mFilled = planned.mFilled || step->mFills;
+    }
   }
   // If many seem bad, something else is: nobody is avoided then.
   constexpr std::ptrdiff_t kLeastOthers = 3;
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -29,6 +29,7 @@
 #include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
 #include "oriolewalk/flow/planner.h"
+#include "oriolewalk/flow/sharing.h"
 #include "oriolewalk/flow/stragglers.h"
 #include "oriolewalk/flow/worker_health.h"
 #include "oriolewalk/flow/worker_keeper.h"
@@ -118,6 +119,7 @@
   void StopUnwanted();
   void StopStragglers(const job_id& aId, const job_record& aJob);
   void LearnFrom(const end_runs& aEnds);
+  void SharePace(worker_number aWorker, const worker_view& aView);
   void StopBrokenGangs(const job_id& aId, const job_record& aJob);
   void OpenDue();
   void ForgetOld();
@@ -137,6 +139,7 @@
   advice_book mAdvice;
   worker_health mHealth;
   straggler_watch mStragglers;
+  sharing_control mSharing;
   bool mPlanDue = true;
   time_point mPlannedAt{};
   time_point mSweptAt{};
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -22,6 +22,9 @@
   // How long a worker holds a look open for an end. A third of the lease, so
   // that two looks may be lost.
   milliseconds mLookWait{ 1'000 };
+  // Where filling work runs beside others, a look is needed as often as the
+  // figures change: they are of the last half second.
+  milliseconds mSharedLookWait{ 400 };
   // What is added to a worker's own waiting before an answer counts as lost:
   // about a hundred round trips, and far under the lease.
   milliseconds mAnswerBound{ 600 };
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -212,8 +212,12 @@
       static_cast<double>(aWorker.mFree.mMilliProcessors) /
       std::max<double>(
         1, static_cast<double>(aWorker.mFacts->mCapacity.mMilliProcessors));
-    return (near ? kNear : 0) + spare + kSpeedWeight * aWorker.mSpeed -
-           (aWorker.mAvoided ? kAvoided : 0);
+    // Filling work and serving work keep away from each other.
+    constexpr double kDisturbs = 5;
+    const bool disturbed = (aStep.mSpec->mFills && aWorker.mServes) ||
+                           (aStep.mSpec->mTailTargetMs > 0 && aWorker.mFilled);
+    return (near ? kNear : 0) - (disturbed ? kDisturbs : 0) + spare +
+           kSpeedWeight * aWorker.mSpeed - (aWorker.mAvoided ? kAvoided : 0);
   }
 
   // Those of this step that are or will be at each worker.
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -33,6 +33,8 @@
   const worker_facts* mFacts = nullptr;
   cell::resources mFree;
   double mSpeed = 1;     // learnt; above 1 is faster than its peers
+  bool mServes = false;  // a task with a target for its tail runs there
+  bool mFilled = false;  // filling work runs there
   bool mAvoided = false; // fails or stalls of late: the last choice
 };
 
--- /dev/null
+++ b/oriolewalk/flow/sharing.cc
@@ -0,0 +1,80 @@
+#include "oriolewalk/flow/sharing.h"
+
+#include <algorithm>
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// A change shows in the figures after the pace has taken hold and half a second
+// was measured.
+constexpr milliseconds kSettle{ 700 };
+// Shares of the target: above the first the filling work goes to half, above
+// the second it stops, below the third it may have more.
+constexpr double kHalve = 0.85;
+constexpr double kStop = 1.2;
+constexpr double kRaise = 0.6;
+constexpr int kStep = 20;
+constexpr int kFull = 100;
+// Less than this is a stop: what so little work is worth doesn't pay the risk.
+constexpr int kLeast = 10;
+
+double
+WorstTail(std::span<const sharing_run> aRuns)
+{
+  double worst = 0;
+  for (const sharing_run& run : aRuns) {
+    if (run.mTargetMs > 0) {
+      worst = std::max(worst,
+                       static_cast<double>(run.mTailMs) /
+                         static_cast<double>(run.mTargetMs));
+    }
+  }
+  return worst;
+}
+
+int
+NextPercent(int aPercent, double aWorst)
+{
+  if (aWorst >= kStop) {
+    return 0;
+  }
+  if (aWorst >= kHalve) {
+    return aPercent / 2 < kLeast ? 0 : aPercent / 2;
+  }
+  if (aWorst <= kRaise) {
+    return std::min(kFull, aPercent + kStep);
+  }
+  return aPercent;
+}
+
+} // namespace
+
+std::vector<pace_change>
+sharing_control::Decide(worker_number aWorker,
+                        std::span<const sharing_run> aRuns,
+                        time_point aNow)
+{
+  std::vector<pace_change> changes;
+  const bool fills = std::ranges::any_of(aRuns, &sharing_run::mFills);
+  const double worst = WorstTail(aRuns);
+  const auto changed = mChangedAt.find(aWorker);
+  // A stop is never put off.
+  const bool settled =
+    changed == mChangedAt.end() || aNow >= changed->second + kSettle;
+  if (!fills || (!settled && worst < kStop)) {
+    return changes;
+  }
+  for (const sharing_run& run : aRuns) {
+    const int next = NextPercent(run.mPercent, worst);
+    if (run.mFills && next != run.mPercent) {
+      changes.push_back({ run.mRun, next });
+    }
+  }
+  if (!changes.empty()) {
+    mChangedAt[aWorker] = aNow;
+  }
+  return changes;
+}
+
+} // namespace oriolewalk::flow
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -192,7 +192,12 @@
                     time_point aNow)
 {
   const auto found = mViews.find(aWorker);
-  if (found != mViews.end()) {
+  if (found == mViews.end()) {
+    return;
+  }
+  const auto run = found->second.mRuns.find(aRun);
+  if (run != found->second.mRuns.end()) {
+    run->second.mPercent = aPercent; // the next look shows what holds
     Send(aWorker, pace_order{ aRun, aPercent }, false, aNow);
   }
 }
@@ -472,7 +477,14 @@
   }
   if (!quick && aView.mLook == 0 && !aView.mEndsUnderWay &&
       NeedsLook(aWorker, aView)) {
-    aView.mLook = Look(aWorker, aView, mOptions.mLookWait, aNow);
+    const bool shared = std::ranges::any_of(aView.mRuns, [&](const auto& aRun) {
+      const step_spec* step = mState.FindStep(aRun.first.mTask);
+      return step != nullptr && step->mFills;
+    });
+    aView.mLook = Look(aWorker,
+                       aView,
+                       shared ? mOptions.mSharedLookWait : mOptions.mLookWait,
+                       aNow);
   }
 }
 
--- a/testing/flow/planner_test.cc
+++ b/testing/flow/planner_test.cc
@@ -35,12 +35,10 @@
     input.mState = &mMade.mState;
     input.mAdvice = &mAdvice;
     for (const auto& [number, worker] : mMade.mState.Workers()) {
-      input.mWorkers.push_back(
-        { number,
-          &worker.mFacts,
-          worker.mFacts.mCapacity - mMade.mState.BookedAt(number),
-          1,
-          false });
+      plan_worker& planned = input.mWorkers.emplace_back();
+      planned.mNumber = number;
+      planned.mFacts = &worker.mFacts;
+      planned.mFree = worker.mFacts.mCapacity - mMade.mState.BookedAt(number);
     }
     input.mProposed = &mProposed;
     input.mAsking = &mAsking;
