--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -87,6 +87,14 @@
   {
     return mCore ? mCore->LeaderAddress() : std::string();
   }
+  [[nodiscard]] std::uint64_t Term() const
+  {
+    return mCore ? mCore->Raft().Term() : 0;
+  }
+  [[nodiscard]] std::size_t LiveJobs() const
+  {
+    return mCore ? mCore->State().Live().size() : 0;
+  }
   [[nodiscard]] bool Leads() const { return mCore && mCore->Raft().IsLeader(); }
 
 private:
--- /dev/null
+++ b/oriolewalk/host/metrics_page.cc
@@ -0,0 +1,114 @@
+#include "oriolewalk/host/metrics_page.h"
+
+#include <chrono>
+#include <utility>
+
+namespace oriolewalk::host {
+
+namespace {
+
+double
+ToMs(duration aSpan)
+{
+  return std::chrono::duration<double, std::milli>(aSpan).count();
+}
+
+// A counter that follows a total kept elsewhere.
+void
+Follow(observe::counter& aCounter, std::uint64_t aTotal)
+{
+  if (aTotal > aCounter.Value()) {
+    aCounter.Add(aTotal - aCounter.Value());
+  }
+}
+
+} // namespace
+
+metrics_page::metrics_page(boost::asio::io_context& aContext,
+                           settings::address aListen)
+  : mCallMs(mRegistry.Quantiles("oriole_flow_call_ms",
+                                "milliseconds from a call to its answer"))
+  , mOrderMs(mRegistry.Quantiles(
+      "oriole_flow_order_ms",
+      "milliseconds from an order to a worker to its answer"))
+  , mLeading(
+      mRegistry.Gauge("oriole_flow_leading", "1 while this process leads"))
+  , mTerm(mRegistry.Gauge("oriole_flow_term", "the election's number"))
+  , mLiveJobs(mRegistry.Gauge("oriole_flow_live_jobs",
+                              "jobs that have not ended, in this copy"))
+  , mDropped(mRegistry.Counter("oriole_flow_log_dropped_total",
+                               "log lines dropped for a slow reader"))
+  , mServer(
+      aContext,
+      std::move(aListen),
+      http::server_limits{ .mMaxConnections = 16 },
+      [this](const http::request& aRequest, const http::responder& aResponder) {
+        if (aRequest.Path() == "/metrics") {
+          aResponder.Send(
+            { .mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } },
+              .mBody = mRegistry.Render() });
+        } else {
+          aResponder.Send({ .mStatus = 404 });
+        }
+      })
+{
+}
+
+result<void>
+metrics_page::Start()
+{
+  if (auto port = mServer.Start(); !port) {
+    return Fail(port.error().At("listening for metrics"));
+  }
+  return {};
+}
+
+void
+metrics_page::NoteCall(const std::string& aMethod,
+                       unsigned aStatus,
+                       duration aTook)
+{
+  const std::string status = std::to_string(aStatus);
+  observe::counter*& counter = mCalls[aMethod + status];
+  if (counter == nullptr) {
+    counter =
+      &mRegistry.Counter("oriole_flow_calls_total",
+                         "calls that were answered",
+                         { { "method", aMethod }, { "status", status } });
+  }
+  counter->Add();
+  mCallMs.Add(ToMs(aTook));
+}
+
+void
+metrics_page::NoteOrder(duration aTook)
+{
+  mOrderMs.Add(ToMs(aTook));
+}
+
+void
+metrics_page::ShowDecisions(const observe::decision_log& aLog)
+{
+  for (const auto& [event, count] : aLog.Counts()) {
+    observe::counter*& counter = mDecisions[event];
+    if (counter == nullptr) {
+      counter = &mRegistry.Counter("oriole_flow_decisions_total",
+                                   "decisions by event, logged or dropped",
+                                   { { "event", event } });
+    }
+    Follow(*counter, count);
+  }
+  Follow(mDropped, aLog.Dropped());
+}
+
+void
+metrics_page::ShowControl(bool aLeads,
+                          std::uint64_t aTerm,
+                          std::size_t aLiveJobs)
+{
+  mLeading.Set(aLeads ? 1 : 0);
+  mTerm.Set(static_cast<double>(aTerm));
+  mLiveJobs.Set(static_cast<double>(aLiveJobs));
+}
+
+} // namespace oriolewalk::host
--- /dev/null
+++ b/oriolewalk/host/metrics_page.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// The metrics of a process of the workflow rooms, and the page that shows them.
+//
+//   metrics_page page(context, { "10.0.0.1", 9470 });
+//   page.Start();                       // GET /metrics
+//   page.NoteCall("POST", 200, took);
+//   page.ShowDecisions(log);            // now and then
+//
+// Owned by the process's shell; its thread.
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/error.h"
+#include "oriolewalk/http/server.h"
+#include "oriolewalk/observe/decision_log.h"
+#include "oriolewalk/observe/metrics.h"
+#include "oriolewalk/settings/address.h"
+
+namespace oriolewalk::host {
+
+class metrics_page
+{
+public:
+  metrics_page(boost::asio::io_context& aContext, settings::address aListen);
+
+  // Errors: Io. A process serves on without its page.
+  result<void> Start();
+  // A call of a caller, worker or operator that was answered.
+  void NoteCall(const std::string& aMethod, unsigned aStatus, duration aTook);
+  // An order to a worker that was answered or given up.
+  void NoteOrder(duration aTook);
+  // Decisions by event, and lines that were dropped.
+  void ShowDecisions(const observe::decision_log& aLog);
+  void ShowControl(bool aLeads, std::uint64_t aTerm, std::size_t aLiveJobs);
+
+private:
+  observe::metric_registry mRegistry;
+  observe::quantiles& mCallMs;
+  observe::quantiles& mOrderMs;
+  observe::gauge& mLeading;
+  observe::gauge& mTerm;
+  observe::gauge& mLiveJobs;
+  observe::counter& mDropped;
+  std::map<std::string, observe::counter*> mCalls;
+  std::map<std::string, observe::counter*, std::less<>> mDecisions;
+  http::server mServer;
+};
+
+} // namespace oriolewalk::host
--- a/oriolewalk/observe/decision_log.cc
+++ b/oriolewalk/observe/decision_log.cc
@@ -29,6 +29,11 @@
 void
 decision_log::Write(std::string_view aEvent, const decision_fields& aFields)
 {
+  if (const auto found = mCounts.find(aEvent); found != mCounts.end()) {
+    ++found->second;
+  } else {
+    mCounts.emplace(aEvent, 1);
+  }
   if (mBuffer.size() >= kMostBuffered) {
     ++mDropped;
     ++mLost[std::string(aEvent)];
--- a/oriolewalk/observe/decision_log.h
+++ b/oriolewalk/observe/decision_log.h
@@ -17,6 +17,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -40,6 +41,12 @@
   void Flush();
   [[nodiscard]] std::uint64_t Written() const { return mWritten; }
   [[nodiscard]] std::uint64_t Dropped() const { return mDropped; }
+  // Decisions by event, those whose lines were dropped among them.
+  [[nodiscard]] const std::map<std::string, std::uint64_t, std::less<>>&
+  Counts() const
+  {
+    return mCounts;
+  }
 
 private:
   void Append(std::string_view aEvent, const decision_fields& aFields);
@@ -50,6 +57,7 @@
   std::string mNode;
   std::string mBuffer;
   std::map<std::string, std::uint64_t, std::less<>> mLost; // by event
+  std::map<std::string, std::uint64_t, std::less<>> mCounts;
   std::uint64_t mWritten = 0;
   std::uint64_t mDropped = 0;
 };
--- /dev/null
+++ b/testing/platform/calls_test.cc
@@ -0,0 +1,177 @@
+#include <string>
+#include <variant>
+
+#include <catch2/catch.hpp>
+
+#include "oriolewalk/flow/messages.h"
+#include "oriolewalk/http/message.h"
+#include "platform/client_calls.h"
+#include "platform/operator_calls.h"
+#include "platform/registry_calls.h"
+
+namespace {
+
+namespace flow = oriolewalk::flow;
+namespace http = oriolewalk::http;
+using oriolewalk::error_code;
+using oriolewalk::Fail;
+using oriolewalk::milliseconds;
+using oriolewalk::result;
+
+http::request
+Call(std::string aMethod, std::string aTarget, std::string aBody = {})
+{
+  http::request call;
+  call.mMethod = std::move(aMethod);
+  call.mTarget = std::move(aTarget);
+  call.mHeaders = { { "Host", "jobs.example:80" },
+                    { "X-Oriolewalk-Deadline-Ms", "3000" } };
+  call.mBody = std::move(aBody);
+  return call;
+}
+
+unsigned
+StatusOf(const result<flow::flow_answer>& aAnswer)
+{
+  return platform::WriteClientAnswer(aAnswer, milliseconds(1'500)).mStatus;
+}
+
+result<flow::flow_answer>
+Job(flow::job_reply aReply)
+{
+  return flow::flow_answer(flow::job_answer{ aReply, "done", 3, 2'500 });
+}
+
+constexpr const char* kConfig =
+  R"({"version":7,"routes":[{"name":"r1","host":"h","pathPrefix":"/p/",
+  "timeoutMs":3000,"targetLatencyMs":250,"priority":1,"service":"s",
+  "maxAttempts":3,"stretch":1.5,
+  "advice":{"decideMs":23.0,"periodMs":0.32,"validMs":2000}}],
+  "services":[{"name":"s","admissionControl":true}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144}})";
+
+} // namespace
+
+TEST_CASE("a job's fields are decoded once, with defaults for what is omitted")
+{
+  const auto read = platform::ReadClientCall(
+    Call("POST",
+         "/lohu/5c0e7a21d94b36f8",
+         R"({"spec":"text","repeatCount":2,"startAtMs":5,"intervalMs":7,
+         "steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900,
+         "dataRack":"r1-3"},{"count":20,"cpu":2000,"memMb":1024,"gpu":1,
+         "dependsOn":[0],"checkpointing":true,"gang":true,"sameRack":true,
+         "requiredLabel":"b","antiAffinity":2,"speculative":true,
+         "longRunning":true,"fills":true,"targetMs":90,"mayMiss":0,
+         "image":"i"}]})"));
+  REQUIRE(read);
+  const auto& job = std::get<flow::job_submission>(*read);
+  CHECK(job.mPlace.mHost == "jobs.example");
+  CHECK(job.mPlace.mPath == "/lohu/5c0e7a21d94b36f8");
+  CHECK(job.mSpec.mRecurrence.mTimes == 2);
+  REQUIRE(job.mSpec.mSteps.size() == 2);
+  const flow::step_spec& first = job.mSpec.mSteps[0];
+  CHECK(first.mDataRack == "r1-3");
+  CHECK_FALSE(first.mGang);
+  CHECK_FALSE(first.mLimitsMisses);
+  const flow::step_spec& second = job.mSpec.mSteps[1];
+  CHECK(second.mDependsOn == std::vector<std::uint32_t>{ 0 });
+  CHECK(second.mMostPerWorker == 2);
+  CHECK(second.mLimitsMisses); // 0 may be missed, which is a bound
+  CHECK(second.mTailTargetMs == 90);
+  CHECK((second.mGang && second.mSameRack && second.mCopies &&
+         second.mLasting && second.mFills && second.mCheckpoints));
+  CHECK(platform::CallerDeadlineMs(Call("GET", "/")) == 3'000);
+}
+
+TEST_CASE("what can't be read as a job is refused with the reason")
+{
+  CHECK_FALSE(platform::ReadClientCall(Call("POST", "/p/1", "{")));
+  CHECK_FALSE(platform::ReadClientCall(Call("POST", "/p/1", "{}")));
+  CHECK_FALSE(
+    platform::ReadClientCall(Call("POST", "/p/1", R"({"steps":[1]})")));
+  CHECK_FALSE(platform::ReadClientCall(Call("PUT", "/p/1")));
+}
+
+TEST_CASE("an answer says no more than is known")
+{
+  CHECK(StatusOf(Job(flow::job_reply::Accepted)) == 200);
+  CHECK(StatusOf(Job(flow::job_reply::NoQueue)) == 404);
+  CHECK(StatusOf(Job(flow::job_reply::Gone)) == 410);
+  CHECK(StatusOf(Job(flow::job_reply::Refused)) == 429);
+  CHECK(StatusOf(Job(flow::job_reply::NotConfigured)) == 503);
+  // Surely not taken up: a refusal. Perhaps taken up: no refusal.
+  CHECK(StatusOf(Fail(error_code::Unavailable, "ask", "none")) == 503);
+  CHECK(StatusOf(Fail(error_code::Timeout, "ask", "none")) == 504);
+  const auto refused = platform::WriteClientAnswer(
+    Fail(error_code::Unavailable, "ask", "none"), milliseconds(1'500));
+  CHECK(refused.Find("Retry-After") == "2");
+  CHECK(platform::WriteClientAnswer(Job(flow::job_reply::State), {}).mBody ==
+        R"({"state":"done"})");
+  CHECK(platform::WriteClientAnswer(Job(flow::job_reply::Pending), {}).mBody ==
+        R"({"pending":3})");
+}
+
+TEST_CASE("a worker's heartbeat and farewell")
+{
+  const auto read = platform::ReadRegistryCall(
+    Call("POST",
+         "/v1/instances/i-7f/heartbeat",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"z",
+         "state":"draining","remainingMs":800,
+         "capacity":{"cpu":16000,"memMb":32768,"gpu":2},
+         "labels":["a","r1-3"],"clockMs":482113,"seq":4})"));
+  REQUIRE(read);
+  const auto& beat = std::get<flow::worker_beat>(*read);
+  CHECK(beat.mFacts.mId.Value() == "i-7f");
+  CHECK(beat.mFacts.mRack.Value() == "r1-3");
+  CHECK(beat.mFacts.mCapacity.mAccelerators == 2);
+  CHECK((beat.mDraining && beat.mRemainingMs == 800 && beat.mNumber == 4));
+  const auto left =
+    platform::ReadRegistryCall(Call("POST", "/v1/instances/i-7f/deregister"));
+  REQUIRE(left);
+  CHECK(std::holds_alternative<flow::worker_farewell>(*left));
+  CHECK_FALSE(
+    platform::ReadRegistryCall(Call("POST", "/v1/instances/i-7f/other")));
+}
+
+TEST_CASE("a configuration is read in full and given back to the letter")
+{
+  const auto read =
+    platform::ReadOperatorCall(Call("POST", "/v1/config/put", kConfig));
+  REQUIRE(read);
+  const auto& change = std::get<flow::table_change>(*read);
+  CHECK(change.mSource == kConfig);
+  CHECK(change.mTable.mVersion == 7);
+  REQUIRE(change.mTable.mQueues.size() == 1);
+  const flow::queue_row& queue = change.mTable.mQueues[0];
+  CHECK(queue.mStretch == 1.5);
+  CHECK(queue.mMostAttempts == 3);
+  REQUIRE(queue.mAdvice);
+  CHECK(queue.mAdvice->mPerWorkerMs == 0.32);
+  CHECK(change.mTable.mServices[0].mWorkersRefuse);
+  CHECK(change.mTable.mLimits.mBodyBytes == 262'144);
+}
+
+TEST_CASE("an invalid configuration is refused")
+{
+  const auto isTaken = [](const std::string& aBody) {
+    return platform::ReadOperatorCall(Call("POST", "/v1/config/put", aBody))
+      .has_value();
+  };
+  const auto with = [](const std::string& aOld, const std::string& aNew) {
+    std::string text = kConfig;
+    text.replace(text.find(aOld), aOld.size(), aNew);
+    return text;
+  };
+  CHECK(isTaken(kConfig));
+  const std::string whole = kConfig;
+  CHECK_FALSE(isTaken(whole.substr(0, whole.size() / 2)));
+  CHECK_FALSE(isTaken(with("\"service\":\"s\"", "\"service\":\"x\"")));
+  CHECK_FALSE(isTaken(with("\"timeoutMs\":3000", "\"timeoutMs\":0")));
+  CHECK_FALSE(isTaken(with("\"version\":7", "\"version\":0")));
+  CHECK_FALSE(
+    isTaken(with("\"routes\":[",
+                 R"("routes":[{"name":"r0","host":"h",)"
+                 R"("pathPrefix":"/p/","timeoutMs":1,"service":"s"},)")));
+}
