Plans cost less at 350 workers; one append message under way

Cause: each plan looked up every run's step to see who serves and fills (added with the pace), queues were searched by name, and each proposal made a message to eight followers. Counted in the state now; queues indexed; plans 3 ms + 25 us a worker apart. The carriers are switched off here.

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -116,6 +116,38 @@
   return found == mPlaced.end() ? sNone : found->second.mRuns;
 }
 
+void
+flow_state::placed_book::Add(const run_ref& aRun, const step_spec& aStep)
+{
+  mRuns.insert(aRun);
+  mBooked += aStep.Booked();
+  mServing += aStep.mTailTargetMs > 0 ? 1 : 0;
+  mFilling += aStep.mFills ? 1 : 0;
+}
+
+void
+flow_state::placed_book::Remove(const run_ref& aRun, const step_spec& aStep)
+{
+  mRuns.erase(aRun);
+  mBooked -= aStep.Booked();
+  mServing -= aStep.mTailTargetMs > 0 ? 1 : 0;
+  mFilling -= aStep.mFills ? 1 : 0;
+}
+
+std::uint32_t
+flow_state::ServingAt(worker_number aWorker) const
+{
+  const auto found = mPlaced.find(aWorker);
+  return found == mPlaced.end() ? 0 : found->second.mServing;
+}
+
+std::uint32_t
+flow_state::FillingAt(worker_number aWorker) const
+{
+  const auto found = mPlaced.find(aWorker);
+  return found == mPlaced.end() ? 0 : found->second.mFilling;
+}
+
 cell::resources
 flow_state::BookedAt(worker_number aWorker) const
 {
@@ -146,8 +178,9 @@
 const queue_row&
 flow_state::QueueOf(const job_record& aJob) const
 {
-  const queue_row* queue = mTable.FindQueue(aJob.mQueue.mName);
-  return queue == nullptr ? aJob.mQueue : *queue;
+  const auto found = mQueuePlaces.find(aJob.mQueue.mName);
+  return found == mQueuePlaces.end() ? aJob.mQueue
+                                     : mTable.mQueues[found->second];
 }
 
 std::uint32_t
@@ -164,6 +197,7 @@
   if (aPut.mTable.mVersion > mTable.mVersion) {
     mTable = aPut.mTable;
     mTableSource = aPut.mSource;
+    IndexQueues();
   }
   return {};
 }
@@ -263,9 +297,7 @@
   occurrence.mBegun = true;
   job.mBegun = true;
   ++job.mPlaced;
-  placed_book& book = mPlaced[aStart.mWorker];
-  book.mRuns.insert(aStart.mRun);
-  book.mBooked += job.mSpec.mSteps[place.mStep].Booked();
+  mPlaced[aStart.mWorker].Add(aStart.mRun, job.mSpec.mSteps[place.mStep]);
   return true;
 }
 
@@ -280,8 +312,7 @@
   task->mWorker = 0;
   --job.mPlaced;
   const auto book = mPlaced.find(aWorker);
-  book->second.mRuns.erase(aRun);
-  book->second.mBooked -= job.mSpec.mSteps[aRun.mTask.mStep].Booked();
+  book->second.Remove(aRun, job.mSpec.mSteps[aRun.mTask.mStep]);
   if (book->second.mRuns.empty()) {
     mPlaced.erase(book);
   }
@@ -521,6 +552,7 @@
   mLive.clear();
   mNumbers.clear();
   mPlaced.clear();
+  IndexQueues();
   for (const auto& [number, worker] : mWorkers) {
     mNumbers[worker.mFacts.mId] = number;
   }
@@ -534,6 +566,17 @@
   }
 }
 
+// A table may have hundreds of queues, and every plan asks for the queue of
+// each open job.
+void
+flow_state::IndexQueues()
+{
+  mQueuePlaces.clear();
+  for (std::size_t place = 0; place < mTable.mQueues.size(); ++place) {
+    mQueuePlaces[mTable.mQueues[place].mName] = place;
+  }
+}
+
 void
 flow_state::BookPlaced(task_ref aFirst,
                        const job_record& aJob,
@@ -541,9 +584,8 @@
 {
   for (const task_record& task : aStep.mTasks) {
     if (task.mPhase == task_phase::Placed) {
-      placed_book& book = mPlaced[task.mWorker];
-      book.mRuns.insert({ aFirst, task.mAttempt });
-      book.mBooked += aJob.mSpec.mSteps[aFirst.mStep].Booked();
+      mPlaced[task.mWorker].Add({ aFirst, task.mAttempt },
+                                aJob.mSpec.mSteps[aFirst.mStep]);
     }
     ++aFirst.mIndex;
   }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -22,6 +22,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "oriolewalk/base/codec.h"
@@ -70,6 +71,9 @@
   [[nodiscard]] const std::set<run_ref>& PlacedAt(worker_number aWorker) const;
   // What they take of its capacity.
   [[nodiscard]] cell::resources BookedAt(worker_number aWorker) const;
+  // How many of them have a target for their tail, and how many fill.
+  [[nodiscard]] std::uint32_t ServingAt(worker_number aWorker) const;
+  [[nodiscard]] std::uint32_t FillingAt(worker_number aWorker) const;
   // Whether every step that aStep depends on is done.
   [[nodiscard]] static bool IsOpen(const job_record& aJob,
                                    const occurrence_record& aOccurrence,
@@ -89,6 +93,12 @@
   {
     std::set<run_ref> mRuns;
     cell::resources mBooked;
+    // Counted here, since plans ask for every worker many times a second.
+    std::uint32_t mServing = 0;
+    std::uint32_t mFilling = 0;
+
+    void Add(const run_ref& aRun, const step_spec& aStep);
+    void Remove(const run_ref& aRun, const step_spec& aStep);
   };
 
   apply_outcome On(const put_table& aPut, std::int64_t aWallMs);
@@ -138,6 +148,7 @@
               apply_outcome& aOutcome);
   void UpdateLive(const job_id& aId, const job_record& aJob);
   void RebuildIndexes();
+  void IndexQueues();
   // aFirst: the step's first task.
   void BookPlaced(task_ref aFirst,
                   const job_record& aJob,
@@ -153,6 +164,7 @@
   // Derived from the above.
   std::set<job_id> mLive;
   std::map<worker_id, worker_number> mNumbers;
+  std::unordered_map<std::string, std::size_t> mQueuePlaces; // by name
   std::map<worker_number, placed_book> mPlaced;
 };
 
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -15,6 +15,9 @@
 // Between two plans: what happens meanwhile is planned together. A commit takes
 // five times as long.
 constexpr milliseconds kPlanPause{ 3 };
+// A plan's cost grows with the cell: 12 ms at 350 workers keep it under a tenth
+// of a small instance's processor.
+constexpr microseconds kPlanPausePerWorker{ 25 };
 // A plan is made at least so often, for tickets that run out.
 constexpr milliseconds kPlanEvery{ 100 };
 // An entry that was silent for so long carries no questions: three beats.
@@ -481,23 +484,21 @@
 void
 leading::SharePace(worker_number aWorker, const worker_view& aView)
 {
+  if (mState.FillingAt(aWorker) == 0) {
+    return;
+  }
   std::vector<sharing_run> runs;
-  bool fills = false;
   for (const auto& [run, seen] : aView.mRuns) {
     const step_spec* step = mState.FindStep(run.mTask);
     if (step == nullptr || !seen.mSeen) {
       continue;
     }
-    fills = fills || step->mFills;
     runs.push_back({ run,
                      step->mTailTargetMs,
                      step->mTailTargetMs > 0 ? seen.mLoad : 0,
                      step->mFills,
                      seen.mPercent });
   }
-  if (!fills) {
-    return;
-  }
   for (const pace_change& change : mSharing.Decide(aWorker, runs, mAt.mNow)) {
     mPort.mNote({ "run.pace",
                   { { "job", change.mRun.mTask.mJob.Value() },
@@ -557,11 +558,8 @@
     planned.mFree = free;
     planned.mSpeed = mHealth.Speed(number);
     planned.mAvoided = mHealth.IsAvoided(number, mAt.mNow);
-    for (const run_ref& run : mState.PlacedAt(number)) {
-      const step_spec* step = mState.FindStep(run.mTask);
-      planned.mServes = planned.mServes || step->mTailTargetMs > 0;
-      planned.mFilled = planned.mFilled || step->mFills;
-    }
+    planned.mServes = mState.ServingAt(number) > 0;
+    planned.mFilled = mState.FillingAt(number) > 0;
   }
   // If many seem bad, something else is: nobody is avoided then.
   constexpr std::ptrdiff_t kLeastOthers = 3;
@@ -578,7 +576,9 @@
 leading::Decide()
 {
   const duration since = mAt.mNow - mPlannedAt;
-  if (since < kPlanPause || (!mPlanDue && since < kPlanEvery)) {
+  const auto workers = static_cast<std::int64_t>(mState.Workers().size());
+  if (since < kPlanPause + kPlanPausePerWorker * workers ||
+      (!mPlanDue && since < kPlanEvery)) {
     return;
   }
   mPlanDue = false;
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -477,10 +477,7 @@
   }
   if (!quick && aView.mLook == 0 && !aView.mEndsUnderWay &&
       NeedsLook(aWorker, aView)) {
-    const bool shared = std::ranges::any_of(aView.mRuns, [&](const auto& aRun) {
-      const step_spec* step = mState.FindStep(aRun.first.mTask);
-      return step != nullptr && step->mFills;
-    });
+    const bool shared = mState.FillingAt(aWorker) > 0;
     aView.mLook = Look(aWorker,
                        aView,
                        shared ? mOptions.mSharedLookWait : mOptions.mLookWait,
--- a/oriolewalk/host/carriers.h
+++ b/oriolewalk/host/carriers.h
@@ -77,7 +77,7 @@
 public:
   // Above so many workers the leader's calls are carried by others. 48 workers
   // cost it 0.12 of a core; 100 are half of a small instance's share.
-  static constexpr std::size_t kLeastWorkers = 100;
+  static constexpr std::size_t kLeastWorkers = 100000;
 
   explicit carriers(flow::flow_options aOptions)
     : mOptions(aOptions)
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -17,6 +17,10 @@
   std::variant<consensus::message, order_batch, answer_batch>;
 
 constexpr milliseconds kTick{ 10 };
+// Append messages on their way to one follower. What is proposed meanwhile goes
+// with the next one: at eight followers and 500 starts a second a message for
+// each proposal took more of the leader than all calls to workers.
+constexpr std::size_t kAppendsUnderWay = 1;
 // A planned stop waits so long at most for another voter to lead.
 constexpr seconds kHandOverBound{ 2 };
 constexpr milliseconds kJoinEvery{ 500 };
@@ -135,6 +139,7 @@
   config.mSelf = consensus::node_id(mOptions.mNode);
   config.mAddress = mOptions.mAddress;
   config.mFlow = mOptions.mFlow;
+  config.mRaft.mMaxInflight = kAppendsUnderWay;
   auto core = flow::flow_core::Make(
     config, std::move(*restored), std::random_device{}(), runtime_clock::now());
   if (!core) {
