--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -161,8 +161,8 @@
     return waiting;
   }
 
-  [[nodiscard]] bool Suits(const open_step& aStep,
-                           const plan_worker& aWorker) const
+  [[nodiscard]] static bool Suits(const open_step& aStep,
+                                  const plan_worker& aWorker)
   {
     const step_spec& spec = *aStep.mSpec;
     return aWorker.mFacts->mService == aStep.mQueue->mService &&
@@ -305,23 +305,7 @@
     std::map<worker_number, std::uint32_t> counts = CountAt(aStep);
     std::size_t placed = 0;
     for (const std::uint32_t index : aTasks) {
-      plan_worker* best = nullptr;
-      double bestScore = 0;
-      for (const std::size_t place : places) {
-        plan_worker& worker = mInput.mWorkers[place];
-        const std::uint32_t most = aStep.mSpec->mMostPerWorker;
-        if ((!aRack.Value().empty() && worker.mFacts->mRack != aRack) ||
-            !Suits(aStep, worker) ||
-            (worker.mAvoided && HasFailed(aStep, index)) ||
-            (most > 0 && counts[worker.mNumber] >= most)) {
-          continue;
-        }
-        const double score = Score(aStep, worker);
-        if (best == nullptr || score > bestScore) {
-          best = &worker;
-          bestScore = score;
-        }
-      }
+      plan_worker* best = BestOf(places, aStep, index, aRack, counts);
       if (best == nullptr) {
         break; // the tasks of a step are alike
       }
@@ -332,6 +316,47 @@
     return placed;
   }
 
+  // Null, if none of the places takes the task.
+  plan_worker* BestOf(const std::vector<std::size_t>& aPlaces,
+                      const open_step& aStep,
+                      std::uint32_t aIndex,
+                      const rack_id& aRack,
+                      const std::map<worker_number, std::uint32_t>& aCounts)
+  {
+    plan_worker* best = nullptr;
+    double bestScore = 0;
+    for (const std::size_t place : aPlaces) {
+      plan_worker& worker = mInput.mWorkers[place];
+      if (!MayTake(aStep, aIndex, aRack, worker, aCounts)) {
+        continue;
+      }
+      const double score = Score(aStep, worker);
+      if (best == nullptr || score > bestScore) {
+        best = &worker;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] static bool MayTake(
+    const open_step& aStep,
+    std::uint32_t aIndex,
+    const rack_id& aRack,
+    const plan_worker& aWorker,
+    const std::map<worker_number, std::uint32_t>& aCounts)
+  {
+    const bool elsewhere =
+      !aRack.Value().empty() && aWorker.mFacts->mRack != aRack;
+    if (elsewhere || !Suits(aStep, aWorker) ||
+        (aWorker.mAvoided && HasFailed(aStep, aIndex))) {
+      return false;
+    }
+    const std::uint32_t most = aStep.mSpec->mMostPerWorker;
+    const auto here = aCounts.find(aWorker.mNumber);
+    return most == 0 || here == aCounts.end() || here->second < most;
+  }
+
   void Place(const open_step& aStep, std::uint32_t aIndex, plan_worker& aWorker)
   {
     aWorker.mFree -= aStep.mSpec->Booked();
