--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -44,12 +44,6 @@
   milliseconds mShowEnded{ 120'000 };
   // Added for wall clocks that jump by seconds.
   milliseconds mShowMargin{ 30'000 };
-  // A stop takes at most so long at a worker.
-  milliseconds mStopBound{ 900 };
-  // How much longer a step takes outside its rack.
-  double mRemoteFactor = 2;
-  // Before a serving task counts as harmed by what fills beside it.
-  milliseconds mHarmAfter{ 4'000 };
 };
 
 } // namespace oriolewalk::flow
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -240,8 +240,8 @@
 {
   worker_facts facts = testing::Worker(aId);
   facts.mAddress = "w" + std::to_string(mWorkers.size()) + ":1";
-  mWorkers.push_back(
-    { std::make_unique<fake_worker>(facts, aSlow, mOracle), false, 0, {} });
+  worker_place& place = mWorkers.emplace_back();
+  place.mWorker = std::make_unique<fake_worker>(facts, aSlow, mOracle);
   return mWorkers.size() - 1;
 }
 
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -86,11 +86,6 @@
     std::int64_t mBeat = 0;
     time_point mBeatAt{};
   };
-  struct event
-  {
-    time_point mDue;
-    std::function<void()> mDo;
-  };
 
   [[nodiscard]] instant At() const;
   void Make(std::size_t aNode);
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -163,7 +163,9 @@
     for (const auto& [id, cancelled] : mJobs) {
       const std::string state = mGroup.StateOf(id);
       if (state != "done" && !(cancelled && state == "cancelled")) {
-        return "job " + id + " is '" + state + "' in the end";
+        std::string broken = "in the end a job is '";
+        broken.append(state).append("': ").append(id);
+        return broken;
       }
     }
     return std::nullopt;
