--- a/cmake/OrioleModule.cmake
+++ b/cmake/OrioleModule.cmake
@@ -1,4 +1,5 @@
-# oriole_module(NAME DEPS a b LIBS x y PRIVATE_HEADERS p q)
+# oriole_module(NAME [NO_INSTALL] DEPS a b LIBS x y PRIVATE_HEADERS p q)
+# NO_INSTALL: not a part of the library that others embed.
 # Makes the static library oriole_NAME of every .cc in the current folder,
 # installs it with its headers, and exports it as oriolewalk::NAME. Headers and
 # folders under PRIVATE_HEADERS are the module's own: they aren't installed,
@@ -11,7 +12,7 @@
 endfunction()
 
 function(oriole_module name)
-  cmake_parse_arguments(ARG "" "" "DEPS;LIBS;PRIVATE_HEADERS" ${ARGN})
+  cmake_parse_arguments(ARG "NO_INSTALL" "" "DEPS;LIBS;PRIVATE_HEADERS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
   set(target oriole_${name})
   if(sources)
@@ -28,6 +29,9 @@
                        $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
   list(TRANSFORM ARG_DEPS PREPEND oriole_)
   target_link_libraries(${target} ${scope} ${ARG_DEPS} ${ARG_LIBS})
+  if(ARG_NO_INSTALL)
+    return()
+  endif()
   set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
   install(TARGETS ${target} EXPORT oriolewalkTargets
           ARCHIVE DESTINATION ${CMAKE_INSTALL_LIBDIR})
