Linter findings: command line of the platform's programs, gangs, the soak

Cause: the new code had not been linted as a whole. No behaviour changes; test_flow and test_soak pass.

--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -56,6 +56,18 @@
   return aJob.mBegun ? "running" : "queued";
 }
 
+// Of a gang's step that isn't done: some of its members are placed, not all.
+bool
+IsPartlyPlaced(const step_record& aStep)
+{
+  if (aStep.IsDone()) {
+    return false;
+  }
+  const auto placed =
+    std::ranges::count(aStep.mTasks, task_phase::Placed, &task_record::mPhase);
+  return placed > 0 && placed < std::ssize(aStep.mTasks);
+}
+
 bool
 IsJobId(std::string_view aText)
 {
@@ -367,15 +379,21 @@
 {
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      const auto& tasks = occurrence.mSteps[step].mTasks;
-      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const task_record& task = tasks[index];
-        if (task.mPhase == task_phase::Placed) {
-          mKeeper.WantStop(task.mWorker,
-                           { { aId, number, step, index }, task.mAttempt },
-                           mAt.mNow);
-        }
-      }
+      StopStep({ aId, number, step }, occurrence.mSteps[step]);
+    }
+  }
+}
+
+void
+leading::StopStep(const step_ref& aStep, const step_record& aRecord)
+{
+  for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
+    const task_record& task = aRecord.mTasks[index];
+    if (task.mPhase == task_phase::Placed) {
+      mKeeper.WantStop(task.mWorker,
+                       { { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
+                         task.mAttempt },
+                       mAt.mNow);
     }
   }
 }
@@ -483,22 +501,9 @@
 {
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      if (!aJob.mSpec.mSteps[step].mGang || occurrence.mSteps[step].IsDone()) {
-        continue;
-      }
-      const auto& tasks = occurrence.mSteps[step].mTasks;
-      const auto placed =
-        std::ranges::count(tasks, task_phase::Placed, &task_record::mPhase);
-      if (placed == 0 || static_cast<std::size_t>(placed) == tasks.size()) {
-        continue;
-      }
-      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].mPhase == task_phase::Placed) {
-          mKeeper.WantStop(
-            tasks[index].mWorker,
-            { { aId, number, step, index }, tasks[index].mAttempt },
-            mAt.mNow);
-        }
+      if (aJob.mSpec.mSteps[step].mGang &&
+          IsPartlyPlaced(occurrence.mSteps[step])) {
+        StopStep({ aId, number, step }, occurrence.mSteps[step]);
       }
     }
   }
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -116,6 +116,7 @@
   void BeginStarted(const std::vector<run_start>& aProposed,
                     const apply_outcome& aOutcome);
   void StopRuns(const job_id& aId, const job_record& aJob);
+  void StopStep(const step_ref& aStep, const step_record& aRecord);
   void StopUnwanted();
   void TakeBackStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
--- a/programs/oriole_soak.cc
+++ b/programs/oriole_soak.cc
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <cstdint>
 #include <cstdio>
+#include <exception>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -470,10 +471,15 @@
 int
 main(int aCount, char** aArguments)
 {
-  oriolewalk::soak::soak_options options;
-  if (!oriolewalk::soak::ReadOptions(aCount, aArguments, options)) {
-    std::fputs(oriolewalk::soak::kHelp, stderr);
+  try {
+    oriolewalk::soak::soak_options options;
+    if (!oriolewalk::soak::ReadOptions(aCount, aArguments, options)) {
+      std::fputs(oriolewalk::soak::kHelp, stderr);
+      return 2;
+    }
+    return oriolewalk::soak::soak_run(options).Run();
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "oriole-soak: %s\n", problem.what());
     return 2;
   }
-  return oriolewalk::soak::soak_run(options).Run();
 }
--- a/programs/oriole_timeline.cc
+++ b/programs/oriole_timeline.cc
@@ -162,7 +162,7 @@
             std::to_string(one.mMs - lines.front().mMs) + " ms  " + one.mNode +
             "  " + one.mEvent;
     for (const auto& [name, value] : one.mFields) {
-      text += " " + name + "=" + value;
+      text.append(" ").append(name).append("=").append(value);
     }
     text += "\n";
   }
--- a/testing/soak/caller_crowd.cc
+++ b/testing/soak/caller_crowd.cc
@@ -155,7 +155,7 @@
 caller_crowd::Send(const job& aJob,
                    const std::string& aMethod,
                    const bytes& aBody,
-                   http::send_callback aDone)
+                   const http::send_callback& aDone)
 {
   const std::size_t entry = mRandom.Below(mOptions.mEntries.size());
   const queue_place& queue = mOptions.mQueues[aJob.mQueue];
--- a/testing/soak/caller_crowd.h
+++ b/testing/soak/caller_crowd.h
@@ -87,7 +87,7 @@
   void Send(const job& aJob,
             const std::string& aMethod,
             const bytes& aBody,
-            http::send_callback aDone);
+            const http::send_callback& aDone);
   void Judge(std::size_t aEntry,
              time_point aSentAt,
              const http::send_outcome& aOutcome);
--- a/testing/soak/link_proxy.cc
+++ b/testing/soak/link_proxy.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -28,9 +29,9 @@
 }
 
 asio::awaitable<void>
-Sleep(duration aFor)
+Sleep(const asio::any_io_executor& aExecutor, duration aFor)
 {
-  runtime_timer timer(co_await asio::this_coro::executor);
+  runtime_timer timer(aExecutor);
   timer.expires_after(aFor);
   boost::system::error_code problem;
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, problem));
@@ -79,7 +80,7 @@
       co_return;
     }
     if (problem) {
-      co_await Sleep(kHeldLook);
+      co_await Sleep(mContext.get_executor(), kHeldLook);
       continue;
     }
     auto ends = std::make_shared<pair_of_ends>(
@@ -123,10 +124,10 @@
     const std::size_t got = co_await from.async_read_some(
       asio::buffer(piece), asio::redirect_error(asio::use_awaitable, problem));
     if (aFaults->mDelay.count() > 0) {
-      co_await Sleep(aFaults->mDelay);
+      co_await Sleep(from.get_executor(), aFaults->mDelay);
     }
     while (aFaults->mHeld[aDirection] && from.is_open()) {
-      co_await Sleep(kHeldLook);
+      co_await Sleep(from.get_executor(), kHeldLook);
     }
     if (!problem) {
       co_await asio::async_write(
--- a/testing/soak/promise_book.cc
+++ b/testing/soak/promise_book.cc
@@ -83,7 +83,7 @@
                     time_point aNow)
 {
   job& one = mJobs[aId];
-  const std::string name = aId.Value();
+  const std::string& name = aId.Value();
   if (aState.empty()) {
     if (one.mAcceptedAt && aNow > *one.mAcceptedAt + kVisible) {
       mBroken.push_back(name + " was accepted and is not known any more");
