--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -56,18 +56,6 @@
   return aJob.mBegun ? "running" : "queued";
 }
 
-// Of a gang's step that isn't done: some of its members are placed, not all.
-bool
-IsPartlyPlaced(const step_record& aStep)
-{
-  if (aStep.IsDone()) {
-    return false;
-  }
-  const auto placed =
-    std::ranges::count(aStep.mTasks, task_phase::Placed, &task_record::mPhase);
-  return placed > 0 && placed < std::ssize(aStep.mTasks);
-}
-
 bool
 IsJobId(std::string_view aText)
 {
@@ -374,141 +362,6 @@
   }
 }
 
-void
-leading::StopRuns(const job_id& aId, const job_record& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.mOccurrences) {
-    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      StopStep({ aId, number, step }, occurrence.mSteps[step]);
-    }
-  }
-}
-
-void
-leading::StopStep(const step_ref& aStep, const step_record& aRecord)
-{
-  for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
-    const task_record& task = aRecord.mTasks[index];
-    if (task.mPhase == task_phase::Placed) {
-      mKeeper.WantStop(task.mWorker,
-                       { { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
-                         task.mAttempt },
-                       mAt.mNow);
-    }
-  }
-}
-
-// Runs whose job has ended, also those that a start of just then began; and
-// gangs of which a member is missing.
-void
-leading::StopUnwanted()
-{
-  for (const job_id& id : mState.Live()) {
-    const job_record& job = *mState.FindJob(id);
-    if (!job.IsActive()) {
-      StopRuns(id, job);
-    } else if (job.mPlaced > 0) {
-      StopBrokenGangs(id, job);
-    }
-  }
-}
-
-void
-leading::TakeBackStragglers()
-{
-  for (const job_id& id : mState.Live()) {
-    const job_record& job = *mState.FindJob(id);
-    if (job.IsActive() && job.mPlaced > 0) {
-      StopStragglers(id, job);
-    }
-  }
-}
-
-void
-leading::LearnFrom(const end_runs& aEnds)
-{
-  for (const run_end& end : aEnds.mEnds) {
-    mHealth.Ended(aEnds.mWorker, end.mOutcome, mAt.mNow);
-    const auto ratio = mStragglers.Ended(end.mRun, end.mOutcome, mAt.mNow);
-    if (ratio) {
-      mHealth.Took(aEnds.mWorker, *ratio);
-    }
-  }
-}
-
-// A line for each end that isn't done, and one for each step that is: the ends
-// as done of a step's tasks tell nothing more, and are most of all.
-void
-leading::NoteEnds(const end_runs& aEnds)
-{
-  std::set<step_ref> done;
-  for (const run_end& end : aEnds.mEnds) {
-    const task_ref& task = end.mRun.mTask;
-    const step_record* step = mState.FindStepRecord(task);
-    if (step == nullptr) {
-      continue;
-    }
-    if (end.mOutcome != run_outcome::Done) {
-      mPort.mNote({ "run.ended",
-                    { { "job", task.mJob.Value() },
-                      { "step", std::to_string(task.mStep) },
-                      { "task", std::to_string(task.mIndex) },
-                      { "attempt", std::to_string(end.mRun.mAttempt) },
-                      { "how", std::string(ToString(end.mOutcome)) } } });
-    } else if (step->IsDone() &&
-               done.insert({ task.mJob, task.mOccurrence, task.mStep })
-                 .second) {
-      mPort.mNote({ "step.done",
-                    { { "job", task.mJob.Value() },
-                      { "step", std::to_string(task.mStep) } } });
-    }
-  }
-}
-
-void
-leading::StopStragglers(const job_id& aId, const job_record& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.mOccurrences) {
-    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      const step_spec& spec = aJob.mSpec.mSteps[step];
-      const auto& tasks = occurrence.mSteps[step].mTasks;
-      // A gang ends together, and what lasts has no time to compare.
-      if (spec.mGang || spec.mLasting || occurrence.mSteps[step].mDone == 0) {
-        continue;
-      }
-      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const run_ref run{ { aId, number, step, index },
-                           tasks[index].mAttempt };
-        if (tasks[index].mPhase != task_phase::Placed ||
-            !mStragglers.IsStraggler(run, mAt.mNow)) {
-          continue;
-        }
-        mPort.mNote({ "run.straggles",
-                      { { "job", aId.Value() },
-                        { "step", std::to_string(step) },
-                        { "task", std::to_string(index) } } });
-        mHealth.Stalled(tasks[index].mWorker, mAt.mNow);
-        mKeeper.WantStop(tasks[index].mWorker, run, mAt.mNow);
-      }
-    }
-  }
-}
-
-// A gang works only whole. Were the rest left waiting for a member that was
-// refused, they would hold their room until they gave up.
-void
-leading::StopBrokenGangs(const job_id& aId, const job_record& aJob)
-{
-  for (const auto& [number, occurrence] : aJob.mOccurrences) {
-    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      if (aJob.mSpec.mSteps[step].mGang &&
-          IsPartlyPlaced(occurrence.mSteps[step])) {
-        StopStep({ aId, number, step }, occurrence.mSteps[step]);
-      }
-    }
-  }
-}
-
 void
 leading::OrderAnswered(std::uint64_t aOrder, const order_answer& aAnswer)
 {
@@ -553,34 +406,6 @@
   }
 }
 
-void
-leading::SharePace(worker_number aWorker, const worker_view& aView)
-{
-  if (mState.AmountsAt(aWorker).mFilling == 0) {
-    return;
-  }
-  std::vector<sharing_run> runs;
-  for (const auto& [run, seen] : aView.mRuns) {
-    const step_spec* step = mState.FindStep(run.mTask);
-    if (step == nullptr || !seen.mSeen) {
-      continue;
-    }
-    runs.push_back({ run,
-                     step->mTailTargetMs,
-                     step->mTailTargetMs > 0 ? seen.mLoad : 0,
-                     step->mFills,
-                     seen.mPercent });
-  }
-  for (const pace_change& change : mSharing.Decide(aWorker, runs, mAt.mNow)) {
-    mPort.mNote({ "run.pace",
-                  { { "job", change.mRun.mTask.mJob.Value() },
-                    { "step", std::to_string(change.mRun.mTask.mStep) },
-                    { "task", std::to_string(change.mRun.mTask.mIndex) },
-                    { "percent", std::to_string(change.mPercent) } } });
-    mKeeper.Pace(aWorker, change.mRun, change.mPercent, mAt.mNow);
-  }
-}
-
 void
 leading::OpenDue()
 {
@@ -697,59 +522,6 @@
         { "asking", std::to_string(mAsking.size()) } } });
 }
 
-void
-leading::Start(std::vector<planned_start> aStarts)
-{
-  start_runs body;
-  for (planned_start& planned : aStarts) {
-    const run_start& start = planned.mStart;
-    mProposed[start.mRun.mTask] = start.mWorker;
-    mProposedRoom[start.mWorker] += mState.FindStep(start.mRun.mTask)->Booked();
-    if (!planned.mTicket.empty()) {
-      mTickets[start.mRun] = std::move(planned.mTicket);
-    }
-    body.mRuns.push_back(start);
-  }
-  const std::vector<run_start> proposed = body.mRuns;
-  const bool sent = mPort.mPropose(
-    std::move(body), [this, proposed](const apply_outcome& aOutcome) {
-      BeginStarted(proposed, aOutcome);
-    });
-  if (!sent) {
-    BeginStarted(proposed, {});
-  }
-}
-
-void
-leading::BeginStarted(const std::vector<run_start>& aProposed,
-                      const apply_outcome& aOutcome)
-{
-  for (const run_start& start : aProposed) {
-    mProposed.erase(start.mRun.mTask);
-    if (const step_spec* step = mState.FindStep(start.mRun.mTask)) {
-      mProposedRoom[start.mWorker] -= step->Booked();
-    }
-  }
-  for (const run_start& start : aOutcome.mStarted) {
-    mPort.mNote(
-      { "run.start",
-        { { "job", start.mRun.mTask.mJob.Value() },
-          { "step", std::to_string(start.mRun.mTask.mStep) },
-          { "task", std::to_string(start.mRun.mTask.mIndex) },
-          { "attempt", std::to_string(start.mRun.mAttempt) },
-          { "worker",
-            mState.FindWorker(start.mWorker)->mFacts.mId.Value() } } });
-    const auto ticket = mTickets.find(start.mRun);
-    mStragglers.Began(start.mRun, mAt.mNow);
-    mKeeper.Begin(start,
-                  ticket == mTickets.end() ? std::string() : ticket->second,
-                  mAt.mNow);
-  }
-  for (const run_start& start : aProposed) {
-    mTickets.erase(start.mRun);
-  }
-}
-
 std::vector<std::string>
 leading::FreeAdvisors() const
 {
