--- a/programs/oriole_soak.cc
+++ b/programs/oriole_soak.cc
@@ -25,6 +25,7 @@
 #include "testing/soak/fault_plan.h"
 #include "testing/soak/link_proxy.h"
 #include "testing/soak/promise_book.h"
+#include "testing/soak/run_after.h"
 #include "testing/soak/table_operator.h"
 #include "testing/soak/worker_house.h"
 
@@ -74,7 +75,6 @@
             { ControlCalls(), Queues(), mOptions.mSeed },
             mClient,
             mBook)
-    , mTimer(mContext)
   {
   }
 
@@ -178,17 +178,6 @@
     std::fflush(stdout);
   }
 
-  void After(duration aWait, std::function<void()> aDo)
-  {
-    auto timer = std::make_shared<runtime_timer>(mContext);
-    timer->expires_after(aWait);
-    timer->async_wait([timer, what = std::move(aDo)](const auto& aProblem) {
-      if (!aProblem) {
-        what();
-      }
-    });
-  }
-
   void AwaitReady()
   {
     if (mDesk.IsReady()) {
@@ -196,7 +185,7 @@
       if (mOptions.mFaults) {
         PlanFaults();
       }
-      After(seconds(mOptions.mSeconds), [this]() {
+      RunAfter(mContext, seconds(mOptions.mSeconds), [this]() {
         mDesk.Close();
         mCrowd.Close();
         mPayBy = runtime_clock::now() + kPayBound;
@@ -209,7 +198,7 @@
       mContext.stop();
       return;
     }
-    After(kLook, [this]() { AwaitReady(); });
+    RunAfter(mContext, kLook, [this]() { AwaitReady(); });
   }
 
   void PlanFaults()
@@ -220,7 +209,7 @@
                                         seconds(mOptions.mSeconds))
                         : MakeScenario(mOptions.mScenario);
     for (const fault& one : plan) {
-      After(one.mAt, [this, one]() { Play(one); });
+      RunAfter(mContext, one.mAt, [this, one]() { Play(one); });
     }
   }
 
@@ -247,13 +236,14 @@
   {
     if (aFault.mPlace == fault_place::Control) {
       mCrowd.NoteHarm();
-      After(aFault.mFor, [this]() { mCrowd.NoteHarm(); });
+      RunAfter(mContext, aFault.mFor, [this]() { mCrowd.NoteHarm(); });
     } else if (aFault.mKind == fault_kind::Terminate) {
       mCrowd.NoteStop(aFault.mIndex);
     } else if (aFault.mKind != fault_kind::Reload) {
       mCrowd.NoteHarm(aFault.mIndex);
-      After(aFault.mFor,
-            [this, entry = aFault.mIndex]() { mCrowd.NoteHarm(entry); });
+      RunAfter(mContext, aFault.mFor, [this, entry = aFault.mIndex]() {
+        mCrowd.NoteHarm(entry);
+      });
     }
   }
 
@@ -280,14 +270,14 @@
       default:
         return false;
     }
-    After(aFault.mFor, [&aLink]() { aLink.Heal(); });
+    RunAfter(mContext, aFault.mFor, [&aLink]() { aLink.Heal(); });
     return true;
   }
 
   void PlayOnProcess(const fault& aFault, const std::string& aNode)
   {
     const auto startAgain = [&]() {
-      After(aFault.mFor, [aNode]() { Order("start " + aNode); });
+      RunAfter(mContext, aFault.mFor, [aNode]() { Order("start " + aNode); });
     };
     switch (aFault.mKind) {
       case fault_kind::Kill:
@@ -306,7 +296,7 @@
         for (std::size_t one = 1; one <= mOptions.mPlaces.mControls; ++one) {
           const std::string node = "c" + std::to_string(one);
           Order("kill " + node);
-          After(aFault.mFor, [node]() { Order("start " + node); });
+          RunAfter(mContext, aFault.mFor, [node]() { Order("start " + node); });
         }
         return;
       case fault_kind::Terminate:
@@ -315,7 +305,7 @@
         return;
       case fault_kind::Freeze:
         Order("freeze " + aNode);
-        After(aFault.mFor, [aNode]() { Order("thaw " + aNode); });
+        RunAfter(mContext, aFault.mFor, [aNode]() { Order("thaw " + aNode); });
         return;
       default:
         Order("reload " + aNode);
@@ -345,7 +335,7 @@
       return;
     }
     if (runtime_clock::now() < mPayBy) {
-      After(kLook, [this]() { AwaitPaid(); });
+      RunAfter(mContext, kLook, [this]() { AwaitPaid(); });
       return;
     }
     for (const job_id& id : owed) {
@@ -389,7 +379,6 @@
   table_operator mDesk;
   std::vector<std::unique_ptr<link_proxy>> mControlLinks;
   std::vector<std::unique_ptr<link_proxy>> mEntryLinks;
-  runtime_timer mTimer;
   time_point mBegunAt{};
   time_point mPayBy{};
 };
--- a/testing/soak/caller_crowd.cc
+++ b/testing/soak/caller_crowd.cc
@@ -12,6 +12,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "platform/json.h"
+#include "testing/soak/run_after.h"
 
 namespace oriolewalk::soak {
 
@@ -198,18 +199,6 @@
   }
 }
 
-void
-caller_crowd::Later(duration aAfter, std::function<void()> aDo)
-{
-  auto timer = std::make_shared<runtime_timer>(mContext);
-  timer->expires_after(aAfter);
-  timer->async_wait([timer, what = std::move(aDo)](const auto& aProblem) {
-    if (!aProblem) {
-      what();
-    }
-  });
-}
-
 void
 caller_crowd::HandIn(const std::shared_ptr<job>& aJob)
 {
@@ -231,7 +220,7 @@
     aJob->mAccepted = true;
     Follow(aJob);
     if (aJob->mCancels) {
-      Later(kCancelAfter, [this, aJob]() { Cancel(aJob); });
+      RunAfter(mContext, kCancelAfter, [this, aJob]() { Cancel(aJob); });
     }
     return;
   }
@@ -239,7 +228,7 @@
                        std::holds_alternative<http::never_started>(aOutcome);
   aJob->mAllRefused = aJob->mAllRefused && refused;
   if (aJob->mTries < kMostTries) {
-    Later(RetryAfter(aOutcome), [this, aJob]() { HandIn(aJob); });
+    RunAfter(mContext, RetryAfter(aOutcome), [this, aJob]() { HandIn(aJob); });
   } else if (aJob->mAllRefused) {
     ++mRefused;
     mBook.Refused(aJob->mId);
@@ -258,7 +247,7 @@
     if (StatusOf(aOutcome) == 200) {
       mBook.CancelAcked(aJob->mId, runtime_clock::now());
     } else {
-      Later(kAskEvery, [this, aJob]() { Cancel(aJob); });
+      RunAfter(mContext, kAskEvery, [this, aJob]() { Cancel(aJob); });
     }
   });
 }
@@ -266,7 +255,7 @@
 void
 caller_crowd::Follow(const std::shared_ptr<job>& aJob)
 {
-  Later(kAskEvery, [this, aJob]() { AskState(aJob); });
+  RunAfter(mContext, kAskEvery, [this, aJob]() { AskState(aJob); });
 }
 
 void
--- a/testing/soak/caller_crowd.h
+++ b/testing/soak/caller_crowd.h
@@ -80,7 +80,6 @@
   void HandIn(const std::shared_ptr<job>& aJob);
   void HandedIn(const std::shared_ptr<job>& aJob,
                 const http::send_outcome& aOutcome);
-  void Later(duration aAfter, std::function<void()> aDo);
   void Follow(const std::shared_ptr<job>& aJob);
   void Cancel(const std::shared_ptr<job>& aJob);
   void AskState(const std::shared_ptr<job>& aJob);
--- a/testing/soak/table_operator.cc
+++ b/testing/soak/table_operator.cc
@@ -9,6 +9,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "platform/json.h"
+#include "testing/soak/run_after.h"
 
 namespace oriolewalk::soak {
 
@@ -115,7 +116,7 @@
                    " is refused with status " + std::to_string(status));
         return;
       }
-      Later(kAgain, [this, aVersion, aControl]() {
+      RunAfter(mContext, kAgain, [this, aVersion, aControl]() {
         Put(aVersion, (aControl + 1) % mOptions.mControls.size());
       });
     });
@@ -124,58 +125,50 @@
 void
 table_operator::Change()
 {
-  Later(kChangeEvery + milliseconds(mRandom.Below(kChangeSpanMs)), [this]() {
-    if (!mOpen) {
-      return;
-    }
-    if (mReady) {
-      mVersion += 1 + static_cast<std::int64_t>(mRandom.Below(kMostSkipped));
-      const std::size_t control = mRandom.Below(mOptions.mControls.size());
-      Put(mVersion, control);
-      if (mRandom.Below(kRaceEach) == 0) {
-        ++mVersion;
-        Put(mVersion, (control + 1) % mOptions.mControls.size());
-      }
-    }
-    Change();
-  });
+  RunAfter(mContext,
+           kChangeEvery + milliseconds(mRandom.Below(kChangeSpanMs)),
+           [this]() {
+             if (!mOpen) {
+               return;
+             }
+             if (mReady) {
+               mVersion +=
+                 1 + static_cast<std::int64_t>(mRandom.Below(kMostSkipped));
+               const std::size_t control =
+                 mRandom.Below(mOptions.mControls.size());
+               Put(mVersion, control);
+               if (mRandom.Below(kRaceEach) == 0) {
+                 ++mVersion;
+                 Put(mVersion, (control + 1) % mOptions.mControls.size());
+               }
+             }
+             Change();
+           });
 }
 
 void
 table_operator::Read(std::size_t aControl)
 {
   const time_point asked = runtime_clock::now();
-  mClient.Send(mOptions.mControls[aControl],
-               { .mMethod = "GET", .mTarget = "/v1/config/get" },
-               { .mConnectTimeout = kPutBound, .mTotalTimeout = kPutBound },
-               [this, aControl, asked](const http::send_outcome& aOutcome) {
-                 const auto* answer = std::get_if<http::answered>(&aOutcome);
-                 if (answer != nullptr && answer->mResponse.mStatus == 200) {
-                   const auto body =
-                     platform::ParseObject(answer->mResponse.mBody);
-                   const std::int64_t version =
-                     body ? platform::IntegerOf(*body, "version") : 0;
-                   mLastRead[aControl] = version;
-                   mBook.TableShown(version, asked);
-                   if (answer->mResponse.mBody != WriteTable(version)) {
-                     mBook.Note("table " + std::to_string(version) +
-                                " is not read back as it was sent");
-                   }
-                 }
-                 Later(kReadEvery, [this, aControl]() { Read(aControl); });
-               });
-}
-
-void
-table_operator::Later(duration aAfter, std::function<void()> aDo)
-{
-  auto timer = std::make_shared<runtime_timer>(mContext);
-  timer->expires_after(aAfter);
-  timer->async_wait([timer, what = std::move(aDo)](const auto& aProblem) {
-    if (!aProblem) {
-      what();
-    }
-  });
+  mClient.Send(
+    mOptions.mControls[aControl],
+    { .mMethod = "GET", .mTarget = "/v1/config/get" },
+    { .mConnectTimeout = kPutBound, .mTotalTimeout = kPutBound },
+    [this, aControl, asked](const http::send_outcome& aOutcome) {
+      const auto* answer = std::get_if<http::answered>(&aOutcome);
+      if (answer != nullptr && answer->mResponse.mStatus == 200) {
+        const auto body = platform::ParseObject(answer->mResponse.mBody);
+        const std::int64_t version =
+          body ? platform::IntegerOf(*body, "version") : 0;
+        mLastRead[aControl] = version;
+        mBook.TableShown(version, asked);
+        if (answer->mResponse.mBody != WriteTable(version)) {
+          mBook.Note("table " + std::to_string(version) +
+                     " is not read back as it was sent");
+        }
+      }
+      RunAfter(mContext, kReadEvery, [this, aControl]() { Read(aControl); });
+    });
 }
 
 } // namespace oriolewalk::soak
--- a/testing/soak/table_operator.h
+++ b/testing/soak/table_operator.h
@@ -55,7 +55,6 @@
   void Put(std::int64_t aVersion, std::size_t aControl);
   void Change();
   void Read(std::size_t aControl);
-  void Later(duration aAfter, std::function<void()> aDo);
   [[nodiscard]] bytes WriteTable(std::int64_t aVersion) const;
 
   boost::asio::io_context& mContext;
