--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -183,6 +183,7 @@
   if (run != found->second.mRuns.end() && !run->second.mStopWanted) {
     run->second.mStopWanted = true;
     run->second.mStopAgainAt = aNow;
+    found->second.mTendRuns = true;
   }
 }
 
@@ -334,6 +335,7 @@
       return;
     case order_result::NoAnswer:
       run->second.mUnsureSince = aNow;
+      aView.mTendRuns = true;
       return;
     case order_result::Superseded:
     case order_result::OtherLife:
@@ -526,7 +528,14 @@
                         worker_view& aView,
                         time_point aNow)
 {
+  if (!aView.mTendRuns) {
+    return;
+  }
+  aView.mTendRuns = false;
   for (auto& [run, view] : aView.mRuns) {
+    const bool inDoubt = view.mUnsureSince && !view.mSeen;
+    const bool toStop = view.mStopWanted && !view.mStoppedAt;
+    aView.mTendRuns = aView.mTendRuns || inDoubt || toStop;
     if (view.mUnsureSince && !view.mSeen &&
         aNow >= *view.mUnsureSince + mOptions.mTakeBack) {
       view.mStopWanted = true;
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -75,6 +75,10 @@
   std::int64_t mBeat = -1; // the newest heartbeat's number
   bool mEndsUnderWay = false;
   std::uint64_t mToldCursor = 0; // what the worker knows that it may forget
+  // A run is to be stopped, or its start is in doubt. Else nothing is due for
+  // any run by time alone: a leader of 1,100 workers would look at 6,000 runs a
+  // hundred times a second.
+  bool mTendRuns = false;
   std::map<run_ref, run_view> mRuns;
 };
 
--- a/oriolewalk/host/metrics_page.cc
+++ b/oriolewalk/host/metrics_page.cc
@@ -101,6 +101,22 @@
   Follow(mDropped, aLog.Dropped());
 }
 
+bool
+metrics_page::ShowConnections(const std::string& aDirection,
+                              connection_use aUse)
+{
+  const auto set = [&](const char* aName, const char* aHelp, std::size_t aTo) {
+    mRegistry.Gauge(aName, aHelp, { { "direction", aDirection } })
+      .Set(static_cast<double>(aTo));
+  };
+  set("oriole_connections_open", "connections, busy and idle", aUse.mOpen);
+  set("oriole_connections_most", "the share of descriptors", aUse.mMost);
+  set("oriole_connections_closed_for_room",
+      "idle connections that were closed for others",
+      aUse.mClosedForRoom);
+  return aUse.mOpen >= aUse.mMost || aUse.mClosedForRoom > 0;
+}
+
 void
 metrics_page::ShowControl(bool aLeads,
                           std::uint64_t aTerm,
--- a/oriolewalk/host/metrics_page.h
+++ b/oriolewalk/host/metrics_page.h
@@ -24,6 +24,14 @@
 
 namespace oriolewalk::host {
 
+// Connections of one direction.
+struct connection_use
+{
+  std::size_t mOpen = 0;
+  std::size_t mMost = 0;
+  std::size_t mClosedForRoom = 0; // idle ones, since the beginning
+};
+
 class metrics_page
 {
 public:
@@ -37,6 +45,8 @@
   void NoteOrder(duration aTook);
   // Decisions by event, and lines that were dropped.
   void ShowDecisions(const observe::decision_log& aLog);
+  // True: the share is full, or was.
+  bool ShowConnections(const std::string& aDirection, connection_use aUse);
   void ShowControl(bool aLeads, std::uint64_t aTerm, std::size_t aLiveJobs);
 
 private:
--- a/oriolewalk/http/client.cc
+++ b/oriolewalk/http/client.cc
@@ -52,6 +52,7 @@
 client::core::Launch(std::unique_ptr<call> aCall)
 {
   std::shared_ptr<connection> chosen;
+  std::shared_ptr<connection> givenUp;
   std::string refusal;
   error_code code = error_code::Busy;
   {
@@ -63,9 +64,13 @@
     } else if (mClosed) {
       refusal = "the client is closed";
     } else {
-      refusal = Choose(aCall->mTo, chosen);
+      refusal = Choose(aCall->mTo, chosen, givenUp);
     }
   }
+  // Not under the lock: it may run at once, if this is its own thread's turn.
+  if (givenUp) {
+    givenUp->Close();
+  }
   if (!refusal.empty()) {
     boost::asio::post(mContext,
                       [done = std::move(aCall->mDone),
@@ -86,27 +91,61 @@
 
 std::string
 client::core::Choose(const settings::address& aTo,
-                     std::shared_ptr<connection>& aChosen)
+                     std::shared_ptr<connection>& aChosen,
+                     std::shared_ptr<connection>& aGivenUp)
 {
   pool& there = mPools[aTo];
   if (!there.mIdle.empty()) {
-    aChosen = std::move(there.mIdle.back());
+    mIdleSince.erase(there.mIdle.back().mSince);
+    aChosen = std::move(there.mIdle.back().mConnection);
     there.mIdle.pop_back();
     return {};
   }
   if (there.mOpen >= mLimits.mMaxConnections) {
     return "all " + std::to_string(there.mOpen) + " connections are busy";
   }
-  ++there.mOpen;
+  if (mOpen >= mLimits.mMaxOpen) {
+    aGivenUp = GiveUpOldestIdle();
+    if (!aGivenUp) {
+      return "all " + std::to_string(mOpen) + " connections to anyone are busy";
+    }
+  }
+  ++mPools[aTo].mOpen; // the closing may have ended the pool
+  ++mOpen;
   return {};
 }
 
+std::shared_ptr<connection>
+client::core::GiveUpOldestIdle()
+{
+  if (mIdleSince.empty()) {
+    return nullptr;
+  }
+  const auto [since, address] = *mIdleSince.begin();
+  mIdleSince.erase(mIdleSince.begin());
+  const auto there = mPools.find(address);
+  auto& idle = there->second.mIdle;
+  const auto found = std::ranges::find(idle, since, &idle_connection::mSince);
+  // It counts no more from here on, though it closes a moment later: Remove()
+  // then finds it given up.
+  std::shared_ptr<connection> oldest = std::move(found->mConnection);
+  mGivenUp.insert(oldest.get());
+  idle.erase(found);
+  --mOpen;
+  ++mClosedForRoom;
+  if (--there->second.mOpen == 0) {
+    mPools.erase(there);
+  }
+  return oldest;
+}
+
 bool
 client::core::Return(const std::shared_ptr<connection>& aConnection)
 {
   const std::scoped_lock lock(mLock);
   if (!mClosed) {
-    mPools[aConnection->To()].mIdle.push_back(aConnection);
+    mPools[aConnection->To()].mIdle.push_back({ ++mLastReturn, aConnection });
+    mIdleSince.emplace(mLastReturn, aConnection->To());
   }
   return !mClosed;
 }
@@ -116,17 +155,24 @@
 {
   std::shared_ptr<connection> kept; // freed after the lock
   const std::scoped_lock lock(mLock);
+  if (mGivenUp.erase(&aConnection) > 0) {
+    return;
+  }
   const auto there = mPools.find(aConnection.To());
   if (there == mPools.end()) {
     return;
   }
   auto& idle = there->second.mIdle;
-  const auto found = std::ranges::find(
-    idle, &aConnection, [](const auto& aOne) { return aOne.get(); });
+  const auto found =
+    std::ranges::find(idle, &aConnection, [](const idle_connection& aOne) {
+      return aOne.mConnection.get();
+    });
   if (found != idle.end()) {
-    kept = std::move(*found);
+    mIdleSince.erase(found->mSince);
+    kept = std::move(found->mConnection);
     idle.erase(found);
   }
+  --mOpen;
   if (--there->second.mOpen == 0) {
     mPools.erase(there);
   }
@@ -164,6 +210,20 @@
   }
 }
 
+std::size_t
+client::core::Open() const
+{
+  const std::scoped_lock lock(mLock);
+  return mOpen;
+}
+
+std::size_t
+client::core::ClosedForRoom() const
+{
+  const std::scoped_lock lock(mLock);
+  return mClosedForRoom;
+}
+
 client::client(boost::asio::io_context& aContext, client_limits aLimits)
   : mCore(std::make_shared<core>(aContext, aLimits))
 {
@@ -185,6 +245,18 @@
     aTo, std::move(aRequest), std::move(aOptions), std::move(aDone), due }));
 }
 
+std::size_t
+client::Open() const
+{
+  return mCore->Open();
+}
+
+std::size_t
+client::ClosedForRoom() const
+{
+  return mCore->ClosedForRoom();
+}
+
 void
 client::Close()
 {
--- a/oriolewalk/http/client.h
+++ b/oriolewalk/http/client.h
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <variant>
 #include <vector>
@@ -69,6 +70,10 @@
   // To one address, busy and idle. One more request is never_started (Busy):
   // waiting belongs to the caller, who knows what is urgent.
   std::size_t mMaxConnections = 256;
+  // To all addresses. Where that many are open, the one that was idle for
+  // longest is closed for a new one; if none is idle, a request more is
+  // never_started (Busy).
+  std::size_t mMaxOpen = std::numeric_limits<std::size_t>::max();
   // Under the server's 60 s, so that it is we who close and a request never
   // meets a connection that the peer is just closing.
   milliseconds mIdleTimeout{ 20'000 };
@@ -93,6 +98,10 @@
             request aRequest,
             send_options aOptions,
             send_callback aDone);
+  // Connections, busy and idle.
+  [[nodiscard]] std::size_t Open() const;
+  // Closed while idle to make room for others, since the beginning.
+  [[nodiscard]] std::size_t ClosedForRoom() const;
   // Cuts all connections; requests under way end as never_started or unknown.
   void Close();
 
--- a/oriolewalk/http/client_core.h
+++ b/oriolewalk/http/client_core.h
@@ -3,6 +3,7 @@
 // The client's pool. Inside http only.
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -52,24 +53,43 @@
   void Ended(connection& aConnection);
   void Close();
   [[nodiscard]] const client_limits& Limits() const { return mLimits; }
+  [[nodiscard]] std::size_t Open() const;
+  [[nodiscard]] std::size_t ClosedForRoom() const;
 
 private:
+  struct idle_connection
+  {
+    std::uint64_t mSince = 0; // rises with each return
+    std::shared_ptr<connection> mConnection;
+  };
   struct pool
   {
-    std::vector<std::shared_ptr<connection>> mIdle; // the latest last
+    std::vector<idle_connection> mIdle; // the latest last
     std::size_t mOpen = 0;
   };
 
+  // Under mLock. The connection that was idle for longest, to be closed; null
+  // if none is. Without this a client of 1,100 peers keeps connections to all
+  // of them until the process has no descriptor left for its disk.
+  std::shared_ptr<connection> GiveUpOldestIdle();
+
   // Under mLock: an idle connection, none where one may be opened (it is
-  // counted), or why not.
+  // counted), or why not. aGivenUp: to be closed for it.
   std::string Choose(const settings::address& aTo,
-                     std::shared_ptr<connection>& aChosen);
+                     std::shared_ptr<connection>& aChosen,
+                     std::shared_ptr<connection>& aGivenUp);
 
   boost::asio::io_context& mContext;
   const client_limits mLimits;
-  std::mutex mLock;
+  mutable std::mutex mLock;
   std::map<settings::address, pool> mPools;
+  std::map<std::uint64_t, settings::address> mIdleSince; // the oldest first
+  std::uint64_t mLastReturn = 0;
+  std::size_t mOpen = 0; // in all pools
+  std::size_t mClosedForRoom = 0;
   std::set<connection*> mAll;
+  // Closed for room and no longer counted; each until it says that it closed.
+  std::set<const connection*> mGivenUp;
   bool mClosed = false;
 };
 
--- a/oriolewalk/http/server.cc
+++ b/oriolewalk/http/server.cc
@@ -158,7 +158,8 @@
     });
     return;
   }
-  if (mShared->mConnections >= mShared->mLimits.mMaxConnections) {
+  if (mShared->mConnections >= mShared->mLimits.mMaxConnections &&
+      !mShared->CloseOldestIdle()) {
     RefuseForLoad(aSocket);
   } else {
     std::make_shared<session>(std::move(aSocket), mShared)->Start();
@@ -260,6 +261,12 @@
   return mCore->Shared().mConnections;
 }
 
+std::size_t
+server::ClosedForRoom() const
+{
+  return mCore->Shared().mClosedForRoom;
+}
+
 void
 server::Close()
 {
--- a/oriolewalk/http/server.h
+++ b/oriolewalk/http/server.h
@@ -35,10 +35,12 @@
 {
   std::size_t mMaxHeaderBytes = 16UL * 1024; // beyond: 431
   std::size_t mMaxBodyBytes = 1024UL * 1024; // beyond: 413
-  std::size_t mMaxConnections = 4096;        // beyond: 503 and a close
-  milliseconds mHeaderTimeout{ 5'000 };      // from a request's first byte; 408
-  milliseconds mBodyTimeout{ 10'000 };       // from the header's end; 408
-  milliseconds mIdleTimeout{ 60'000 };       // between requests; a close
+  // Beyond: the one that was idle for longest is closed; if none is idle, 503
+  // and a close.
+  std::size_t mMaxConnections = 4096;
+  milliseconds mHeaderTimeout{ 5'000 }; // from a request's first byte; 408
+  milliseconds mBodyTimeout{ 10'000 };  // from the header's end; 408
+  milliseconds mIdleTimeout{ 60'000 };  // between requests; a close
   // For a caller to take an answer. A caller that doesn't read would
   // otherwise hold its connection and the answer's memory for good.
   milliseconds mWriteTimeout{ 10'000 };
@@ -100,6 +102,8 @@
   // Requests whose answers are not yet wholly written.
   [[nodiscard]] std::size_t Active() const;
   [[nodiscard]] std::size_t Connections() const;
+  // Idle connections that were closed to make room for others.
+  [[nodiscard]] std::size_t ClosedForRoom() const;
   // Cuts all connections.
   void Close();
 
--- a/oriolewalk/http/session.cc
+++ b/oriolewalk/http/session.cc
@@ -87,11 +87,44 @@
   mShared->mOpen.insert(this);
 }
 
+// Silent callers otherwise keep out whoever comes next, for as long as an idle
+// connection is kept: a minute.
+bool
+session_shared::CloseOldestIdle()
+{
+  std::shared_ptr<session> oldest;
+  {
+    const std::scoped_lock lock(mLock);
+    while (!oldest && !mIdle.empty()) {
+      oldest = mIdle.begin()->second->weak_from_this().lock();
+      mIdle.erase(mIdle.begin());
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  ++mClosedForRoom;
+  oldest->Close();
+  return true;
+}
+
+void
+session::NoteIdle(bool aIdle)
+{
+  const std::scoped_lock lock(mShared->mLock);
+  mShared->mIdle.erase(std::exchange(mIdleSince, 0));
+  if (aIdle) {
+    mIdleSince = ++mShared->mLastIdle;
+    mShared->mIdle.emplace(mIdleSince, this);
+  }
+}
+
 session::~session()
 {
   {
     const std::scoped_lock lock(mShared->mLock);
     mShared->mOpen.erase(this);
+    mShared->mIdle.erase(mIdleSince);
   }
   --mShared->mConnections;
 }
@@ -131,6 +164,7 @@
   } else if (mPeerGone) {
     CloseNow();
   } else {
+    NoteIdle(true);
     Read();
   }
 }
@@ -195,6 +229,7 @@
 {
   if (!mRequestBegun) {
     mRequestBegun = true;
+    NoteIdle(false);
     SetDeadline(mShared->mLimits.mHeaderTimeout);
   }
   error_code code;
@@ -420,6 +455,7 @@
   }
   const bool answering = mState == state::Answering;
   mState = state::Closed;
+  NoteIdle(false);
   mDeadline.Stop();
   error_code ignored;
   mSocket.close(ignored);
--- a/oriolewalk/http/session.h
+++ b/oriolewalk/http/session.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -37,6 +38,13 @@
   // Sessions take themselves out as they end, so none here is dangling.
   std::mutex mLock;
   std::set<session*> mOpen;
+  // Those that wait for a request of which nothing has come, the oldest first.
+  std::map<std::uint64_t, session*> mIdle;
+  std::uint64_t mLastIdle = 0;
+  std::atomic<std::size_t> mClosedForRoom = 0;
+
+  // False: none is idle.
+  bool CloseOldestIdle();
 };
 
 // One read is always under way, also while an answer is awaited: there it sees
@@ -93,6 +101,7 @@
   void Linger();
   void HandleLinger(boost::system::error_code aCode, std::size_t aCount);
   void CloseNow();
+  void NoteIdle(bool aIdle);
   void SetDeadline(milliseconds aFromNow);
 
   boost::asio::ip::tcp::socket mSocket;
@@ -113,6 +122,7 @@
   std::uint64_t mNumber = 0; // of the request in hand
   std::function<void()> mGone;
   std::size_t mLingered = 0;
+  std::uint64_t mIdleSince = 0; // 0: it isn't idle
 };
 
 } // namespace oriolewalk::http
--- a/testing/http/client_test.cc
+++ b/testing/http/client_test.cc
@@ -217,6 +217,52 @@
   CHECK(std::holds_alternative<answered>(first.get()));
 }
 
+TEST_CASE(
+  "connections to all addresses are bounded: the one idle for longest goes")
+{
+  // A client of many peers keeps a connection to each. Were there no bound for
+  // all together, they would take the descriptors that the disk needs.
+  running_context context;
+  const auto serve = [](tcp::socket& aSocket) {
+    while (!ReadRequest(aSocket).empty()) {
+      WriteAll(aSocket, kOk);
+    }
+  };
+  const raw_target one(serve);
+  const raw_target two(serve);
+  const raw_target three(serve);
+  client_limits limits;
+  limits.mMaxOpen = 2;
+  client caller(context.Get(), limits);
+  for (const raw_target* target : { &one, &two, &one, &three, &one, &three }) {
+    const send_outcome outcome = SendTo(caller, target->Address(), {}).get();
+    CHECK(std::holds_alternative<answered>(outcome));
+    CHECK(caller.Open() <= 2);
+  }
+  CHECK(caller.ClosedForRoom() == 1); // to the second target
+}
+
+TEST_CASE("a request beyond all busy connections is refused at once")
+{
+  running_context context;
+  std::promise<void> go;
+  const raw_target busy([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    go.get_future().wait();
+    WriteAll(aSocket, kOk);
+  });
+  const raw_target other([](tcp::socket& aSocket) { ReadRequest(aSocket); });
+  client_limits limits;
+  limits.mMaxOpen = 1;
+  client caller(context.Get(), limits);
+  auto first = SendTo(caller, busy.Address(), {});
+  const send_outcome second = SendTo(caller, other.Address(), {}).get();
+  REQUIRE(std::holds_alternative<never_started>(second));
+  CHECK(std::get<never_started>(second).mError.mCode == error_code::Busy);
+  go.set_value();
+  CHECK(std::holds_alternative<answered>(first.get()));
+}
+
 TEST_CASE("a closed client ends what is under way and refuses what is new")
 {
   running_context context;
