--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -9,6 +9,10 @@
 //   lead.Applied(command, outcome, ours);
 //   lead.Tick();
 //
+// leading.cc holds what drives it, leading_calls.cc the answers,
+// leading_plans.cc the plans, leading_runs.cc the runs, leading_advice.cc the
+// questions to the policy service, leading_notes.cc the log.
+//
 // It acts through `leading_port`: proposing, answering. Time is set by the
 // owner before each call. The flow core owns it; control thread only.
 
@@ -66,6 +70,13 @@
   std::function<std::vector<std::string>()> mMembers;
 };
 
+// An entry or a spare that was silent for so long carries nothing: three beats.
+inline constexpr milliseconds kEntrySilence{ 1'600 };
+
+// "queued", "running", "done", "failed" or "cancelled".
+std::string_view
+StateName(const job_record& aJob);
+
 class leading
 {
 public:
@@ -176,7 +187,7 @@
   bool mFirstDue = false;  // something of the steps that come first has changed
   time_point mPlannedAt{}; // all steps
   time_point mFirstPlannedAt{};
-  std::size_t mFirstWaiting = 0; // tasks of the first queues, in the last plan
+  std::size_t mFirstWaiting = 0;  // tasks of the first queues, in the last plan
   std::int64_t mWaitingTasks = 0; // in the last plan
   time_point mShortNotedAt{};
   time_point mSweptAt{};
@@ -194,7 +205,8 @@
   std::map<std::string, time_point> mAsideUntil; // advisors
   std::map<std::uint64_t, open_question> mOpenQuestions;
   std::set<step_ref> mAsking;
-  std::set<step_ref> mNothingToAsk; // since mAskedAllAt
+  std::map<step_ref, std::vector<worker_number>> mNamed; // by those questions
+  std::set<step_ref> mNothingToAsk;                      // since mAskedAllAt
   time_point mAskedAllAt{};
   recent_peak mFirstPeak; // questions of the first queues at a time
   std::uint64_t mLastQuestion;
--- /dev/null
+++ b/oriolewalk/flow/leading_advice.cc
@@ -0,0 +1,141 @@
+// The leader's questions to the policy service, and who carries them.
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "oriolewalk/flow/leading.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// One that could not carry its last question is left alone for two beats: it
+// fails at once and would be chosen for the next one again. On a day of planned
+// stops one question in nine was lost to it.
+constexpr milliseconds kAdvisorAside{ 1'000 };
+// Taken off a ticket's validity: the way to the worker and the commit.
+constexpr milliseconds kTicketMargin{ 200 };
+// Added to what the policy service should take for one question, beside half of
+// it: the way there and back over a busy entry. After this another advisor is
+// asked. With 1,500 ms a job whose advisor was cut off lost 2.9 s (a soak),
+// more than an urgent job's whole objective.
+constexpr std::int64_t kAdviceMarginMs = 400;
+
+std::int64_t
+ToMs(duration aSpan)
+{
+  return std::chrono::duration_cast<milliseconds>(aSpan).count();
+}
+
+} // namespace
+
+std::vector<std::string>
+leading::FreeAdvisors() const
+{
+  std::vector<std::string> all = mPort.mMembers();
+  for (const auto& [address, heard] : mEntries) {
+    if (mAt.mNow < heard + kEntrySilence) {
+      all.push_back(address);
+    }
+  }
+  std::erase_if(all, [this](const std::string& aAddress) {
+    const auto aside = mAsideUntil.find(aAddress);
+    return (aside != mAsideUntil.end() && mAt.mNow < aside->second) ||
+           std::ranges::any_of(mOpenQuestions, [&](const auto& aOpen) {
+             return aOpen.second.mAdvisor == aAddress;
+           });
+  });
+  // Entries first: the control processes have other work.
+  std::ranges::reverse(all);
+  return all;
+}
+
+advisor_load
+leading::AdvisorLoad()
+{
+  advisor_load load;
+  load.mFree = FreeAdvisors().size();
+  load.mTotal = load.mFree + mOpenQuestions.size();
+  std::size_t first = 0;
+  for (const auto& [id, open] : mOpenQuestions) {
+    ++load.mUsed[open.mQueue];
+    first += open.mFirst ? 1 : 0;
+  }
+  load.mFirstPeak = mFirstPeak.Note(first, mAt.mNow);
+  return load;
+}
+
+void
+leading::AskPolicy(const question& aQuestion)
+{
+  const auto advisors = FreeAdvisors();
+  const job_record* job = mState.FindJob(aQuestion.mStep.mJob);
+  if (advisors.empty() || job == nullptr) {
+    return;
+  }
+  const queue_row& queue = mState.QueueOf(*job);
+  const advice_terms terms = queue.mAdvice.value_or(advice_terms{});
+  open_question open{
+    advisors.front(), aQuestion.mStep,     queue.mName, terms.mValidMs, {},
+    mAt.mNow,         queue.mPriority == 0
+  };
+  advice_order order{ ++mLastQuestion, advisors.front(), {} };
+  order.mRequest.mStep = aQuestion.mStep;
+  for (const worker_number number : aQuestion.mWorkers) {
+    const worker_id& id = mState.FindWorker(number)->mFacts.mId;
+    open.mAsked.emplace_back(number, id);
+    order.mRequest.mWorkers.push_back(id);
+  }
+  const auto named = static_cast<double>(aQuestion.mWorkers.size());
+  constexpr double kHalfMore = 1.5;
+  order.mRequest.mBoundMs =
+    static_cast<std::int64_t>(kHalfMore *
+                              (terms.mBaseMs + terms.mPerWorkerMs * named)) +
+    kAdviceMarginMs;
+  mAsking.insert(aQuestion.mStep);
+  mNamed[aQuestion.mStep] = aQuestion.mWorkers;
+  mOpenQuestions.emplace(order.mId, std::move(open));
+  mQuestions.push_back(std::move(order));
+}
+
+void
+leading::AdviceAnswered(std::uint64_t aOrder, const result<approvals>& aAnswer)
+{
+  auto open = mOpenQuestions.extract(aOrder);
+  if (open.empty()) {
+    return;
+  }
+  const open_question& asked = open.mapped();
+  mAsking.erase(asked.mStep);
+  mNamed.erase(asked.mStep);
+  mPlanDue = true;
+  mFirstDue = mFirstDue || asked.mFirst;
+  if (!aAnswer) {
+    mAsideUntil[asked.mAdvisor] = mAt.mNow + kAdvisorAside;
+    mPort.mNote({ "advice.failed",
+                  { { "job", asked.mStep.mJob.Value() },
+                    { "advisor", asked.mAdvisor },
+                    { "problem", aAnswer.error().Describe() } } });
+    return;
+  }
+  mPort.mNote({ "advice.answered",
+                { { "job", asked.mStep.mJob.Value() },
+                  { "step", std::to_string(asked.mStep.mStep) },
+                  { "queue", asked.mQueue },
+                  { "asked", std::to_string(asked.mAsked.size()) },
+                  { "by", asked.mAdvisor },
+                  { "took_ms", std::to_string(ToMs(mAt.mNow - asked.mAt)) },
+                  { "approved", std::to_string(aAnswer->size()) } } });
+  const milliseconds valid = milliseconds(asked.mValidMs) - kTicketMargin;
+  mAdvice.Answered(
+    asked.mStep, asked.mQueue, asked.mAsked, *aAnswer, mAt.mNow + valid);
+}
+
+std::vector<advice_order>
+leading::TakeQuestions()
+{
+  return std::exchange(mQuestions, {});
+}
+
+} // namespace oriolewalk::flow
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -45,8 +45,8 @@
   std::int64_t mSlackMs = 0;           // until it must start to be in time
 };
 
-// Steps whose users notice each second: those of the queues that come first, and
-// tasks that last, which are few.
+// Steps whose users notice each second: those of the queues that come first,
+// and tasks that last, which are few.
 inline bool
 IsFirst(const queue_row& aQueue, const step_spec& aSpec)
 {
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -30,12 +30,11 @@
 
   plan_result Run()
   {
-    const std::vector<open_step> steps =
-      CollectOpenSteps(*mInput.mState,
-                       *mInput.mProposed,
-                       mInput.mWallMs,
-                       mInput.mPolicy.mOrder,
-                       mInput.mScope);
+    const std::vector<open_step> steps = CollectOpenSteps(*mInput.mState,
+                                                          *mInput.mProposed,
+                                                          mInput.mWallMs,
+                                                          mInput.mPolicy.mOrder,
+                                                          mInput.mScope);
     mAdvisors.emplace(mInput.mAdvisors,
                       mInput.mPolicy.mShares ? steps : std::vector<open_step>(),
                       *mInput.mAdvice,
@@ -193,6 +192,9 @@
                             step_places& aPlaces)
   {
     const worker_list known = ApprovedFor(aStep, true);
+    if (known.empty() && KeepNamedRoom(aStep, aTasks, aPlaces)) {
+      return wait_cause::Verdict;
+    }
     hold kept;
     if (mInput.mPolicy.mHolds || mInput.mPolicy.mPreempts) {
       kept = mHolds.Find(aStep, aTasks, known, aPlaces);
@@ -211,6 +213,39 @@
     return cause;
   }
 
+  // While the policy service thinks about a step that comes first, the room
+  // that it would take at the workers it asks about is kept: what others start
+  // there meanwhile has to give way again, or the step asks a second time.
+  // True: a question is under way.
+  bool KeepNamedRoom(const open_step& aStep,
+                     std::span<const std::uint32_t> aTasks,
+                     step_places& aPlaces)
+  {
+    if (mInput.mNamed == nullptr || !mInput.mPolicy.mHolds ||
+        !IsFirst(*aStep.mQueue, *aStep.mSpec)) {
+      return false;
+    }
+    const auto named = mInput.mNamed->find(aStep.mRef);
+    if (named == mInput.mNamed->end()) {
+      return false;
+    }
+    worker_list workers;
+    for (const worker_number number : named->second) {
+      if (const auto found = mByNumber.find(number); found != mByNumber.end()) {
+        workers.push_back(found->second);
+      }
+    }
+    for (const std::uint32_t task : aTasks) {
+      plan_worker* worker = aPlaces.Best(task, {}, workers, FitsNow);
+      if (worker == nullptr) {
+        break;
+      }
+      worker->mHeld += aStep.mSpec->Booked();
+      aPlaces.Take(*worker);
+    }
+    return true;
+  }
+
   [[nodiscard]] wait_cause CauseOf(const open_step& aStep,
                                    const worker_list& aKnown,
                                    const hold& aKept,
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -44,6 +44,8 @@
   const std::map<task_ref, worker_number>* mProposed = nullptr;
   // Steps about which a question is under way.
   const std::set<step_ref>* mAsking = nullptr;
+  // Which workers those questions name; null: not told.
+  const std::map<step_ref, std::vector<worker_number>>* mNamed = nullptr;
   // Steps that had nothing to ask of late: not looked at again so soon.
   const std::set<step_ref>* mNothingToAsk = nullptr;
   yield_records mYields;
--- /dev/null
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -0,0 +1,228 @@
+// What the leader concludes from workers' answers.
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/flow/worker_keeper.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+// A list of ends is cut off by the worker at this many.
+constexpr std::size_t kMostListedEnds = 500;
+// How long a worker that refused a start as unhealthy gets no other.
+constexpr milliseconds kUnhealthyPause{ 1'000 };
+
+} // namespace
+
+void
+worker_keeper::Answered(std::uint64_t aOrder,
+                        const order_answer& aAnswer,
+                        time_point aNow)
+{
+  auto open = mOpen.extract(aOrder);
+  if (open.empty()) {
+    return;
+  }
+  const open_order& order = open.mapped();
+  const auto found = mViews.find(order.mWorker);
+  if (found == mViews.end()) {
+    return;
+  }
+  worker_view& view = found->second;
+  NoteAnswer(order, view, aAnswer, aNow);
+  std::visit(overloaded{
+               [&](const start_order& aStart) {
+                 StartAnswered(order.mWorker, view, aStart, aAnswer, aNow);
+               },
+               [&](const stop_order& aStop) {
+                 StopAnswered(view, aStop, aAnswer, aNow);
+               },
+               [&](const hold_order&) {
+                 (aOrder == view.mQuickLook ? view.mQuickLook : view.mLook) = 0;
+                 LookAnswered(
+                   order.mWorker, view, order.mSentAt, aAnswer, aNow);
+               },
+               [](const pace_order&) {},
+             },
+             order.mBody);
+}
+
+void
+worker_keeper::NoteAnswer(const open_order& aOrder,
+                          worker_view& aView,
+                          const order_answer& aAnswer,
+                          time_point aNow)
+{
+  switch (aAnswer.mResult) {
+    case order_result::OtherLife:
+      KeepCheckpoints(aOrder.mWorker);
+      mCommands.emplace_back(remove_worker{ aOrder.mWorker });
+      return;
+    case order_result::NoAnswer:
+    case order_result::NotSent:
+      // A single order may be lost; a look without an answer says that the
+      // worker can't be reached.
+      if (std::holds_alternative<hold_order>(aOrder.mBody)) {
+        ++aView.mFailures;
+      }
+      return;
+    default:
+      aView.mFailures = 0;
+      aView.mHeardAt = aNow;
+      if (aAnswer.mClockMs) {
+        NoteClock(aView, *aAnswer.mClockMs, aNow);
+      }
+  }
+}
+
+void
+worker_keeper::StartAnswered(worker_number aWorker,
+                             worker_view& aView,
+                             const start_order& aOrder,
+                             const order_answer& aAnswer,
+                             time_point aNow)
+{
+  const auto run = aView.mRuns.find(aOrder.mRun);
+  if (run == aView.mRuns.end()) {
+    return;
+  }
+  switch (aAnswer.mResult) {
+    case order_result::Done:
+      run->second.mStartedAt = aNow;
+      return;
+    case order_result::NoAnswer:
+      run->second.mUnsureSince = aNow;
+      aView.mTendRuns = true;
+      return;
+    case order_result::Superseded:
+    case order_result::OtherLife:
+      return; // another leader's, or a life that is over
+    case order_result::TicketInvalid:
+      mTicketsRefused.push_back({ aOrder.mRun, aWorker });
+      break;
+    case order_result::Unhealthy:
+      aView.mUnhealthyUntil = aNow + kUnhealthyPause;
+      break;
+    default:
+      break;
+  }
+  mCommands.emplace_back(drop_runs{ aWorker, { aOrder.mRun } });
+}
+
+void
+worker_keeper::StopAnswered(worker_view& aView,
+                            const stop_order& aOrder,
+                            const order_answer& aAnswer,
+                            time_point aNow)
+{
+  const auto run = aView.mRuns.find(aOrder.mRun);
+  if (run == aView.mRuns.end()) {
+    return;
+  }
+  run->second.mStopUnderWay = false;
+  if (aAnswer.mResult == order_result::Done) {
+    run->second.mStoppedAt = aNow;
+    aView.mProbe = true;
+  } else {
+    run->second.mStopAgainAt = aNow + mOptions.mStopAgain;
+  }
+}
+
+void
+worker_keeper::LookAnswered(worker_number aWorker,
+                            worker_view& aView,
+                            time_point aSentAt,
+                            const order_answer& aAnswer,
+                            time_point aNow)
+{
+  if (aAnswer.mResult != order_result::Done) {
+    aView.mNextLook = aNow + mOptions.mLookAgain;
+    return;
+  }
+  aView.mNextLook = aNow;
+  aView.mSynced = true;
+  TakeRunning(aWorker, aView, aAnswer, aNow);
+  DropAbsent(aWorker, aView, aSentAt, aAnswer);
+  aView.mEndsUnderWay = TakeEnds(aWorker, aView, aAnswer);
+}
+
+void
+worker_keeper::TakeRunning(worker_number aWorker,
+                           worker_view& aView,
+                           const order_answer& aAnswer,
+                           time_point aNow)
+{
+  for (const listed_run& listed : aAnswer.mRunning) {
+    const auto run = aView.mRuns.find(listed.mRun);
+    if (run != aView.mRuns.end()) {
+      run->second.mSeen = true;
+      run->second.mStartedAt = run->second.mStartedAt.value_or(aNow);
+      run->second.mCheckpoint = listed.mCheckpoint;
+      run->second.mPercent = listed.mPercent;
+      run->second.mLoad = listed.mLoad;
+    } else if (!mState.IsPlaced(listed.mRun, aWorker)) {
+      // Nobody waits for it: a start that came late, of an attempt that was
+      // given up since.
+      Send(aWorker, stop_order{ listed.mRun }, false, aNow);
+    }
+  }
+}
+
+bool
+worker_keeper::TakeEnds(worker_number aWorker,
+                        worker_view& /*aView*/,
+                        const order_answer& aAnswer)
+{
+  const worker_record* record = mState.FindWorker(aWorker);
+  end_runs ends{ aWorker, {}, record->mCursor };
+  for (const listed_end& listed : aAnswer.mEnded) {
+    if (listed.mNumber > record->mCursor) {
+      ends.mEnds.push_back(listed.mEnd);
+      ends.mCursor = std::max(ends.mCursor, listed.mNumber);
+    }
+  }
+  if (ends.mEnds.empty()) {
+    return false;
+  }
+  mCommands.emplace_back(std::move(ends));
+  return true;
+}
+
+void
+worker_keeper::DropAbsent(worker_number aWorker,
+                          worker_view& aView,
+                          time_point aSentAt,
+                          const order_answer& aAnswer)
+{
+  if (aAnswer.mEnded.size() >= kMostListedEnds) {
+    return; // the rest comes with the next look
+  }
+  std::set<run_ref> present;
+  for (const listed_run& listed : aAnswer.mRunning) {
+    present.insert(listed.mRun);
+  }
+  for (const listed_end& listed : aAnswer.mEnded) {
+    present.insert(listed.mEnd.mRun);
+  }
+  drop_runs drop{ aWorker, {} };
+  for (const auto& [run, view] : aView.mRuns) {
+    // An earlier leader's start that is still under way carries a fence that
+    // this worker now refuses.
+    const bool mustShow = view.mInherited ||
+                          (view.mStartedAt && *view.mStartedAt < aSentAt) ||
+                          (view.mStoppedAt && *view.mStoppedAt < aSentAt);
+    if (mustShow && !present.contains(run)) {
+      drop.mRuns.push_back(run);
+    }
+  }
+  if (!drop.mRuns.empty()) {
+    mCommands.emplace_back(std::move(drop));
+  }
+}
+
+} // namespace oriolewalk::flow
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -11,7 +11,6 @@
 
 constexpr milliseconds kStep{ 5 };
 constexpr milliseconds kWay{ 1 };
-constexpr milliseconds kSync{ 9 };
 constexpr milliseconds kHandOverBound{ 400 };
 constexpr milliseconds kBeatEvery{ 1'500 };
 constexpr milliseconds kLeastLate{ 2'000 };
@@ -142,7 +141,7 @@
       Deliver(aNode, message);
     }
     if (out.mRaft.mTicket != 0) {
-      one.mDisk.Write(out.mRaft, mNow + kSync);
+      one.mDisk.Write(out.mRaft, mNow + mSync);
     }
     if (out.mSnapshot) {
       one.mDisk.Store(*out.mSnapshot);
@@ -208,10 +207,23 @@
     At(wait, [answer]() { answer(order_answer{}); });
     return;
   }
-  At(kWay, [this, worker, aOrder, answer]() {
+  const auto delay = [this]() {
+    return mOrderDelay.count() == 0
+             ? kWay
+             : kWay + milliseconds(mRandom.Below(
+                        static_cast<std::uint64_t>(mOrderDelay.count())));
+  };
+  const milliseconds there = delay();
+  const milliseconds back = delay();
+  At(there, [this, worker, aOrder, answer, back, there, wait]() {
     const order_answer got = mWorkers[worker].mWorker->Handle(aOrder, mNow);
-    At(kWay, [answer, got]() { answer(got); });
+    if (there + back < wait) {
+      At(back, [answer, got]() { answer(got); });
+    }
   });
+  if (there + back >= wait) { // given up; it is or was carried out all the same
+    At(wait, [answer]() { answer(order_answer{}); });
+  }
 }
 
 bool
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -47,6 +47,11 @@
   // The share of orders that get no answer and are carried out up to 12 s
   // later.
   void SetLateShare(double aShare) { mLateShare = aShare; }
+  // Orders and their answers wait up to this long each, at random, in the
+  // leader's queues and on the way; the worker carries out each one that comes.
+  void SetOrderDelay(milliseconds aMost) { mOrderDelay = aMost; }
+  // How long a write to a disk takes.
+  void SetSync(milliseconds aSync) { mSync = aSync; }
 
   // Asks all nodes in turn until one answers as the leader.
   std::optional<flow_answer> Ask(const flow_request& aRequest);
@@ -114,6 +119,8 @@
   std::multimap<time_point, std::function<void()>> mEvents;
   run_oracle mOracle;
   double mLateShare = 0;
+  milliseconds mOrderDelay{ 0 };
+  milliseconds mSync{ 9 };
   call_number mLastCall = 0;
   std::map<std::string, std::size_t> mCounts;
 };
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -20,8 +20,10 @@
 public:
   player(const flow_choices& aChoose,
          std::uint64_t aSeed,
-         flow_options aOptions)
+         flow_options aOptions,
+         bool aBusy)
     : mChoose(aChoose)
+    , mBusy(aBusy)
     , mGroup(kNodes, kNodes, aSeed, kMostVoters, aOptions)
   {
     for (std::size_t worker = 0; worker < kWorkers; ++worker) {
@@ -63,7 +65,16 @@
     mWorkers.push_back(made);
   }
 
-  void LetTimePass() { mGroup.Run(milliseconds(50 * (1 + Choose(40)))); }
+  void LetTimePass()
+  {
+    if (mBusy) {
+      constexpr std::uint64_t kBusyOf = 3; // one span in three is busy
+      const bool busy = Choose(kBusyOf) == 0;
+      mGroup.SetOrderDelay(milliseconds(busy ? 100 + 100 * Choose(30) : 0));
+      mGroup.SetSync(milliseconds(busy ? 10 + 100 * Choose(10) : 9));
+    }
+    mGroup.Run(milliseconds(50 * (1 + Choose(40))));
+  }
 
   void Submit()
   {
@@ -149,6 +160,8 @@
   std::optional<std::string> Finish()
   {
     mGroup.SetLateShare(0);
+    mGroup.SetOrderDelay(milliseconds(0));
+    mGroup.SetSync(milliseconds(9));
     for (std::size_t node = 0; node < kNodes; ++node) {
       mGroup.Cut(node, false);
     }
@@ -175,6 +188,7 @@
   }
 
   const flow_choices& mChoose;
+  bool mBusy;
   fake_group mGroup;
   std::vector<std::size_t> mWorkers;
   std::map<std::string, bool> mJobs; // whether a cancel was sent
@@ -192,10 +206,13 @@
 } // namespace
 
 std::optional<std::string>
-PlayFlowHistory(const flow_choices& aChoose, int aMost, flow_options aOptions)
+PlayFlowHistory(const flow_choices& aChoose,
+                int aMost,
+                flow_options aOptions,
+                bool aBusy)
 {
   const std::uint64_t seed = aChoose(1U << 16U).value_or(1);
-  return player(aChoose, seed, aOptions).Play(aMost);
+  return player(aChoose, seed, aOptions, aBusy).Play(aMost);
 }
 
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -22,11 +22,13 @@
 // - no worker is booked over its capacity;
 // - an accepted job that nobody cancelled ends as done (its tasks fail once at
 //   most), and is never unknown to a leader that answers.
-// aOptions: how the group is set up; with mWorkersAlone = 0 the leader's orders
-// are carried by the others.
+// aBusy: the leader is busy at times: orders and answers take up to seconds,
+// and a commit up to one. aOptions: how the group is set up; with mWorkersAlone
+// = 0 the leader's orders are carried by the others.
 std::optional<std::string>
 PlayFlowHistory(const flow_choices& aChoose,
                 int aMost,
-                flow_options aOptions = {});
+                flow_options aOptions = {},
+                bool aBusy = false);
 
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -13,7 +13,7 @@
 namespace {
 
 void
-PlaySeeds(std::uint64_t aSeeds, flow_options aOptions)
+PlaySeeds(std::uint64_t aSeeds, flow_options aOptions, bool aBusy = false)
 {
   constexpr int kActions = 60;
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
@@ -23,7 +23,7 @@
       [&](std::uint64_t aBound) -> std::optional<std::uint64_t> {
       return random.Below(aBound);
     };
-    const auto broken = PlayFlowHistory(choose, kActions, aOptions);
+    const auto broken = PlayFlowHistory(choose, kActions, aOptions, aBusy);
     CHECK(broken.value_or("") == "");
   }
 }
@@ -45,6 +45,15 @@
   PlaySeeds(150, options);
 }
 
+TEST_CASE("random histories break no promise while the leader is busy")
+{
+  // A leader whose processor is full: orders wait for seconds before they go
+  // out, answers wait to be read, a commit takes a second, workers are cut off
+  // and come back with ends that nobody waits for any more. No task that was
+  // done and acknowledged may start again.
+  PlaySeeds(150, {}, true);
+}
+
 TEST_CASE("a carrier's loss stops nothing for longer than a lease")
 {
   // The process that carries a worker's orders is cut off from the leader. Its
