Room is kept at the workers that the policy service is asked about for urgent steps

History seed 1077 (busy, carriers, 100 actions) ended without a leader. Traced: a voter that had been cut off for 20 s was out of the group when another one's disk was wiped: two losses of a group of two. The check wipes only while all three vote; the seed is a test.

--- a/oriolewalk/flow/advisors.cc
+++ b/oriolewalk/flow/advisors.cc
@@ -14,9 +14,9 @@
 constexpr std::size_t kMostKept = 3; // one in so many
 constexpr std::size_t kKeptBeyondPeak = 2;
 // What no other queue can take from one that waits: this part of an equal
-// share, and one advisor at least. Equal shares starved the queue of gangs, whose
-// questions are the dearest: each took half a second of an advisor, and the queue
-// had as many of them as one whose questions take 20 ms.
+// share, and one advisor at least. Equal shares starved the queue of gangs,
+// whose questions are the dearest: each took half a second of an advisor, and
+// the queue had as many of them as one whose questions take 20 ms.
 constexpr std::size_t kFloor = 4;
 // Questions ahead of time are put while at least this share is free.
 constexpr std::size_t kPlentiful = 2; // one in so many
--- a/oriolewalk/flow/leading_notes.cc
+++ b/oriolewalk/flow/leading_notes.cc
@@ -136,9 +136,9 @@
   }
 }
 
-// A line for the starts of a step that were committed together and have the same
-// attempt: "17@WORKER 18@WORKER". A line for each start alone is half of all
-// lines, 1,200 a second at 1,100 workers.
+// A line for the starts of a step that were committed together and have the
+// same attempt: "17@WORKER 18@WORKER". A line for each start alone is half of
+// all lines, 1,200 a second at 1,100 workers.
 void
 leading::NoteStarts(const std::vector<run_start>& aStarts)
 {
--- a/oriolewalk/flow/leading_plans.cc
+++ b/oriolewalk/flow/leading_plans.cc
@@ -15,17 +15,17 @@
 // five times as long.
 constexpr milliseconds kPlanPause{ 3 };
 // A plan's cost grows with the cell and with what waits. At 350 workers 17 ms
-// while little waits; with 2,000 tasks waiting 47 ms, since a backlog makes plans
-// dear just when the leader has most else to do: at 17 ms its processor was full
-// in bursts and everybody's answers waited.
+// while little waits; with 2,000 tasks waiting 47 ms, since a backlog makes
+// plans dear just when the leader has most else to do: at 17 ms its processor
+// was full in bursts and everybody's answers waited.
 constexpr microseconds kPlanPausePerWorker{ 40 };
 constexpr microseconds kPlanPausePerWaiting{ 15 };
 // Between two plans for the steps that come first alone, whatever waits behind
-// them. Each such step waits for two plans, one to ask and one to start. With the
-// pause of the others, at 1,100 workers half of the first starts took 150 ms of
-// the 250 ms that callers allow beside the work, and 0.81 of a burst's urgent jobs
-// were in time; with this one 90 ms and 0.89 (made time). Such a plan takes a
-// millisecond of a core.
+// them. Each such step waits for two plans, one to ask and one to start. With
+// the pause of the others, at 1,100 workers half of the first starts took 150
+// ms of the 250 ms that callers allow beside the work, and 0.81 of a burst's
+// urgent jobs were in time; with this one 90 ms and 0.89 (made time). Such a
+// plan takes a millisecond of a core.
 constexpr microseconds kFirstPausePerWorker{ 8 };
 // A plan is made at least so often, for tickets that run out.
 constexpr milliseconds kPlanEvery{ 100 };
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -108,7 +108,9 @@
 
   void Kill() { mGroup.Kill(Choose(kNodes), Choose(2) == 0); }
 
-  // One disk at a time may be lost, and only while the others are there.
+  // One disk at a time may be lost, and only while the others are there: up,
+  // and in the group. One that was silent for 20 s has been taken out of it; a
+  // disk lost before it is back in is a second loss.
   void Wipe()
   {
     const std::size_t chosen = Choose(kNodes);
@@ -118,7 +120,8 @@
       }
     }
     const auto leader = mGroup.Leader();
-    if (mWiped || !leader || *leader == chosen) {
+    if (mWiped || !leader || *leader == chosen ||
+        mGroup.Core(*leader).Raft().Members().mVoters.size() < kNodes) {
       return;
     }
     mWiped = true;
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -12,19 +12,25 @@
 
 namespace {
 
+void
+PlaySeed(std::uint64_t aSeed, int aActions, flow_options aOptions, bool aBusy)
+{
+  CAPTURE(aSeed);
+  random_source random(aSeed);
+  const flow_choices choose =
+    [&](std::uint64_t aBound) -> std::optional<std::uint64_t> {
+    return random.Below(aBound);
+  };
+  const auto broken = PlayFlowHistory(choose, aActions, aOptions, aBusy);
+  CHECK(broken.value_or("") == "");
+}
+
 void
 PlaySeeds(std::uint64_t aSeeds, flow_options aOptions, bool aBusy = false)
 {
   constexpr int kActions = 60;
   for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
-    CAPTURE(seed);
-    random_source random(seed);
-    const flow_choices choose =
-      [&](std::uint64_t aBound) -> std::optional<std::uint64_t> {
-      return random.Below(aBound);
-    };
-    const auto broken = PlayFlowHistory(choose, kActions, aOptions, aBusy);
-    CHECK(broken.value_or("") == "");
+    PlaySeed(seed, kActions, aOptions, aBusy);
   }
 }
 
@@ -54,6 +60,16 @@
   PlaySeeds(150, {}, true);
 }
 
+TEST_CASE("a disk lost while another voter is out of the group is not played")
+{
+  // Seed 1077: a voter that was cut off for over 20 s is taken out; it is back,
+  // and not in the group yet, when a second one loses its disk. That is one
+  // loss more than the group of two bears, and no fault of it.
+  flow_options options;
+  options.mWorkersAlone = 0;
+  PlaySeed(1'077, 100, options, true);
+}
+
 TEST_CASE("a carrier's loss stops nothing for longer than a lease")
 {
   // The process that carries a worker's orders is cut off from the leader. Its
--- a/testing/flow/holding_test.cc
+++ b/testing/flow/holding_test.cc
@@ -51,6 +51,25 @@
 
 } // namespace
 
+TEST_CASE("room is kept where the policy service is asked for urgent work")
+{
+  // A full cell: a worker has room for one task. An urgent step asks the policy
+  // service about it, which takes 60 ms; a later queue's task, whose ticket is
+  // at hand, took the room meanwhile, and was stopped again when the answer
+  // came, or the step asked about other workers instead.
+  queue_row urgent = Queue("fees", 0);
+  urgent.mAdvice = advice_terms{ 30, 0.4, 2'000 };
+  plan_scene scene({ urgent, Queue("runs", 2) });
+  const worker_number worker = scene.mMade.AddWorker(Worker("w", 1'000));
+  const job_id asks = scene.mMade.AddJob("00", { Step(1, 1'000) }, "fees");
+  scene.mMade.AddJob("01", { Step(1, 1'000) }, "runs");
+  CHECK(scene.Plan().mStarts.size() == 1);
+  scene.mAsking.insert({ asks, 0, 0 });
+  CHECK(scene.Plan().mStarts.size() == 1); // about others
+  scene.mNamed[{ asks, 0, 0 }] = { worker };
+  CHECK(scene.Plan().mStarts.empty());
+}
+
 TEST_CASE("small tasks fill one worker, so that others stay whole")
 {
   // Tasks for one accelerator, then one for eight. Were the small ones spread
--- a/testing/flow/plan_scene.h
+++ b/testing/flow/plan_scene.h
@@ -20,6 +20,7 @@
   advice_book mAdvice;
   std::map<task_ref, worker_number> mProposed;
   std::set<step_ref> mAsking;
+  std::map<step_ref, std::vector<worker_number>> mNamed;
   std::size_t mFreeAdvisors = 8;
   std::size_t mAdvisors = 8;
   std::map<std::string, std::size_t, std::less<>> mUsed; // by queue
@@ -53,6 +54,7 @@
     input.mPolicy = mPolicy;
     input.mProposed = &mProposed;
     input.mAsking = &mAsking;
+    input.mNamed = &mNamed;
     input.mAdvisors.mFree = mFreeAdvisors;
     input.mAdvisors.mTotal = mAdvisors;
     input.mAdvisors.mUsed = mUsed;
