--- a/oriolewalk/flow/asking.cc
+++ b/oriolewalk/flow/asking.cc
@@ -23,6 +23,12 @@
 // And as many more as cost the policy service this: a second question costs a
 // cheap queue several times as much.
 constexpr double kNameMoreMs = 8;
+// Each worker named makes the answer later. A step of the first queues waits
+// for it with its callers watching: beyond its need it names this part of what
+// others name. At 1,100 workers half of the first starts took 72 ms instead of
+// 90 ms, and 0.89 and 0.88 -> 0.90 of a burst's urgent jobs were in time (made
+// time).
+constexpr double kUrgentPart = 1.0 / 3;
 // Room for so many tasks at known workers, were they empty, for each task that
 // waits. Below this a step asks about full workers too, since each of the few
 // may stay full; at four fifths of all room in use a third of it comes free in
@@ -156,13 +162,14 @@
     if (HasRoom(aOne) && mGood < tasks * kNameMargin + kNameMore) {
       return true;
     }
-    const auto spare = static_cast<std::size_t>(Affordable(kNameMoreMs));
+    const double part = mStep.mQueue->mPriority == 0 ? kUrgentPart : 1;
+    const auto spare = static_cast<std::size_t>(Affordable(part * kNameMoreMs));
     if (HasRoom(aOne) && ++mBeyond <= spare) {
       return true;
     }
     // As many as double what the question costs anyway.
     const bool cheap =
-      aNamed < static_cast<std::size_t>(Affordable(mTerms.mBaseMs));
+      aNamed < static_cast<std::size_t>(Affordable(part * mTerms.mBaseMs));
     if (aOne.mUse == use::Along) {
       return cheap && aNamed > 0;
     }
