--- a/oriolewalk/flow/asking.cc
+++ b/oriolewalk/flow/asking.cc
@@ -98,18 +98,18 @@
         Consider(*worker, aPolicy, aNow);
       }
     }
-    std::ranges::sort(mNominees, {}, [](const nominee& aOne) {
-      return std::make_tuple(aOne.mUse, -aOne.mScore, aOne.mWorker->mNumber);
-    });
+    std::ranges::make_heap(mNominees, IsAfter);
   }
 
   std::vector<worker_number> Choose()
   {
     std::vector<worker_number> named;
-    for (const nominee& one : mNominees) {
-      if (named.size() >= kMostNamed) {
-        break;
-      }
+    // Few are named of many: the rest needs no order.
+    while (!mNominees.empty() && named.size() < kMostNamed &&
+           !HasEnough(named.size())) {
+      std::ranges::pop_heap(mNominees, IsAfter);
+      const nominee one = mNominees.back();
+      mNominees.pop_back();
       if (IsWanted(one, named.size())) {
         Count(one);
         named.push_back(one.mWorker->mNumber);
@@ -146,6 +146,15 @@
     }
   }
 
+  static bool IsAfter(const nominee& aOne, const nominee& aOther)
+  {
+    const auto place = [](const nominee& aNominee) {
+      return std::make_tuple(
+        aNominee.mUse, -aNominee.mScore, aNominee.mWorker->mNumber);
+    };
+    return place(aOne) > place(aOther);
+  }
+
   static bool HasRoom(const nominee& aOne)
   {
     return aOne.mUse == use::Renewal || aOne.mUse == use::Room;
@@ -155,27 +164,50 @@
     return aOne.mUse == use::Room || aOne.mUse == use::Ahead;
   }
 
+  [[nodiscard]] double Tasks() const
+  {
+    return static_cast<double>(mNeed.mTasks);
+  }
+  // What the step names beyond its need, as a part of what others name.
+  [[nodiscard]] double Part() const
+  {
+    return mStep.mQueue->mPriority == 0 ? kUrgentPart : 1;
+  }
+  // Those with room are expected to take all tasks.
+  [[nodiscard]] bool HasRoomForAll() const
+  {
+    return mGood >= Tasks() * kNameMargin + kNameMore;
+  }
+  [[nodiscard]] std::size_t Spare() const
+  {
+    return static_cast<std::size_t>(Affordable(Part() * kNameMoreMs));
+  }
+  // One more costs less than the question itself.
+  [[nodiscard]] bool IsCheap(std::size_t aNamed) const
+  {
+    return aNamed <
+           static_cast<std::size_t>(Affordable(Part() * mTerms.mBaseMs));
+  }
+  // No other one would be wanted, whatever it is.
+  [[nodiscard]] bool HasEnough(std::size_t aNamed) const
+  {
+    return HasRoomForAll() && mBeyond >= Spare() && !IsCheap(aNamed);
+  }
+
   // Whether to name it beside the aNamed ones before it.
   bool IsWanted(const nominee& aOne, std::size_t aNamed)
   {
-    const auto tasks = static_cast<double>(mNeed.mTasks);
-    if (HasRoom(aOne) && mGood < tasks * kNameMargin + kNameMore) {
+    if (HasRoom(aOne) && (!HasRoomForAll() || ++mBeyond <= Spare())) {
       return true;
     }
-    const double part = mStep.mQueue->mPriority == 0 ? kUrgentPart : 1;
-    const auto spare = static_cast<std::size_t>(Affordable(part * kNameMoreMs));
-    if (HasRoom(aOne) && ++mBeyond <= spare) {
-      return true;
+    if (!IsCheap(aNamed)) {
+      return false;
     }
-    // As many as double what the question costs anyway.
-    const bool cheap =
-      aNamed < static_cast<std::size_t>(Affordable(part * mTerms.mBaseMs));
     if (aOne.mUse == use::Along) {
-      return cheap && aNamed > 0;
+      return aNamed > 0;
     }
-    const bool knowsFew =
-      mNeed.mPlentiful || mStep.mSpec->mGang || mKnown < kKnownForTask * tasks;
-    return cheap && knowsFew && IsUnknown(aOne);
+    return IsUnknown(aOne) && (mNeed.mPlentiful || mStep.mSpec->mGang ||
+                               mKnown < kKnownForTask * Tasks());
   }
 
   void Count(const nominee& aOne)
--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -185,8 +185,8 @@
 flow_state::Pending(std::string_view aQueue) const
 {
   return static_cast<std::uint64_t>(
-    std::ranges::count_if(mLive, [&](const job_id& aId) {
-      const job_record& job = mJobs.at(aId);
+    std::ranges::count_if(mLive, [&](const auto& aEntry) {
+      const job_record& job = *aEntry.second;
       return job.IsActive() && !job.mBegun && job.mQueue.mName == aQueue;
     }));
 }
@@ -231,8 +231,8 @@
   if (job.mSpec.mRecurrence.mTimes == 0) {
     OpenOccurrence(job, 0, aWallMs);
   }
-  mJobs.emplace(aSubmit.mId, std::move(job));
-  mLive.insert(aSubmit.mId);
+  const auto placed = mJobs.emplace(aSubmit.mId, std::move(job)).first;
+  mLive.emplace(aSubmit.mId, &placed->second);
   return {};
 }
 
@@ -474,7 +474,7 @@
 flow_state::UpdateLive(const job_id& aId, const job_record& aJob)
 {
   if (aJob.IsActive() || aJob.mPlaced > 0) {
-    mLive.insert(aId);
+    mLive.emplace(aId, &aJob);
   } else {
     mLive.erase(aId);
   }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -60,7 +60,10 @@
     return mJobs;
   }
   // Jobs that have not ended, or of which a run may still be under way.
-  [[nodiscard]] const std::set<job_id>& Live() const { return mLive; }
+  [[nodiscard]] const std::map<job_id, const job_record*>& Live() const
+  {
+    return mLive;
+  }
   [[nodiscard]] const std::map<worker_number, worker_record>& Workers() const
   {
     return mWorkers;
@@ -168,7 +171,7 @@
   worker_number mLastWorker = 0;
 
   // Derived from the above.
-  std::set<job_id> mLive;
+  std::map<job_id, const job_record*> mLive; // of mJobs, whose nodes stay
   std::map<worker_id, worker_number> mNumbers;
   std::unordered_map<std::string, std::size_t> mQueuePlaces; // by name
   std::unordered_map<worker_number, placed_book> mPlaced;
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -134,8 +134,8 @@
 void
 leading::OpenDue()
 {
-  for (const job_id& id : mState.Live()) {
-    const job_record& job = *mState.FindJob(id);
+  for (const auto& [id, record] : mState.Live()) {
+    const job_record& job = *record;
     const recurrence& times = job.mSpec.mRecurrence;
     if (job.IsActive() && job.mNextOccurrence < times.mTimes &&
         mAt.mWallMs >=
--- a/oriolewalk/flow/leading_advice.cc
+++ b/oriolewalk/flow/leading_advice.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "oriolewalk/flow/leading.h"
@@ -39,12 +41,14 @@
       all.push_back(address);
     }
   }
-  std::erase_if(all, [this](const std::string& aAddress) {
+  std::unordered_set<std::string_view> busy;
+  for (const auto& [id, open] : mOpenQuestions) {
+    busy.insert(open.mAdvisor);
+  }
+  std::erase_if(all, [&](const std::string& aAddress) {
     const auto aside = mAsideUntil.find(aAddress);
     return (aside != mAsideUntil.end() && mAt.mNow < aside->second) ||
-           std::ranges::any_of(mOpenQuestions, [&](const auto& aOpen) {
-             return aOpen.second.mAdvisor == aAddress;
-           });
+           busy.contains(aAddress);
   });
   // Entries first: the control processes have other work.
   std::ranges::reverse(all);
--- a/oriolewalk/flow/leading_runs.cc
+++ b/oriolewalk/flow/leading_runs.cc
@@ -54,8 +54,8 @@
 void
 leading::StopUnwanted()
 {
-  for (const job_id& id : mState.Live()) {
-    const job_record& job = *mState.FindJob(id);
+  for (const auto& [id, record] : mState.Live()) {
+    const job_record& job = *record;
     if (!job.IsActive()) {
       StopRuns(id, job);
     } else if (job.mPlaced > 0) {
@@ -67,8 +67,8 @@
 void
 leading::TakeBackStragglers()
 {
-  for (const job_id& id : mState.Live()) {
-    const job_record& job = *mState.FindJob(id);
+  for (const auto& [id, record] : mState.Live()) {
+    const job_record& job = *record;
     if (job.IsActive() && job.mPlaced > 0) {
       StopStragglers(id, job);
     }
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -58,8 +58,8 @@
   [[nodiscard]] std::vector<open_step> Find() const
   {
     std::vector<open_step> steps;
-    for (const job_id& id : mState.Live()) {
-      const job_record& job = *mState.FindJob(id);
+    for (const auto& [id, record] : mState.Live()) {
+      const job_record& job = *record;
       if (!job.IsActive()) {
         continue;
       }
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -258,9 +258,12 @@
                           worker_view& aView,
                           time_point aNow)
 {
-  const std::set<run_ref>& placed = mState.PlacedAt(aWorker);
   if (aView.mFailures == 0 || aNow < aView.mLapsesAt ||
-      aNow < aView.mNextDrop || placed.empty()) {
+      aNow < aView.mNextDrop) {
+    return;
+  }
+  const std::set<run_ref>& placed = mState.PlacedAt(aWorker);
+  if (placed.empty()) {
     return;
   }
   KeepCheckpoints(aWorker);
@@ -338,10 +341,23 @@
   }
 }
 
+// Its look waits there, and nothing else is due: so it is with nearly all
+// workers at nearly all ticks.
+bool
+worker_keeper::IsQuiet(const worker_view& aView, time_point aNow) const
+{
+  return aView.mLook != 0 && aView.mSynced && aView.mFailures == 0 &&
+         !aView.mProbe && !aView.mTendRuns && !aView.mRuns.empty() &&
+         aNow < aView.mHeardAt + mOptions.mGoneWorker;
+}
+
 void
 worker_keeper::Tick(time_point aNow)
 {
   for (auto& [number, view] : mViews) {
+    if (IsQuiet(view, aNow)) {
+      continue;
+    }
     if (mState.FindWorker(number) == nullptr) {
       continue; // its removal is being applied
     }
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -180,6 +180,7 @@
   void DropLapsed(worker_number aWorker, worker_view& aView, time_point aNow);
   void TickRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
+  [[nodiscard]] bool IsQuiet(const worker_view& aView, time_point aNow) const;
   [[nodiscard]] bool NeedsLook(worker_number aWorker,
                                const worker_view& aView) const;
 
