--- a/oriolewalk/flow/advice_book.cc
+++ b/oriolewalk/flow/advice_book.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string_view>
 
+#include "oriolewalk/flow/by_job.h"
+
 namespace oriolewalk::flow {
 
 namespace {
@@ -116,8 +118,9 @@
 void
 advice_book::Forget(const job_id& aJob)
 {
-  std::erase_if(mTickets,
-                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
+  EraseFrom(mTickets, { aJob, 0, 0 }, [&](const step_ref& aStep) {
+    return aStep.mJob == aJob;
+  });
 }
 
 double
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -6,7 +6,7 @@
 #include <utility>
 #include <variant>
 
-#include "oriolewalk/base/overloaded.h"
+#include "oriolewalk/flow/by_job.h"
 
 namespace oriolewalk::flow {
 
@@ -80,8 +80,9 @@
             std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
     mAdvice.Forget(id);
     mStragglers.Forget(id);
-    std::erase_if(mYields,
-                  [&](const auto& aEntry) { return aEntry.first.mJob == id; });
+    EraseFrom(mYields, { id, 0, 0, 0 }, [&](const task_ref& aTask) {
+      return aTask.mJob == id;
+    });
     StopRuns(id, *job);
   }
 }
--- a/oriolewalk/flow/stragglers.cc
+++ b/oriolewalk/flow/stragglers.cc
@@ -2,6 +2,8 @@
 
 #include <chrono>
 
+#include "oriolewalk/flow/by_job.h"
+
 namespace oriolewalk::flow {
 
 namespace {
@@ -74,13 +76,15 @@
 void
 straggler_watch::Forget(const job_id& aJob)
 {
-  std::erase_if(mBegan, [&](const auto& aEntry) {
-    return aEntry.first.mTask.mJob == aJob;
+  EraseFrom(mBegan, { { aJob, 0, 0, 0 }, 0 }, [&](const run_ref& aRun) {
+    return aRun.mTask.mJob == aJob;
+  });
+  EraseFrom(mSteps, { aJob, 0, 0 }, [&](const step_ref& aStep) {
+    return aStep.mJob == aJob;
+  });
+  EraseFrom(mTakenBack, { aJob, 0, 0, 0 }, [&](const task_ref& aTask) {
+    return aTask.mJob == aJob;
   });
-  std::erase_if(mSteps,
-                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
-  std::erase_if(mTakenBack,
-                [&](const auto& aEntry) { return aEntry.first.mJob == aJob; });
 }
 
 } // namespace oriolewalk::flow
