Plans are as rare as the process is late

The pause between plans now grows with the lateness of the process's own ticks, up to four times; it stands in a part of its own, plan_pace, with tests.

--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -55,8 +55,7 @@
 void
 leading::Applied(const command_body& aCommand, const apply_outcome& aOutcome)
 {
-  mPlanDue = true;
-  mFirstDue = mFirstDue || ConcernsFirst(aCommand);
+  mPace.Changed(ConcernsFirst(aCommand));
   if (const auto* worker = std::get_if<register_worker>(&aCommand)) {
     mKeeper.Registered(mState.NumberOf(worker->mFacts.mId), mAt.mNow);
   } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
@@ -114,6 +113,7 @@
 void
 leading::Tick()
 {
+  mPace.Ticked(mAt.mNow);
   mKeeper.Tick(mAt.mNow);
   PumpKeeper();
   if (mAt.mNow >= mSweptAt + kSweepEvery) {
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -33,6 +33,7 @@
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
+#include "oriolewalk/flow/plan_pace.h"
 #include "oriolewalk/flow/planner.h"
 #include "oriolewalk/flow/sharing.h"
 #include "oriolewalk/flow/stragglers.h"
@@ -147,8 +148,6 @@
   void ForgetOld();
   void PumpKeeper();
   [[nodiscard]] std::vector<plan_worker> UsableWorkers() const;
-  // Nothing: no plan is due yet.
-  [[nodiscard]] std::optional<plan_scope> ScopeDue() const;
   [[nodiscard]] plan_input MakeInput(plan_scope aScope);
   // Whether what was applied may let a step that comes first go on.
   [[nodiscard]] bool ConcernsFirst(const command_body& aCommand) const;
@@ -183,12 +182,8 @@
   straggler_watch mStragglers;
   wait_account mWaits;
   sharing_control mSharing;
-  bool mPlanDue = true;
-  bool mFirstDue = false;  // something of the steps that come first has changed
-  time_point mPlannedAt{}; // all steps
-  time_point mFirstPlannedAt{};
-  std::size_t mFirstWaiting = 0;  // tasks of the first queues, in the last plan
-  std::int64_t mWaitingTasks = 0; // in the last plan
+  plan_pace mPace;
+  std::size_t mFirstWaiting = 0; // tasks of the first queues, in the last plan
   time_point mShortNotedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
--- a/oriolewalk/flow/leading_advice.cc
+++ b/oriolewalk/flow/leading_advice.cc
@@ -113,8 +113,7 @@
   const open_question& asked = open.mapped();
   mAsking.erase(asked.mStep);
   mNamed.erase(asked.mStep);
-  mPlanDue = true;
-  mFirstDue = mFirstDue || asked.mFirst;
+  mPace.Changed(asked.mFirst);
   if (!aAnswer) {
     mAsideUntil[asked.mAdvisor] = mAt.mNow + kAdvisorAside;
     mPort.mNote({ "advice.failed",
--- a/oriolewalk/flow/leading_plans.cc
+++ b/oriolewalk/flow/leading_plans.cc
@@ -11,28 +11,20 @@
 
 namespace {
 
-// Between two plans: what happens meanwhile is planned together. A commit takes
-// five times as long.
-constexpr milliseconds kPlanPause{ 3 };
-// A plan's cost grows with the cell and with what waits. At 350 workers 17 ms
-// while little waits; with 2,000 tasks waiting 47 ms, since a backlog makes
-// plans dear just when the leader has most else to do: at 17 ms its processor
-// was full in bursts and everybody's answers waited.
-constexpr microseconds kPlanPausePerWorker{ 40 };
-constexpr microseconds kPlanPausePerWaiting{ 15 };
-// Between two plans for the steps that come first alone, whatever waits behind
-// them. Each such step waits for two plans, one to ask and one to start. With
-// the pause of the others, at 1,100 workers half of the first starts took 150
-// ms of the 250 ms that callers allow beside the work, and 0.81 of a burst's
-// urgent jobs were in time; with this one 90 ms and 0.89 (made time). Such a
-// plan takes a millisecond of a core.
-constexpr microseconds kFirstPausePerWorker{ 8 };
-// A plan is made at least so often, for tickets that run out.
-constexpr milliseconds kPlanEvery{ 100 };
 // A waiting step of a later queue that had nothing to ask is looked at again so
 // often: each look goes over its service's workers, and hundreds of steps wait.
 constexpr milliseconds kAskAllEvery{ 100 };
 
+// aWorkers: in the order of their numbers.
+plan_worker*
+Find(std::vector<plan_worker>& aWorkers, worker_number aNumber)
+{
+  const auto found =
+    std::ranges::lower_bound(aWorkers, aNumber, {}, &plan_worker::mNumber);
+  return found != aWorkers.end() && found->mNumber == aNumber ? &*found
+                                                              : nullptr;
+}
+
 } // namespace
 
 std::vector<plan_worker>
@@ -55,19 +47,13 @@
     planned.mServes = placed.mServing > 0;
     planned.mFilled = placed.mFilling > 0;
   }
-  const auto find = [&workers](worker_number aNumber) -> plan_worker* {
-    const auto found =
-      std::ranges::lower_bound(workers, aNumber, {}, &plan_worker::mNumber);
-    return found != workers.end() && found->mNumber == aNumber ? &*found
-                                                               : nullptr;
-  };
   for (const auto& [number, room] : mProposedRoom) {
-    if (plan_worker* worker = find(number)) {
+    if (plan_worker* worker = Find(workers, number)) {
       worker->mFree -= room;
     }
   }
   for (const auto& [run, number] : mYielding) {
-    if (plan_worker* worker = find(number)) {
+    if (plan_worker* worker = Find(workers, number)) {
       worker->mLeaving += mState.FindStep(run.mTask)->Booked();
     }
   }
@@ -82,23 +68,6 @@
   return workers;
 }
 
-std::optional<plan_scope>
-leading::ScopeDue() const
-{
-  const duration since = mAt.mNow - mPlannedAt;
-  const auto workers = static_cast<std::int64_t>(mState.Workers().size());
-  const duration pause = kPlanPause + kPlanPausePerWorker * workers +
-                         kPlanPausePerWaiting * mWaitingTasks;
-  if (since >= pause && (mPlanDue || since >= kPlanEvery)) {
-    return plan_scope::All;
-  }
-  if (mFirstDue && mAt.mNow - std::max(mPlannedAt, mFirstPlannedAt) >=
-                     kPlanPause + kFirstPausePerWorker * workers) {
-    return plan_scope::First;
-  }
-  return std::nullopt;
-}
-
 plan_input
 leading::MakeInput(plan_scope aScope)
 {
@@ -126,24 +95,20 @@
 void
 leading::Decide()
 {
-  const auto scope = ScopeDue();
+  const auto scope = mPace.Due(mState.Workers().size(), mAt.mNow);
   if (!scope) {
     return;
   }
-  mFirstDue = false;
-  mFirstPlannedAt = mAt.mNow;
   ForgetYielded();
   plan_input input = MakeInput(*scope);
   const std::size_t usable = input.mWorkers.size();
   plan_result plan = MakePlan(std::move(input));
   mFirstWaiting = plan.mUrgentWaiting;
   if (*scope == plan_scope::All) {
-    mPlanDue = false;
-    mPlannedAt = mAt.mNow;
-    mWaitingTasks = static_cast<std::int64_t>(plan.mWaiting);
     NoteWaits(plan);
     NoteShortage(plan, usable);
   }
+  mPace.Planned(*scope, plan.mWaiting, mAt.mNow);
   mNothingToAsk.insert(plan.mNothingToAsk.begin(), plan.mNothingToAsk.end());
   for (const question& asked : plan.mQuestions) {
     AskPolicy(asked);
--- /dev/null
+++ b/testing/flow/plan_pace_test.cc
@@ -0,0 +1,52 @@
+#include <catch2/catch.hpp>
+
+#include "oriolewalk/flow/plan_pace.h"
+
+namespace oriolewalk::flow {
+
+namespace {
+
+constexpr std::size_t kWorkers = 1'100;
+constexpr time_point kStart{ seconds(100) };
+
+void
+TickEvery(plan_pace& aPace, milliseconds aGap, time_point aUntil)
+{
+  constexpr int kTicks = 100;
+  for (int tick = kTicks; tick >= 0; --tick) {
+    aPace.Ticked(aUntil - tick * aGap);
+  }
+}
+
+} // namespace
+
+TEST_CASE("what comes first is planned soon, the rest by the cell's size")
+{
+  plan_pace pace;
+  TickEvery(pace, milliseconds(10), kStart);
+  pace.Planned(plan_scope::All, 0, kStart);
+  pace.Changed(false);
+  CHECK_FALSE(pace.Due(kWorkers, kStart + milliseconds(40)));
+  CHECK(pace.Due(kWorkers, kStart + milliseconds(47)) == plan_scope::All);
+  pace.Changed(true);
+  CHECK_FALSE(pace.Due(kWorkers, kStart + milliseconds(11)));
+  CHECK(pace.Due(kWorkers, kStart + milliseconds(12)) == plan_scope::First);
+  pace.Planned(plan_scope::First, 0, kStart + milliseconds(12));
+  CHECK_FALSE(pace.Due(kWorkers, kStart + milliseconds(40)));
+  CHECK(pace.Due(kWorkers, kStart + milliseconds(47)) == plan_scope::All);
+}
+
+TEST_CASE("a process whose ticks come late plans less often")
+{
+  // Its processor is full: answers of workers, commits and callers wait. Plans
+  // as often as before would take what is left, and each would find more to do.
+  plan_pace pace;
+  TickEvery(pace, milliseconds(35), kStart);
+  pace.Planned(plan_scope::All, 0, kStart);
+  pace.Changed(true);
+  CHECK_FALSE(pace.Due(kWorkers, kStart + milliseconds(30)));
+  CHECK(pace.Due(kWorkers, kStart + milliseconds(40)) == plan_scope::First);
+  CHECK(pace.Due(kWorkers, kStart + milliseconds(145)) == plan_scope::All);
+}
+
+} // namespace oriolewalk::flow
