--- a/oriolewalk/flow/leading_plans.cc
+++ b/oriolewalk/flow/leading_plans.cc
@@ -25,6 +25,20 @@
                                                               : nullptr;
 }
 
+void
+AvoidFew(std::vector<plan_worker>& aWorkers)
+{
+  // If many seem bad, something else is: nobody is avoided then.
+  constexpr std::ptrdiff_t kLeastOthers = 3;
+  if (std::ranges::count(aWorkers, true, &plan_worker::mAvoided) *
+        kLeastOthers >
+      std::ssize(aWorkers)) {
+    for (plan_worker& worker : aWorkers) {
+      worker.mAvoided = false;
+    }
+  }
+}
+
 } // namespace
 
 std::vector<plan_worker>
@@ -57,14 +71,7 @@
       worker->mLeaving += mState.FindStep(run.mTask)->Booked();
     }
   }
-  // If many seem bad, something else is: nobody is avoided then.
-  constexpr std::ptrdiff_t kLeastOthers = 3;
-  if (std::ranges::count(workers, true, &plan_worker::mAvoided) * kLeastOthers >
-      std::ssize(workers)) {
-    for (plan_worker& worker : workers) {
-      worker.mAvoided = false;
-    }
-  }
+  AvoidFew(workers);
   return workers;
 }
 
