--- a/testing/base/descriptor_budget_test.cc
+++ b/testing/base/descriptor_budget_test.cc
@@ -1,3 +1,5 @@
+#include <cstddef>
+
 #include <catch2/catch.hpp>
 
 #include "oriolewalk/base/descriptor_budget.h"
@@ -18,9 +20,10 @@
 TEST_CASE("nine processes of 4,124 descriptors serve 4,800 workers")
 {
   // Three connections out and one in for each of 534 workers.
+  constexpr std::size_t kWorkersEach = 534;
   const descriptor_shares shares = SharesOf(4'124);
-  CHECK(shares.mOutgoing >= 3 * 534);
-  CHECK(shares.mIncoming >= 534);
+  CHECK(shares.mOutgoing >= 3 * kWorkersEach);
+  CHECK(shares.mIncoming >= kWorkersEach);
 }
 
 TEST_CASE("the smaller limit counts")
--- a/testing/flow/carriers_test.cc
+++ b/testing/flow/carriers_test.cc
@@ -64,7 +64,7 @@
   carrier_choice before(400);
   before.Update(kOthers, 1'100, kStart);
   carrier_choice choice = before;
-  const std::string lost = kOthers[2];
+  const std::string& lost = kOthers[2];
   choice.Failed(lost, kStart);
   for (worker_number worker = 1; worker <= 1'100; ++worker) {
     CHECK(choice.For(worker) != lost);
