One ToMs for the flow's leader, keeper and log

It stood in three files of oriolewalk/flow to the letter; the split of leading.cc had kept a copy of its own. The two that are left, in stragglers.cc and host/metrics_page.cc, give fractions of a millisecond and are another function.

--- a/oriolewalk/flow/leading_advice.cc
+++ b/oriolewalk/flow/leading_advice.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "oriolewalk/flow/leading.h"
+#include "oriolewalk/flow/whole_ms.h"
 
 namespace oriolewalk::flow {
 
@@ -24,12 +25,6 @@
 // more than an urgent job's whole objective.
 constexpr std::int64_t kAdviceMarginMs = 400;
 
-std::int64_t
-ToMs(duration aSpan)
-{
-  return std::chrono::duration_cast<milliseconds>(aSpan).count();
-}
-
 } // namespace
 
 std::vector<std::string>
--- a/oriolewalk/flow/leading_notes.cc
+++ b/oriolewalk/flow/leading_notes.cc
@@ -10,6 +10,7 @@
 
 #include "oriolewalk/flow/leading.h"
 #include "oriolewalk/flow/open_steps.h"
+#include "oriolewalk/flow/whole_ms.h"
 
 namespace oriolewalk::flow {
 
@@ -21,12 +22,6 @@
 // A step that waited for less than two commits needs no line of its own.
 constexpr milliseconds kLeastNotedWait{ 20 };
 
-std::int64_t
-ToMs(duration aSpan)
-{
-  return std::chrono::duration_cast<milliseconds>(aSpan).count();
-}
-
 // "8x2500m/1024mb/2a,gang 4x500m/64mb,after": what decides where and when steps
 // run.
 std::string
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -1,4 +1,5 @@
 #include "oriolewalk/flow/worker_keeper.h"
+#include "oriolewalk/flow/whole_ms.h"
 
 #include <algorithm>
 #include <chrono>
@@ -23,12 +24,6 @@
       static_cast<double>(aSpan.count()) / (1.0 - aBySlow)));
 }
 
-std::int64_t
-ToMs(duration aSpan)
-{
-  return std::chrono::duration_cast<milliseconds>(aSpan).count();
-}
-
 } // namespace
 
 worker_keeper::worker_keeper(const flow_state& aState,
