--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -101,6 +101,7 @@
 void
 leading::PumpKeeper()
 {
+  std::ranges::for_each(mKeeper.TakeNotes(), mPort.mNote);
   for (command_body& body : mKeeper.TakeCommands()) {
     const auto* ends = std::get_if<end_runs>(&body);
     const worker_number worker = ends == nullptr ? 0 : ends->mWorker;
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -180,12 +180,22 @@
                     { "address", aBeat.mFacts.mAddress },
                     { "service", aBeat.mFacts.mService.Value() },
                     { "draining", aBeat.mDraining ? "yes" : "no" },
+                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
                     { "beat", std::to_string(aBeat.mNumber) } } });
     ProposeAndAnswer(aCall,
                      register_worker{ aBeat.mFacts, aBeat.mDraining },
                      acknowledged{ IsLarge() });
     return;
   }
+  const worker_facts& known = mState.FindWorker(number)->mFacts;
+  if (aBeat.mFacts.mBornMs != known.mBornMs) {
+    mPort.mNote({ "worker.restarted",
+                  { { "worker", known.mId.Value() },
+                    { "address", aBeat.mFacts.mAddress },
+                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
+                    { "known_born", std::to_string(known.mBornMs) },
+                    { "beat", std::to_string(aBeat.mNumber) } } });
+  }
   mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
   mPort.mAnswer(aCall, acknowledged{ IsLarge() });
 }
@@ -218,7 +228,9 @@
     mPort.mAnswer(aCall, acknowledged{});
     return;
   }
-  mPort.mNote({ "worker.left", { { "worker", aFarewell.mId.Value() } } });
+  mPort.mNote({ "worker.left",
+                { { "worker", aFarewell.mId.Value() },
+                  { "born", std::to_string(aFarewell.mBornMs) } } });
   mKeeper.KeepCheckpoints(number);
   PumpKeeper();
   ProposeAndAnswer(aCall, remove_worker{ number }, acknowledged{});
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -146,11 +146,12 @@
 struct worker_farewell
 {
   worker_id mId;
+  std::int64_t mBornMs = 0; // as in worker_facts
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mId);
+    aArchive(mId, mBornMs);
   }
 };
 
--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -254,19 +254,23 @@
 // What a worker says of itself.
 struct worker_facts
 {
-  worker_id mId; // of this life
+  worker_id mId;
   std::string mAddress;
   data_centre_id mDataCentre;
   service_id mService;
   std::vector<std::string> mLabels;
   rack_id mRack;
   cell::resources mCapacity;
+  // When its process started, in Unix ms; with mId it names one life of the
+  // worker. 0: it doesn't say.
+  std::int64_t mBornMs = 0;
 
   bool operator==(const worker_facts&) const = default;
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mId, mAddress, mDataCentre, mService, mLabels, mRack, mCapacity);
+    aArchive(
+      mId, mAddress, mDataCentre, mService, mLabels, mRack, mCapacity, mBornMs);
   }
 };
 
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -262,8 +262,7 @@
     return;
   }
   KeepCheckpoints(aWorker);
-  mCommands.emplace_back(
-    drop_runs{ aWorker, { placed.begin(), placed.end() } });
+  GiveUp(aWorker, { placed.begin(), placed.end() }, "lapsed");
   aView.mNextDrop = aNow + mOptions.mAnswerBound;
 }
 
@@ -392,6 +391,12 @@
   return std::exchange(mCommands, {});
 }
 
+std::vector<decision>
+worker_keeper::TakeNotes()
+{
+  return std::exchange(mNotes, {});
+}
+
 std::vector<run_start>
 worker_keeper::TakeTicketsRefused()
 {
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -29,10 +29,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/flow/command.h"
+#include "oriolewalk/flow/decision.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/options.h"
 #include "oriolewalk/flow/worker_order.h"
@@ -120,6 +122,8 @@
 
   std::vector<worker_order> TakeOrders();
   std::vector<command_body> TakeCommands();
+  // What it concluded since the last call, for the log.
+  std::vector<decision> TakeNotes();
   // Starts that a worker refused for its ticket, since the last call.
   std::vector<run_start> TakeTicketsRefused();
 
@@ -178,6 +182,11 @@
                   time_point aSentAt,
                   const order_answer& aAnswer);
   void DropLapsed(worker_number aWorker, worker_view& aView, time_point aNow);
+  // Proposes to give them up, and notes why.
+  void GiveUp(worker_number aWorker,
+              std::vector<run_ref> aRuns,
+              std::string_view aWhy);
+  void NotePassedOver(const worker_record& aRecord, const listed_end& aListed);
   void TickRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
   [[nodiscard]] bool IsQuiet(const worker_view& aView, time_point aNow) const;
@@ -193,6 +202,7 @@
   std::vector<worker_order> mOrders;
   std::vector<command_body> mCommands;
   std::vector<run_start> mTicketsRefused;
+  std::vector<decision> mNotes;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -91,6 +91,7 @@
   if (run == aView.mRuns.end()) {
     return;
   }
+  std::string_view why = "refused";
   switch (aAnswer.mResult) {
     case order_result::Done:
       run->second.mStartedAt = aNow;
@@ -104,14 +105,28 @@
       return; // another leader's, or a life that is over
     case order_result::TicketInvalid:
       mTicketsRefused.push_back({ aOrder.mRun, aWorker });
+      why = "ticket";
       break;
     case order_result::Unhealthy:
       aView.mUnhealthyUntil = aNow + kUnhealthyPause;
+      why = "unhealthy";
+      break;
+    case order_result::Outlived:
+      why = "outlived";
+      break;
+    case order_result::Late:
+      why = "late";
+      break;
+    case order_result::NoRoom:
+      why = "room";
+      break;
+    case order_result::NotSent:
+      why = "not sent";
       break;
     default:
       break;
   }
-  mCommands.emplace_back(drop_runs{ aWorker, { aOrder.mRun } });
+  GiveUp(aWorker, { aOrder.mRun }, why);
 }
 
 void
@@ -184,6 +199,8 @@
     if (listed.mNumber > record->mCursor) {
       ends.mEnds.push_back(listed.mEnd);
       ends.mCursor = std::max(ends.mCursor, listed.mNumber);
+    } else if (mState.IsPlaced(listed.mEnd.mRun, aWorker)) {
+      NotePassedOver(*record, listed);
     }
   }
   if (ends.mEnds.empty()) {
@@ -209,7 +226,7 @@
   for (const listed_end& listed : aAnswer.mEnded) {
     present.insert(listed.mEnd.mRun);
   }
-  drop_runs drop{ aWorker, {} };
+  std::vector<run_ref> absent;
   for (const auto& [run, view] : aView.mRuns) {
     // An earlier leader's start that is still under way carries a fence that
     // this worker now refuses.
@@ -217,12 +234,48 @@
                           (view.mStartedAt && *view.mStartedAt < aSentAt) ||
                           (view.mStoppedAt && *view.mStoppedAt < aSentAt);
     if (mustShow && !present.contains(run)) {
-      drop.mRuns.push_back(run);
+      absent.push_back(run);
     }
   }
-  if (!drop.mRuns.empty()) {
-    mCommands.emplace_back(std::move(drop));
+  if (!absent.empty()) {
+    GiveUp(aWorker, std::move(absent), "absent");
+  }
+}
+
+void
+worker_keeper::GiveUp(worker_number aWorker,
+                      std::vector<run_ref> aRuns,
+                      std::string_view aWhy)
+{
+  for (const run_ref& run : aRuns) {
+    mNotes.push_back(
+      { "run.given_up",
+        { { "job", run.mTask.mJob.Value() },
+          { "step", std::to_string(run.mTask.mStep) },
+          { "task", std::to_string(run.mTask.mIndex) },
+          { "attempt", std::to_string(run.mAttempt) },
+          { "worker", mState.FindWorker(aWorker)->mFacts.mId.Value() },
+          { "why", std::string(aWhy) } } });
   }
+  mCommands.emplace_back(drop_runs{ aWorker, std::move(aRuns) });
+}
+
+// Its number says that it is in the state already, and the state waits for it:
+// one of the two is wrong.
+void
+worker_keeper::NotePassedOver(const worker_record& aRecord,
+                              const listed_end& aListed)
+{
+  const run_ref& run = aListed.mEnd.mRun;
+  mNotes.push_back({ "end.passed_over",
+                     { { "job", run.mTask.mJob.Value() },
+                       { "step", std::to_string(run.mTask.mStep) },
+                       { "task", std::to_string(run.mTask.mIndex) },
+                       { "attempt", std::to_string(run.mAttempt) },
+                       { "how", std::string(ToString(aListed.mEnd.mOutcome)) },
+                       { "worker", aRecord.mFacts.mId.Value() },
+                       { "number", std::to_string(aListed.mNumber) },
+                       { "cursor", std::to_string(aRecord.mCursor) } } });
 }
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/worker_order.h
+++ b/oriolewalk/flow/worker_order.h
@@ -147,13 +147,14 @@
   order_result mResult = order_result::NoAnswer;
   std::optional<std::int64_t> mClockMs; // the worker's clock
   // Of a hold.
+  std::int64_t mBornMs = 0; // whose lists these are, as in worker_facts
   std::vector<listed_run> mRunning;
   std::vector<listed_end> mEnded;
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mResult, mClockMs, mRunning, mEnded);
+    aArchive(mResult, mClockMs, mBornMs, mRunning, mEnded);
   }
 };
 
