A worker that starts again under its id gets a number of its own

Callers saw tasks start again after they had ended, and accepted tasks that never ran, after workers had started again under the id that they had.

Cause: the state found a worker's number by its id alone, so the next process under that id inherited the cursor of the one before. Its ends, numbered from 1, were passed over and its looks told it to forget them. A class of fault: state kept by a name that outlives its owner.

A life is now the id and the time of its start. A later one gets a number of its own, as the type had promised all along; cursor, heartbeats, clock, tickets and health, all kept by number, begin anew, and commands on the life before that are still in the log find nobody. What was placed there moves to the new number and is taken over as by a new leader, under a fence that rises with the number: a start on its way to the former process either shows in that look or is refused.

Ruled out: giving all runs up at once (a late start would run beside the next attempt); resetting the counts under the same number (an end_runs of the former life that waits for its commit brings its cursor back).

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -494,15 +494,45 @@
 apply_outcome
 flow_state::On(const register_worker& aWorker, std::int64_t /*aWallMs*/)
 {
+  apply_outcome outcome;
   worker_number number = NumberOf(aWorker.mFacts.mId);
-  if (number == 0) {
-    number = ++mLastWorker;
+  const std::int64_t known =
+    number == 0 ? 0 : mWorkers.at(number).mFacts.mBornMs;
+  if (aWorker.mFacts.mBornMs < known) {
+    return Refuse(error_code::Conflict, "an earlier life of the worker");
+  }
+  // Without a number of its own a life's ends are measured by the cursor of the
+  // one before: they are passed over, and their tasks start again or never. By
+  // it all that is kept of a worker begins anew, and commands on the life
+  // before that are still under way find nobody.
+  if (number == 0 || aWorker.mFacts.mBornMs > known) {
+    outcome.mOutlived = std::exchange(number, ++mLastWorker);
     mNumbers[aWorker.mFacts.mId] = number;
   }
   worker_record& record = mWorkers[number];
   record.mFacts = aWorker.mFacts;
   record.mDraining = record.mDraining || aWorker.mDraining;
-  return {};
+  if (outcome.mOutlived != 0) {
+    MovePlaced(outcome.mOutlived, number);
+    mWorkers.erase(outcome.mOutlived);
+  }
+  return outcome;
+}
+
+// Given up here, a task could start elsewhere while a start that was on its way
+// to the former process is carried out by the new one.
+void
+flow_state::MovePlaced(worker_number aFrom, worker_number aTo)
+{
+  auto book = mPlaced.extract(aFrom);
+  if (book.empty()) {
+    return;
+  }
+  for (const run_ref& run : book.mapped().mRuns) {
+    Task(mJobs.at(run.mTask.mJob), run.mTask)->mWorker = aTo;
+  }
+  book.key() = aTo;
+  mPlaced.insert(std::move(book));
 }
 
 apply_outcome
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -12,7 +12,10 @@
 // - no task of a step is placed before all steps that it depends on are done;
 // - no task is placed once its job has ended, or on a worker that drains or has
 //   gone;
-// - an end counts only for the attempt that is under way, and only once.
+// - an end counts only for the attempt that is under way, and only once;
+// - a number names one life of a worker: one that starts again under its id
+// gets
+//   another, and what was placed there goes with it until a look tells.
 //
 // Owned by the flow core; the control thread only. No clock, no I/O.
 
@@ -39,6 +42,7 @@
   std::optional<error> mError{};
   std::vector<run_start> mStarted{}; // of start_runs: those that were accepted
   std::vector<job_id> mEnded{};      // jobs that ended by this command
+  worker_number mOutlived = 0; // by register_worker: the life before; 0: none
 };
 
 struct placed_amounts
@@ -70,7 +74,7 @@
   }
   [[nodiscard]] const job_record* FindJob(const job_id& aId) const;
   [[nodiscard]] const worker_record* FindWorker(worker_number aWorker) const;
-  // 0, if this life is not known (any more).
+  // Of the worker's newest life that is known; 0, if none is (any more).
   [[nodiscard]] worker_number NumberOf(const worker_id& aId) const;
   [[nodiscard]] const task_record* FindTask(const task_ref& aTask) const;
   // The step's size and wishes; null for an unknown one.
@@ -144,6 +148,8 @@
                     const step_spec& aSpec,
                     std::int64_t aWallMs,
                     apply_outcome& aOutcome);
+  // What is placed at one life of a worker is placed at its next from now on.
+  void MovePlaced(worker_number aFrom, worker_number aTo);
   // The run is over: its task waits again, its room is free.
   void Release(const run_ref& aRun, worker_number aWorker);
   void FinishIfDone(const job_id& aId,
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -57,11 +57,10 @@
 {
   mPace.Changed(ConcernsFirst(aCommand));
   if (const auto* worker = std::get_if<register_worker>(&aCommand)) {
+    ForgetWorker(aOutcome.mOutlived);
     mKeeper.Registered(mState.NumberOf(worker->mFacts.mId), mAt.mNow);
   } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
-    mKeeper.Removed(gone->mWorker);
-    mHealth.Forget(gone->mWorker);
-    mSharing.Forget(gone->mWorker);
+    ForgetWorker(gone->mWorker);
   } else if (const auto* ends = std::get_if<end_runs>(&aCommand)) {
     mKeeper.EndsApplied(ends->mWorker, mAt.mNow);
     LearnFrom(*ends);
@@ -86,6 +85,14 @@
   }
 }
 
+void
+leading::ForgetWorker(worker_number aWorker)
+{
+  mKeeper.Removed(aWorker);
+  mHealth.Forget(aWorker);
+  mSharing.Forget(aWorker);
+}
+
 void
 leading::OrderAnswered(std::uint64_t aOrder, const order_answer& aAnswer)
 {
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -147,6 +147,8 @@
   void OpenDue();
   void ForgetOld();
   void PumpKeeper();
+  // This life of the worker is over.
+  void ForgetWorker(worker_number aWorker);
   [[nodiscard]] std::vector<plan_worker> UsableWorkers() const;
   [[nodiscard]] plan_input MakeInput(plan_scope aScope);
   // Whether what was applied may let a step that comes first go on.
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -164,7 +164,8 @@
 leading::IsWorkerChanged(const worker_beat& aBeat, worker_number aNumber) const
 {
   const worker_record& known = *mState.FindWorker(aNumber);
-  return (aBeat.mDraining && !known.mDraining) ||
+  return aBeat.mFacts.mBornMs != known.mFacts.mBornMs ||
+         (aBeat.mDraining && !known.mDraining) ||
          aBeat.mFacts.mAddress != known.mFacts.mAddress ||
          aBeat.mFacts.mService != known.mFacts.mService ||
          aBeat.mFacts.mCapacity != known.mFacts.mCapacity;
@@ -174,6 +175,27 @@
 leading::On(call_number aCall, const worker_beat& aBeat)
 {
   const worker_number number = mState.NumberOf(aBeat.mFacts.mId);
+  const std::int64_t born =
+    number == 0 ? 0 : mState.FindWorker(number)->mFacts.mBornMs;
+  if (aBeat.mFacts.mBornMs < born) {
+    // It was on its way for long: its sender is gone, or it isn't whole.
+    mPort.mNote({ "worker.outlived",
+                  { { "worker", aBeat.mFacts.mId.Value() },
+                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
+                    { "known_born", std::to_string(born) },
+                    { "beat", std::to_string(aBeat.mNumber) } } });
+    mPort.mAnswer(aCall, acknowledged{});
+    return;
+  }
+  if (number != 0 && aBeat.mFacts.mBornMs > born) {
+    mPort.mNote(
+      { "worker.restarted",
+        { { "worker", aBeat.mFacts.mId.Value() },
+          { "known_born", std::to_string(born) },
+          { "runs", std::to_string(mState.PlacedAt(number).size()) } } });
+    mKeeper.KeepCheckpoints(number);
+    PumpKeeper();
+  }
   if (number == 0 || IsWorkerChanged(aBeat, number)) {
     mPort.mNote({ number == 0 ? "worker.new" : "worker.changed",
                   { { "worker", aBeat.mFacts.mId.Value() },
@@ -187,15 +209,6 @@
                      acknowledged{ IsLarge() });
     return;
   }
-  const worker_facts& known = mState.FindWorker(number)->mFacts;
-  if (aBeat.mFacts.mBornMs != known.mBornMs) {
-    mPort.mNote({ "worker.restarted",
-                  { { "worker", known.mId.Value() },
-                    { "address", aBeat.mFacts.mAddress },
-                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
-                    { "known_born", std::to_string(known.mBornMs) },
-                    { "beat", std::to_string(aBeat.mNumber) } } });
-  }
   mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
   mPort.mAnswer(aCall, acknowledged{ IsLarge() });
 }
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -28,29 +28,37 @@
 
 worker_keeper::worker_keeper(const flow_state& aState,
                              flow_options aOptions,
-                             std::uint64_t aFence,
+                             std::uint64_t aTerm,
                              time_point aNow)
   : mState(aState)
   , mOptions(aOptions)
-  , mFence(aFence)
-  , mLastOrder(NumberBefore(aFence))
+  , mTerm(aTerm)
+  , mLastOrder(NumberBefore(aTerm))
 {
   for (const auto& [number, worker] : mState.Workers()) {
-    worker_view& view = mViews[number];
-    // An earlier leader may have given the longest lease just before it lost
-    // its place; it gives none afterwards.
-    view.mLapsesAt = aNow +
-                     Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
-                     kClockRounding;
-    view.mHeardAt = aNow;
-    view.mProbe = true;
-    view.mToldCursor = worker.mCursor;
-    for (const run_ref& run : mState.PlacedAt(number)) {
-      view.mRuns[run].mInherited = true;
-    }
+    mViews[number] = TakeOver(number, worker, aNow);
   }
 }
 
+worker_view
+worker_keeper::TakeOver(worker_number aWorker,
+                        const worker_record& aRecord,
+                        time_point aNow) const
+{
+  worker_view view;
+  // An earlier leader may have given the longest lease just before it lost its
+  // place; it gives none afterwards.
+  view.mLapsesAt = aNow + Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
+                   kClockRounding;
+  view.mHeardAt = aNow;
+  view.mProbe = true;
+  view.mToldCursor = aRecord.mCursor;
+  for (const run_ref& run : mState.PlacedAt(aWorker)) {
+    view.mRuns[run].mInherited = true;
+  }
+  return view;
+}
+
 void
 worker_keeper::Heard(worker_number aWorker,
                      std::int64_t aBeat,
@@ -77,12 +85,16 @@
   if (record == nullptr) {
     return;
   }
-  const auto [found, fresh] = mViews.try_emplace(aWorker);
-  if (fresh) {
-    found->second.mHeardAt = aNow;
-    // Nothing ran in a new life, and no earlier leader knew of it.
-    found->second.mLapsesAt = aNow;
-    found->second.mProbe = true;
+  if (!mViews.contains(aWorker)) {
+    worker_view view = TakeOver(aWorker, *record, aNow);
+    if (view.mRuns.empty()) {
+      view.mLapsesAt = aNow; // nothing can run in a new life
+    } else {
+      // A start to the former life that is carried out by this one: its lease
+      // was reckoned by another clock, so it is the longest, from its arrival.
+      view.mLapsesAt += mOptions.mAnswerBound;
+    }
+    mViews.emplace(aWorker, std::move(view));
   }
   // Another life at the same address is over: one look there says so.
   for (auto& [number, view] : mViews) {
@@ -123,7 +135,7 @@
   order.mWorker = aWorker;
   order.mLife = record->mFacts.mId;
   order.mAddress = record->mFacts.mAddress;
-  order.mFence = mFence;
+  order.mFence = FenceOf(mTerm, aWorker);
   if (aWithLease && view.mHasClock) {
     const duration age = aNow - view.mClockAt;
     order.mLeaseClockMs = view.mClockMs + ToMs(age) + mOptions.mLease.count();
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -13,6 +13,10 @@
 // seen; a stop of an attempt that isn't there yet makes it impossible; leases
 // end on the worker's own clock, which may be slow by a bound.
 //
+// A worker's next life under its id is met as a new leader meets a worker:
+// under a higher fence, with all that was placed there taken over until a look
+// shows what runs.
+//
 // A run is given up (so that its task may start elsewhere) only if
 // - the worker listed its end, or refused the start before doing anything;
 // - a look that was sent after the start was answered, or after its stop was,
@@ -89,7 +93,7 @@
 public:
   worker_keeper(const flow_state& aState,
                 flow_options aOptions,
-                std::uint64_t aFence,
+                std::uint64_t aTerm,
                 time_point aNow);
 
   // A worker's heartbeat of a known life.
@@ -142,6 +146,10 @@
     time_point mSentAt{};
   };
 
+  // A view of a worker of which nothing is known but what the state holds.
+  [[nodiscard]] worker_view TakeOver(worker_number aWorker,
+                                     const worker_record& aRecord,
+                                     time_point aNow) const;
   std::uint64_t Send(worker_number aWorker,
                      order_body aBody,
                      bool aWithLease,
@@ -195,7 +203,7 @@
 
   const flow_state& mState;
   flow_options mOptions;
-  std::uint64_t mFence;
+  std::uint64_t mTerm;
   std::uint64_t mLastOrder;
   std::map<worker_number, worker_view> mViews;
   std::map<std::uint64_t, open_order> mOpen;
--- a/oriolewalk/flow/worker_order.h
+++ b/oriolewalk/flow/worker_order.h
@@ -28,6 +28,17 @@
   return aTerm << kNumberBits;
 }
 
+// What a worker compares orders by: it does nothing for a lower one than it has
+// seen. A later term's is higher, and within a term a later life's. Were it the
+// term alone, a worker that starts again under its id would carry out what was
+// on its way to the former process, after its runs were given up.
+constexpr std::uint64_t
+FenceOf(std::uint64_t aTerm, worker_number aWorker)
+{
+  constexpr unsigned kWorkerBits = 32;
+  return (aTerm << kWorkerBits) | aWorker;
+}
+
 struct start_order
 {
   run_ref mRun;
@@ -88,7 +99,7 @@
   worker_id mLife; // any other life must refuse it
   std::string mAddress;
   std::string mCarrier;     // RPC address of who makes the call; empty: leader
-  std::uint64_t mFence = 0; // the leader's term
+  std::uint64_t mFence = 0; // FenceOf the leader's term and mWorker
   // Until when all that runs there may run, on the worker's clock.
   std::optional<std::int64_t> mLeaseClockMs;
   order_body mBody;
