Test: a worker that restarted unheard is told an old cursor (fails: tasks start twice)

In the window between the restart and the new process's first heartbeat looks name the cursor that was counted at the process before, and the lists that come back are read as that process's.

--- a/testing/flow/restarted_worker_test.cc
+++ b/testing/flow/restarted_worker_test.cc
@@ -105,6 +105,22 @@
   }
 }
 
+TEST_CASE("ends count that come before the leader knows of the restart")
+{
+  // The new process's first heartbeat is late. Meanwhile it is sent starts, and
+  // looks that name the cursor of the process before: it forgets ends that
+  // nobody has taken down, or lists them to a leader that measures them by that
+  // cursor.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (const bool onRise : { false, true }) {
+      CAPTURE(seed, onRise);
+      worked_scene scene(seed, onRise);
+      scene.mGroup.RestartWorker(0, milliseconds(1'200));
+      scene.CheckNextJob();
+    }
+  }
+}
+
 TEST_CASE("a task starts nowhere else while a restarted worker may run it")
 {
   // A start is on its way when its worker starts again, and the new process
--- a/testing/flow/worker_keeper_test.cc
+++ b/testing/flow/worker_keeper_test.cc
@@ -332,6 +332,73 @@
   CHECK(std::get<hold_order>(look->mBody).mCursor == 3);
 }
 
+TEST_CASE("the lists of a later life say nothing of an earlier one's runs")
+{
+  // The worker has started again under its id, and its first heartbeat is on
+  // the way. Its lists show none of the runs that a start still on its way may
+  // bring; taken for the former life's, their tasks start elsewhere at once.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  worker_facts facts = Worker("w");
+  facts.mBornMs = 9'000;
+  scene.mMade.Apply(register_worker{ facts, false });
+  scene.mKeeper.Removed(scene.mWorker);
+  scene.mWorker = scene.mMade.mState.NumberOf(facts.mId);
+  scene.mKeeper.Registered(scene.mWorker, scene.mNow);
+  scene.mSeen.clear();
+  order_answer later = keeper_scene::Showing({});
+  later.mBornMs = 12'000; // and once more since
+  for (int looks = 0; looks < 3; ++looks) {
+    scene.Advance(scene.mOptions.mLookAgain + milliseconds(20));
+    const auto look = scene.Next<hold_order>();
+    REQUIRE(look);
+    CHECK_FALSE(look->mLeaseClockMs);
+    scene.Answer(*look, later);
+    CHECK_FALSE(scene.IsDropped(run));
+    CHECK_FALSE(scene.mKeeper.IsUsable(scene.mWorker, scene.mNow));
+  }
+  scene.Advance(scene.mOptions.mLookAgain + milliseconds(20));
+  const auto look = scene.Next<hold_order>();
+  REQUIRE(look);
+  order_answer own = keeper_scene::Showing({});
+  own.mBornMs = 9'000;
+  scene.Answer(*look, own);
+  CHECK(scene.IsDropped(run));
+}
+
+TEST_CASE("a cursor is named only where its ends are still listed")
+{
+  // A worker may start again at any moment, and would forget ends of its own up
+  // to a cursor that was counted at the process before. So it is told of ends
+  // right after it listed them, and not again and again.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.Begin();
+  scene.Answer(*scene.Next<start_order>(),
+               keeper_scene::With(order_result::Done));
+  scene.Advance(milliseconds(10));
+  order_answer ended = keeper_scene::Showing({});
+  ended.mEnded.push_back({ 3, { run, run_outcome::Done, {} } });
+  const run_ref next = scene.Begin(1);
+  scene.Answer(*scene.Next<hold_order>(), ended);
+  scene.mMade.Apply(scene.mCommands.back());
+  scene.mKeeper.EndsApplied(scene.mWorker, scene.mNow);
+  const auto cursorOfNext = [&](const order_answer& aAnswer) {
+    scene.Advance(scene.mOptions.mLookAgain + milliseconds(20));
+    const auto look = scene.Next<hold_order>();
+    REQUIRE(look);
+    const std::uint64_t named = std::get<hold_order>(look->mBody).mCursor;
+    scene.Answer(*look, aAnswer);
+    return named;
+  };
+  CHECK(cursorOfNext(keeper_scene::With(order_result::NoAnswer)) == 3);
+  // That look may have been lost, or its worker: it must list them once more.
+  CHECK(cursorOfNext(ended) == 0);
+  CHECK(cursorOfNext(keeper_scene::Showing({ next })) == 3);
+  CHECK(cursorOfNext(keeper_scene::Showing({ next })) == 0);
+}
+
 TEST_CASE("another life at the address ends the old one")
 {
   keeper_scene scene;
