A cursor is named only where its ends are listed; a later life's lists say nothing

Callers saw tasks start again after their noted end when a worker started again under its id and the leader didn't know yet. Cause: every look repeated the cursor, so a new process forgot ends of its own that nobody had taken down; and its lists were read as the former life's.

A look names the cursor only right after one that listed ends, and not after a look without an answer: the worker may be another process by then. A list whose `born` isn't the one that was asked is no answer; the worker gets no work until its own heartbeat comes, and its leases count as the longest, since they were reckoned by another clock.

Orders on their way still reach the new process.

--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -179,7 +179,7 @@
     number == 0 ? 0 : mState.FindWorker(number)->mFacts.mBornMs;
   if (aBeat.mFacts.mBornMs < born) {
     // It was on its way for long: its sender is gone, or it isn't whole.
-    mPort.mNote({ "worker.outlived",
+    mPort.mNote({ "worker.late_beat",
                   { { "worker", aBeat.mFacts.mId.Value() },
                     { "born", std::to_string(aBeat.mFacts.mBornMs) },
                     { "known_born", std::to_string(born) },
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -36,23 +36,26 @@
   , mLastOrder(NumberBefore(aTerm))
 {
   for (const auto& [number, worker] : mState.Workers()) {
-    mViews[number] = TakeOver(number, worker, aNow);
+    mViews[number] = TakeOver(number, aNow);
   }
 }
 
+time_point
+worker_keeper::LongestLapse(time_point aNow) const
+{
+  return aNow + Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
+         kClockRounding;
+}
+
 worker_view
-worker_keeper::TakeOver(worker_number aWorker,
-                        const worker_record& aRecord,
-                        time_point aNow) const
+worker_keeper::TakeOver(worker_number aWorker, time_point aNow) const
 {
   worker_view view;
   // An earlier leader may have given the longest lease just before it lost its
   // place; it gives none afterwards.
-  view.mLapsesAt = aNow + Stretch(mOptions.mLongestLease, mOptions.mSlowClock) +
-                   kClockRounding;
+  view.mLapsesAt = LongestLapse(aNow);
   view.mHeardAt = aNow;
   view.mProbe = true;
-  view.mToldCursor = aRecord.mCursor;
   for (const run_ref& run : mState.PlacedAt(aWorker)) {
     view.mRuns[run].mInherited = true;
   }
@@ -86,7 +89,7 @@
     return;
   }
   if (!mViews.contains(aWorker)) {
-    worker_view view = TakeOver(aWorker, *record, aNow);
+    worker_view view = TakeOver(aWorker, aNow);
     if (view.mRuns.empty()) {
       view.mLapsesAt = aNow; // nothing can run in a new life
     } else {
@@ -279,10 +282,9 @@
 }
 
 bool
-worker_keeper::NeedsLook(worker_number aWorker, const worker_view& aView) const
+worker_keeper::NeedsLook(const worker_view& aView)
 {
-  return !aView.mRuns.empty() ||
-         mState.FindWorker(aWorker)->mCursor > aView.mToldCursor;
+  return !aView.mRuns.empty() || aView.mTellCursor;
 }
 
 std::uint64_t
@@ -291,12 +293,12 @@
                     milliseconds aWait,
                     time_point aNow)
 {
-  aView.mToldCursor = mState.FindWorker(aWorker)->mCursor;
+  const std::uint64_t cursor =
+    aView.mTellCursor ? mState.FindWorker(aWorker)->mCursor : 0;
   // Nothing is promised to a worker that doesn't answer: a lease that may have
   // reached it would put off the moment when its work may go elsewhere.
-  const bool lease = aView.mFailures == 0;
-  return Send(
-    aWorker, hold_order{ aView.mToldCursor, aWait.count() }, lease, aNow);
+  const bool lease = aView.mFailures == 0 && !aView.mOutlived;
+  return Send(aWorker, hold_order{ cursor, aWait.count() }, lease, aNow);
 }
 
 void
@@ -307,13 +309,13 @@
   if (aNow < aView.mNextLook) {
     return;
   }
-  const bool quick = aView.mProbe || !aView.mSynced || aView.mFailures > 0;
+  const bool quick =
+    aView.mProbe || !aView.mSynced || aView.mFailures > 0 || aView.mOutlived;
   if (quick && aView.mQuickLook == 0) {
     aView.mProbe = false;
     aView.mQuickLook = Look(aWorker, aView, milliseconds(0), aNow);
   }
-  if (!quick && aView.mLook == 0 && !aView.mEndsUnderWay &&
-      NeedsLook(aWorker, aView)) {
+  if (!quick && aView.mLook == 0 && !aView.mEndsUnderWay && NeedsLook(aView)) {
     const bool shared = mState.AmountsAt(aWorker).mFilling > 0;
     aView.mLook = Look(aWorker,
                        aView,
@@ -387,7 +389,7 @@
   }
   const worker_view& view = found->second;
   return view.mSynced && view.mHasClock && view.mFailures == 0 &&
-         aNow >= view.mUnhealthyUntil &&
+         !view.mOutlived && aNow >= view.mUnhealthyUntil &&
          aNow < view.mHeardAt + mOptions.mQuietWorker;
 }
 
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -80,7 +80,12 @@
   time_point mUnhealthyUntil{};
   std::int64_t mBeat = -1; // the newest heartbeat's number
   bool mEndsUnderWay = false;
-  std::uint64_t mToldCursor = 0; // what the worker knows that it may forget
+  // Its last look listed ends, so that the next one names the cursor. Named
+  // again and again, it would make a process that has started since, unheard,
+  // forget ends of its own.
+  bool mTellCursor = false;
+  // A look was answered by a later life, whose heartbeat is still to come.
+  bool mOutlived = false;
   // A run is to be stopped, or its start is in doubt. Else nothing is due for
   // any run by time alone: a leader of 1,100 workers would look at 6,000 runs a
   // hundred times a second.
@@ -148,8 +153,16 @@
 
   // A view of a worker of which nothing is known but what the state holds.
   [[nodiscard]] worker_view TakeOver(worker_number aWorker,
-                                     const worker_record& aRecord,
                                      time_point aNow) const;
+  // By when a lease is over that begins now and isn't ours.
+  [[nodiscard]] time_point LongestLapse(time_point aNow) const;
+  // Whether the lists are of another life than the one that was asked.
+  [[nodiscard]] bool IsOfOtherLife(worker_number aWorker,
+                                   const order_answer& aAnswer) const;
+  void NoteOutlived(worker_number aWorker,
+                    worker_view& aView,
+                    const order_answer& aAnswer,
+                    time_point aNow);
   std::uint64_t Send(worker_number aWorker,
                      order_body aBody,
                      bool aWithLease,
@@ -198,8 +211,7 @@
   void TickRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
   [[nodiscard]] bool IsQuiet(const worker_view& aView, time_point aNow) const;
-  [[nodiscard]] bool NeedsLook(worker_number aWorker,
-                               const worker_view& aView) const;
+  [[nodiscard]] static bool NeedsLook(const worker_view& aView);
 
   const flow_state& mState;
   flow_options mOptions;
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -34,22 +34,55 @@
     return;
   }
   worker_view& view = found->second;
-  NoteAnswer(order, view, aAnswer, aNow);
-  std::visit(overloaded{
-               [&](const start_order& aStart) {
-                 StartAnswered(order.mWorker, view, aStart, aAnswer, aNow);
-               },
-               [&](const stop_order& aStop) {
-                 StopAnswered(view, aStop, aAnswer, aNow);
-               },
-               [&](const hold_order&) {
-                 (aOrder == view.mQuickLook ? view.mQuickLook : view.mLook) = 0;
-                 LookAnswered(
-                   order.mWorker, view, order.mSentAt, aAnswer, aNow);
-               },
-               [](const pace_order&) {},
-             },
-             order.mBody);
+  // Read as the life's that was asked, a later life's lists would give up runs
+  // that a start still on its way may bring, and its ends be measured by a
+  // cursor that isn't theirs. Its heartbeat will tell.
+  const bool later = IsOfOtherLife(order.mWorker, aAnswer);
+  if (later) {
+    NoteOutlived(order.mWorker, view, aAnswer, aNow);
+  }
+  const order_answer answer = later ? order_answer{} : aAnswer;
+  NoteAnswer(order, view, answer, aNow);
+  std::visit(
+    overloaded{
+      [&](const start_order& aStart) {
+        StartAnswered(order.mWorker, view, aStart, answer, aNow);
+      },
+      [&](const stop_order& aStop) { StopAnswered(view, aStop, answer, aNow); },
+      [&](const hold_order&) {
+        (aOrder == view.mQuickLook ? view.mQuickLook : view.mLook) = 0;
+        LookAnswered(order.mWorker, view, order.mSentAt, answer, aNow);
+      },
+      [](const pace_order&) {},
+    },
+    order.mBody);
+}
+
+bool
+worker_keeper::IsOfOtherLife(worker_number aWorker,
+                             const order_answer& aAnswer) const
+{
+  const std::int64_t born = mState.FindWorker(aWorker)->mFacts.mBornMs;
+  return aAnswer.mBornMs != 0 && born != 0 && aAnswer.mBornMs != born;
+}
+
+void
+worker_keeper::NoteOutlived(worker_number aWorker,
+                            worker_view& aView,
+                            const order_answer& aAnswer,
+                            time_point aNow)
+{
+  if (std::exchange(aView.mOutlived, true)) {
+    return;
+  }
+  // Its clock isn't the one that leases were reckoned by.
+  aView.mLapsesAt = LongestLapse(aNow) + mOptions.mAnswerBound;
+  const worker_facts& facts = mState.FindWorker(aWorker)->mFacts;
+  mNotes.push_back({ "worker.outlived",
+                     { { "worker", facts.mId.Value() },
+                       { "born", std::to_string(aAnswer.mBornMs) },
+                       { "known_born", std::to_string(facts.mBornMs) },
+                       { "runs", std::to_string(aView.mRuns.size()) } } });
 }
 
 void
@@ -69,6 +102,7 @@
       // worker can't be reached.
       if (std::holds_alternative<hold_order>(aOrder.mBody)) {
         ++aView.mFailures;
+        aView.mTellCursor = false; // it may be another process by now
       }
       return;
     default:
@@ -163,6 +197,7 @@
   aView.mSynced = true;
   TakeRunning(aWorker, aView, aAnswer, aNow);
   DropAbsent(aWorker, aView, aSentAt, aAnswer);
+  aView.mTellCursor = !aAnswer.mEnded.empty();
   aView.mEndsUnderWay = TakeEnds(aWorker, aView, aAnswer);
 }
 
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -200,9 +200,13 @@
   }
   const auto worker = static_cast<std::size_t>(place - mWorkers.begin());
   if (mRandom.Fraction() < mLateShare) {
+    // The worker's process holds it, and takes it along when it ends.
+    const std::int64_t born = mWorkers[worker].mWorker->Facts().mBornMs;
     At(kLeastLate + milliseconds(mRandom.Below(kLateSpanMs)),
-       [this, worker, aOrder]() {
-         mWorkers[worker].mWorker->Handle(aOrder, mNow);
+       [this, worker, aOrder, born]() {
+         if (mWorkers[worker].mWorker->Facts().mBornMs == born) {
+           mWorkers[worker].mWorker->Handle(aOrder, mNow);
+         }
        });
     At(wait, [answer]() { answer(order_answer{}); });
     return;
