The time of a worker's start is a whole number, or nothing is read

A heartbeat, farewell or look whose `born` is of another kind was read as one that doesn't say it. Callers would see tasks start twice: the lists of a process that started since pass for the former one's, and a heartbeat of another writer for a later life.

Such a heartbeat or farewell is refused and changes nothing; such a look is no answer. Where the field is missing it is 0: there a worker's id is new with each start. The loop over missing fields of a heartbeat is as it was; `born` is added to the one over fields of another kind.

--- a/testing/platform/calls_test.cc
+++ b/testing/platform/calls_test.cc
@@ -156,7 +156,8 @@
     { "state", "ready" },
     { "capacity", { { "cpu", 16000 }, { "memMb", 32768 }, { "gpu", 0 } } },
     { "clockMs", 482113 },
-    { "seq", 4 }
+    { "seq", 4 },
+    { "born", 1785721069176 }
   };
   REQUIRE(read(boost::json::serialize(sound)));
   for (const char* name :
@@ -165,6 +166,15 @@
     boost::json::object missing = sound;
     missing.erase(name);
     CHECK_FALSE(read(boost::json::serialize(missing)));
+  }
+  for (const char* name : { "service",
+                            "address",
+                            "state",
+                            "capacity",
+                            "clockMs",
+                            "seq",
+                            "born" }) {
+    INFO(name);
     for (const boost::json::value& other :
          { boost::json::value(nullptr),
            boost::json::value(true),
@@ -185,6 +195,33 @@
   CHECK_FALSE(read(""));
 }
 
+TEST_CASE("whose heartbeat and farewell it is")
+{
+  // A worker may start again under its id; the time of its start tells its
+  // lives apart. Where it isn't said it is 0.
+  const auto beat = platform::ReadRegistryCall(
+    Call("POST",
+         "/v1/instances/i-7f/heartbeat",
+         R"({"service":"s","address":"10.0.0.9:80","state":"ready",
+         "capacity":{"cpu":1,"memMb":1},"clockMs":5,"seq":4,
+         "born":1785721069176})"));
+  REQUIRE(beat);
+  CHECK(std::get<flow::worker_beat>(*beat).mFacts.mBornMs == 1'785'721'069'176);
+  const auto left = [](const std::string& aBody) {
+    return platform::ReadRegistryCall(
+      Call("POST", "/v1/instances/i-7f/deregister", aBody));
+  };
+  const auto own = left(R"({"born":1785721069176})");
+  REQUIRE(own);
+  CHECK(std::get<flow::worker_farewell>(*own).mBornMs == 1'785'721'069'176);
+  for (const char* silent : { "", "{}" }) {
+    REQUIRE(left(silent));
+    CHECK(std::get<flow::worker_farewell>(*left(silent)).mBornMs == 0);
+  }
+  CHECK_FALSE(left(R"({"born":"yesterday"})"));
+  CHECK_FALSE(left("no body"));
+}
+
 TEST_CASE("a configuration is read in full and given back to the letter")
 {
   const auto read =
--- a/testing/platform/worker_calls_test.cc
+++ b/testing/platform/worker_calls_test.cc
@@ -57,4 +57,19 @@
     R"({"clockMs":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"half",41]]})");
   CHECK(sound.mResult == flow::order_result::Done);
   CHECK(sound.mRunning.size() == 1);
+  CHECK(sound.mBornMs == 0);
+}
+
+TEST_CASE("a look's answer says whose lists it holds")
+{
+  // Lists of a process that started since must not be read as those of the one
+  // before. Where whose they are can't be read, they say nothing.
+  CHECK(LookAt(R"({"born":1785721069176,"running":[]})").mBornMs ==
+        1'785'721'069'176);
+  for (const char* strange : { R"("1785721069176")", "null", "-4", "[1]" }) {
+    INFO(strange);
+    CHECK(
+      LookAt(R"({"running":[],"born":)" + std::string(strange) + "}").mResult ==
+      flow::order_result::NoAnswer);
+  }
 }
