A farewell of a worker's earlier life doesn't end the next one

Callers would see running tasks start a second time: a farewell that was held up on its way took out whatever life was known under that id, and gave up all that ran there.

It counts for the life that it names, or for a later one; one that names none counts only for a worker that drains.

--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -171,6 +171,8 @@
   // what doesn't need the leader.
   [[nodiscard]] bool IsLarge() const;
   [[nodiscard]] advisor_load AdvisorLoad();
+  [[nodiscard]] static bool IsOfEarlierLife(const worker_farewell& aFarewell,
+                                            const worker_record& aKnown);
   [[nodiscard]] bool IsWorkerChanged(const worker_beat& aBeat,
                                      worker_number aNumber) const;
 
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -233,11 +233,25 @@
   return mState.Workers().size() > mOptions.mWorkersAlone;
 }
 
+// A farewell that was held up must not end the next life: its tasks would start
+// a second time while they run. One that doesn't say whose it is counts for a
+// worker that drains, as one does before it leaves; any other's next look
+// tells.
+bool
+leading::IsOfEarlierLife(const worker_farewell& aFarewell,
+                         const worker_record& aKnown)
+{
+  if (aFarewell.mBornMs == 0) {
+    return aKnown.mFacts.mBornMs != 0 && !aKnown.mDraining;
+  }
+  return aFarewell.mBornMs < aKnown.mFacts.mBornMs;
+}
+
 void
 leading::On(call_number aCall, const worker_farewell& aFarewell)
 {
   const worker_number number = mState.NumberOf(aFarewell.mId);
-  if (number == 0) {
+  if (number == 0 || IsOfEarlierLife(aFarewell, *mState.FindWorker(number))) {
     mPort.mAnswer(aCall, acknowledged{});
     return;
   }
--- a/testing/flow/restarted_worker_test.cc
+++ b/testing/flow/restarted_worker_test.cc
@@ -121,6 +121,39 @@
   }
 }
 
+TEST_CASE("what an earlier life said counts for it alone")
+{
+  // A heartbeat and a farewell of the process before were held up on their way
+  // and arrive when the next one has work. Taken for its own, the heartbeat
+  // would empty it, and the farewell would start its tasks a second time.
+  worked_scene scene(1, false);
+  const worker_facts earlier = scene.mGroup.Worker(0).Facts();
+  scene.mGroup.RestartWorker(0);
+  scene.mGroup.Run(milliseconds(100));
+  scene.mGroup.Worker(0).mWorkTime = seconds(2);
+  const std::size_t before = scene.mGroup.Oracle().Starts();
+  scene.mGroup.Submit(kAfter, { Step(4, 500) });
+  scene.mGroup.Run(milliseconds(300));
+  scene.mGroup.Ask(worker_beat{ earlier, true, 0, 1'000, 900 });
+  scene.mGroup.Ask(worker_farewell{ earlier.mId, earlier.mBornMs });
+  scene.mGroup.Ask(worker_farewell{ earlier.mId, 0 }); // it doesn't say whose
+  CHECK(scene.EndsAsDone(kAfter, seconds(4)));
+  CHECK(scene.mGroup.Oracle().Starts() == before + 4);
+  CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+  // Its own count, and a farewell that doesn't say whose of one that drains.
+  const worker_facts own = scene.mGroup.Worker(0).Facts();
+  const auto isKnown = [&]() {
+    return scene.mGroup.Core(*scene.mGroup.Leader())
+             .State()
+             .NumberOf(own.mId) != 0;
+  };
+  CHECK(isKnown());
+  scene.mGroup.Worker(0).mDraining = true;
+  scene.mGroup.Run(seconds(2));
+  scene.mGroup.Ask(worker_farewell{ own.mId, 0 });
+  CHECK_FALSE(isKnown());
+}
+
 TEST_CASE("a task starts nowhere else while a restarted worker may run it")
 {
   // A start is on its way when its worker starts again, and the new process
