Summaries of heartbeats tell of which life they are

At a large cell a worker that started again was taken for silent: its heartbeats are gathered by other control processes and told by the highest number, and the numbers of the next life are lower. Callers would see a worker without work, and after 3.75 s its room missing. Found while looking for the same cause elsewhere.

A note names the start of the process; the later life's goes before the higher number, and the leader asks for a whole heartbeat where it knows another life.

Before: the summary told number 40 of the life before. After: 2 of the new one.

--- a/oriolewalk/flow/beat_desk.cc
+++ b/oriolewalk/flow/beat_desk.cc
@@ -35,8 +35,12 @@
   }
   found->second.mBeatAt = aNow;
   beat_note& note = mNotes[aBeat.mFacts.mId];
-  if (aBeat.mNumber >= note.mNumber) {
-    note = { aBeat.mFacts.mId, aBeat.mNumber, aBeat.mClockMs };
+  // A later life numbers its heartbeats anew.
+  if (std::pair(aBeat.mFacts.mBornMs, aBeat.mNumber) >=
+      std::pair(note.mBornMs, note.mNumber)) {
+    note = {
+      aBeat.mFacts.mId, aBeat.mFacts.mBornMs, aBeat.mNumber, aBeat.mClockMs
+    };
   }
   return true;
 }
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -218,10 +218,12 @@
 {
   unknown_workers unknown;
   for (const beat_note& note : aSummary.mNotes) {
-    if (const worker_number number = mState.NumberOf(note.mId); number != 0) {
-      mKeeper.Heard(number, note.mNumber, note.mClockMs, mAt.mNow);
+    const worker_number number = mState.NumberOf(note.mId);
+    if (number == 0 ||
+        mState.FindWorker(number)->mFacts.mBornMs != note.mBornMs) {
+      unknown.mIds.push_back(note.mId); // its next heartbeat comes whole
     } else {
-      unknown.mIds.push_back(note.mId);
+      mKeeper.Heard(number, note.mNumber, note.mClockMs, mAt.mNow);
     }
   }
   mPort.mAnswer(aCall, std::move(unknown));
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -121,13 +121,14 @@
 struct beat_note
 {
   worker_id mId;
+  std::int64_t mBornMs = 0; // as in worker_facts
   std::int64_t mNumber = 0;
   std::int64_t mClockMs = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mId, mNumber, mClockMs);
+    aArchive(mId, mBornMs, mNumber, mClockMs);
   }
 };
 
@@ -252,7 +253,8 @@
   }
 };
 
-// Of a summary: workers that the leader doesn't know (any more).
+// Of a summary: workers that the leader doesn't know (any more), or not in the
+// life that was told of.
 struct unknown_workers
 {
   std::vector<worker_id> mIds;
--- a/testing/flow/beat_desk_test.cc
+++ b/testing/flow/beat_desk_test.cc
@@ -53,6 +53,26 @@
   CHECK_FALSE(desk.TakeSummary(kStart + milliseconds(310)));
 }
 
+TEST_CASE("a summary tells of the newest life, whatever its number")
+{
+  // A worker has started again under its id and numbers its heartbeats anew.
+  // Were the higher number told, the new process would seem silent.
+  beat_desk desk;
+  worker_beat before = Beat("w", 40);
+  before.mFacts.mBornMs = 1'000;
+  worker_beat after = Beat("w", 2);
+  after.mFacts.mBornMs = 2'000;
+  desk.Acknowledged(before, kStart);
+  CHECK(desk.Take(before, kStart));
+  CHECK_FALSE(desk.Take(after, kStart)); // the leader must hear of the restart
+  desk.Acknowledged(after, kStart);
+  CHECK(desk.Take(after, kStart));
+  const auto summary = desk.TakeSummary(kStart);
+  REQUIRE(summary);
+  REQUIRE(summary->mNotes.size() == 1);
+  CHECK(summary->mNotes[0].mNumber == 2);
+}
+
 TEST_CASE("whatever changes goes to the leader by itself")
 {
   // A worker says that it drains. Answered from here it would believe that the
