--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -329,11 +329,13 @@
 void
 fake_group::Restart(std::size_t aNode)
 {
-  if (mNodes[aNode].mCore == nullptr) {
+  process& one = mNodes[aNode];
+  if (one.mCore == nullptr) {
+    // What its disk holds decides, as for the real process.
+    const bool isEmpty =
+      one.mDisk.Content().mHardState == consensus::hard_state{};
+    one.mFresh = one.mDisk.IsWiped() || (aNode >= mFounders && isEmpty);
     Make(aNode);
-    if (!mNodes[aNode].mDisk.IsWiped()) {
-      mNodes[aNode].mFresh = false;
-    }
   }
 }
 
--- a/testing/flow/group_test.cc
+++ b/testing/flow/group_test.cc
@@ -189,6 +189,51 @@
   CHECK(scene.EndsAs("done", seconds(10)));
 }
 
+TEST_CASE("a disk lost while all other instances lose power loses nothing")
+{
+  // Right after a job was accepted one voter loses its disk, and at the same
+  // moment all others lose power, spares as well: what they hadn't synced is
+  // gone, and so is all that they only remembered. In every second day a spare
+  // has taken a voter's place before.
+  constexpr std::size_t kNodes = 5;
+  constexpr std::size_t kVoters = 3;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    fake_group group(kNodes, kVoters, seed, kVoters);
+    group.Worker(group.AddWorker("w0")).mSize = Step(1, 1'000).mSize;
+    group.Run(seconds(5));
+    if (seed % 2 == 0) {
+      const std::size_t gone = *group.Leader();
+      group.Kill(gone, true);
+      group.Run(seconds(6));
+      group.Restart(gone);
+      group.Run(seconds(3));
+    }
+    REQUIRE(group.Leader());
+    group.Submit(kJob, { Step(2, 1'000) });
+    REQUIRE_FALSE(group.StateOf(kJob).empty());
+    const std::size_t leader = *group.Leader();
+    const auto voters = group.Core(leader).Raft().Members().mVoters;
+    const std::size_t lost =
+      static_cast<std::size_t>(voters[seed % voters.size()].mId.Value() - 1);
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      if (node == lost) {
+        group.Wipe(node);
+      } else {
+        group.Kill(node, true);
+      }
+    }
+    group.Run(seconds(1));
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      group.Restart((node + seed) % kNodes);
+      group.Run(milliseconds(50));
+    }
+    CHECK(group.RunUntil([&]() { return group.StateOf(kJob) == "done"; },
+                         seconds(12)));
+    CHECK(group.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
 TEST_CASE("work on a worker that is cut off starts elsewhere, and only once")
 {
   group_scene scene(5);
