Soak: every second life of a worker keeps the id of the one before

Now every second life keeps it, and all name the start of their process in heartbeats, farewells and looks; counts and clock start anew.

--- a/testing/soak/worker_house.cc
+++ b/testing/soak/worker_house.cc
@@ -120,10 +120,11 @@
 worker_house::Begin(std::size_t aWorker)
 {
   place& one = mPlaces[aWorker];
-  ++one.mLives;
+  // Every second life keeps the id of the one before.
+  const std::uint64_t id = 1 + one.mLives++ / 2;
   flow::worker_facts facts;
   facts.mId =
-    worker_id("w" + std::to_string(aWorker) + "-" + std::to_string(one.mLives));
+    worker_id("w" + std::to_string(aWorker) + "-" + std::to_string(id));
   facts.mAddress = settings::address{ mOptions.mRelayIp,
                                       static_cast<std::uint16_t>(
                                         mOptions.mFirstPort + aWorker) }
@@ -135,6 +136,7 @@
   constexpr double kMostSlow = 0.02;
   one.mWorker = std::make_unique<flow::fake_worker>(
     std::move(facts), kMostSlow * mRandom.Fraction(), mOracle);
+  one.mWorker->Restart(runtime_clock::now()); // its counts and clock are new
   one.mWorker->mSize = mOptions.mTaskSize;
   one.mWorker->mWorkTime =
     milliseconds(kLeastWorkMs + mRandom.Below(kWorkSpanMs));
@@ -303,7 +305,7 @@
 {
   const place& one = mPlaces[aWorker];
   mClient.Send(mOptions.mControls[one.mControl],
-               WriteFarewell(one.mWorker->Facts().mId),
+               WriteFarewell(one.mWorker->Facts()),
                { .mConnectTimeout = kBeatBound, .mTotalTimeout = kBeatBound },
                [](const http::send_outcome& /*aOutcome*/) {
                  // It ends anyway.
--- a/testing/soak/worker_side.cc
+++ b/testing/soak/worker_side.cc
@@ -171,6 +171,9 @@
   if (!reason.empty()) {
     body["reason"] = reason;
   }
+  if (aAnswer.mBornMs != 0) {
+    body["born"] = aAnswer.mBornMs;
+  }
   json::array running;
   for (const flow::listed_run& row : aAnswer.mRunning) {
     running.emplace_back(json::array{ TaskName(row.mRun.mTask),
@@ -216,13 +219,15 @@
                                 { "gpu", 0 } } },
                 { "labels", std::move(labels) },
                 { "clockMs", aClockMs },
-                { "seq", aNumber } });
+                { "seq", aNumber },
+                { "born", aFacts.mBornMs } });
 }
 
 http::request
-WriteFarewell(const worker_id& aId)
+WriteFarewell(const flow::worker_facts& aFacts)
 {
-  return Post("/v1/instances/" + aId.Value() + "/deregister", {});
+  return Post("/v1/instances/" + aFacts.mId.Value() + "/deregister",
+              { { "born", aFacts.mBornMs } });
 }
 
 } // namespace oriolewalk::soak
--- a/testing/soak/worker_side.h
+++ b/testing/soak/worker_side.h
@@ -26,6 +26,6 @@
           std::int64_t aClockMs,
           std::int64_t aNumber);
 http::request
-WriteFarewell(const worker_id& aId);
+WriteFarewell(const flow::worker_facts& aFacts);
 
 } // namespace oriolewalk::soak
