An answer of a worker isn't copied to be read

The mend of a later life's lists copied each look's answer, hundreds of rows at a full worker. A comment's lines, broken by the formatter, are whole again.

--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -14,8 +14,7 @@
 //   gone;
 // - an end counts only for the attempt that is under way, and only once;
 // - a number names one life of a worker: one that starts again under its id
-// gets
-//   another, and what was placed there goes with it until a look tells.
+//   gets another, and what was placed there goes along until a look tells.
 //
 // Owned by the flow core; the control thread only. No clock, no I/O.
 
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -41,7 +41,8 @@
   if (later) {
     NoteOutlived(order.mWorker, view, aAnswer, aNow);
   }
-  const order_answer answer = later ? order_answer{} : aAnswer;
+  static const order_answer sNone;
+  const order_answer& answer = later ? sNone : aAnswer;
   NoteAnswer(order, view, answer, aNow);
   std::visit(
     overloaded{
--- a/testing/soak/worker_house.h
+++ b/testing/soak/worker_house.h
@@ -52,8 +52,8 @@
                promise_book& aBook);
 
   result<void> Start();
-  // The life ends at once; the next one begins at the same address, every second
-  // one under the same id.
+  // The life ends at once; the next one begins at the same address, every
+  // second one under the same id.
   void Crash(std::size_t aWorker, milliseconds aDownFor);
   // It says that it leaves, serves on for aLinger, says farewell and ends; the
   // next life begins a moment later.
