Postmortem: tasks started twice and tasks lost; test of a worker's next life in the state

A unit test of the state: commands on the former life that are still in the log find nobody, what was placed moves, and the books are the same after a restart (19 checks, pass).

--- a/testing/flow/flow_state_test.cc
+++ b/testing/flow/flow_state_test.cc
@@ -36,6 +36,50 @@
   CHECK(kept(many, 1) == "b");
 }
 
+TEST_CASE("a worker's next life gets a number, and what was placed there")
+{
+  // Commands on the life before may still be in the log when the next one is
+  // registered. Were they applied to it, its cursor would be the former one's
+  // and its ends be passed over.
+  state_builder made;
+  worker_facts facts = Worker("w");
+  facts.mBornMs = 1'000;
+  const worker_number before = made.AddWorker(facts);
+  const job_id job = made.AddJob("01", { Step(3, 500) });
+  const run_ref ended = state_builder::Run(job, 1, 0);
+  const run_ref placed = state_builder::Run(job, 1, 1);
+  made.Start(ended, before);
+  made.Start(placed, before);
+  made.End(ended, before, run_outcome::Done, 7);
+  facts.mBornMs = 2'000;
+  CHECK(made.Apply(register_worker{ facts, false }).mOutlived == before);
+  const worker_number after = made.mState.NumberOf(facts.mId);
+  CHECK(after != before);
+  CHECK(made.mState.FindWorker(before) == nullptr);
+  CHECK(made.mState.FindWorker(after)->mCursor == 0);
+  CHECK(made.mState.IsPlaced(placed, after));
+  CHECK(made.mState.PlacedAt(after).size() == 1);
+  CHECK(made.mState.AmountsAt(after).mBooked == Step(1, 500).mSize);
+  CHECK(made.mState.PlacedAt(before).empty());
+  // What was under way for the life before, and a late heartbeat of it.
+  CHECK(made.End(placed, before, run_outcome::Done, 8).mError);
+  CHECK(made.Start(state_builder::Run(job, 1, 2), before).mStarted.empty());
+  made.Apply(drop_runs{ before, { placed } });
+  made.Apply(remove_worker{ before });
+  facts.mBornMs = 1'000;
+  CHECK(made.Apply(register_worker{ facts, true }).mError);
+  CHECK(made.mState.IsPlaced(placed, after));
+  CHECK_FALSE(made.mState.FindWorker(after)->mDraining);
+  CHECK(made.mState.FindWorker(after)->mFacts.mBornMs == 2'000);
+  // The books are the same after a restart of ours.
+  flow_state restored;
+  REQUIRE(restored.Restore(made.mState.Save()));
+  CHECK(restored.PlacedAt(after) == made.mState.PlacedAt(after));
+  CHECK(restored.AmountsAt(after).mBooked == Step(1, 500).mSize);
+  CHECK(made.End(placed, after, run_outcome::Done, 1).mError == std::nullopt);
+  CHECK(made.mState.AmountsAt(after).mBooked == cell::resources{});
+}
+
 TEST_CASE("a job sent again is one job")
 {
   // A caller's connection breaks after the commit. It sends the same id
