--- a/testing/flow/group_test.cc
+++ b/testing/flow/group_test.cc
@@ -214,7 +214,7 @@
     REQUIRE_FALSE(group.StateOf(kJob).empty());
     const std::size_t leader = *group.Leader();
     const auto voters = group.Core(leader).Raft().Members().mVoters;
-    const std::size_t lost =
+    const auto lost =
       static_cast<std::size_t>(voters[seed % voters.size()].mId.Value() - 1);
     for (std::size_t node = 0; node < kNodes; ++node) {
       if (node == lost) {
