A call that comes late in an entry's stop is answered before its end

Nothing was committed for 8 s there, so calls waited out their patience; a call that an entry takes just before it accepts no more (2.6 s into its stop) waits until 5.45 s, and what is open is closed at 5.3 s.

Ruled out: workers' lives (no leader changed, nothing was given up); a commit that hangs in the product: beside the same load a plain 4 kB write with its sync took up to 5.6 s on this machine (median 0.2 ms).

While the process stops, a call's last moment is the closing less its way back; it gets its 504 then.

--- a/oriolewalk/host/caller_limits.cc
+++ b/oriolewalk/host/caller_limits.cc
@@ -1,5 +1,6 @@
 #include "oriolewalk/host/caller_limits.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -7,6 +8,9 @@
 
 namespace {
 
+// Left for the answer's way back.
+constexpr milliseconds kAnswerWay{ 150 };
+
 void
 Take(std::int64_t aGiven, std::size_t& aLimit)
 {
@@ -36,4 +40,14 @@
   return limits;
 }
 
+time_point
+AnswerBy(time_point aNow,
+         milliseconds aPatience,
+         std::optional<time_point> aCloses)
+{
+  const time_point due =
+    std::min(aNow + aPatience, aCloses.value_or(time_point::max()));
+  return std::max(aNow, due - kAnswerWay);
+}
+
 } // namespace oriolewalk::host
