Heartbeats of workers: late ones, restarts and changes are told apart in small steps

Read as a newcomer: the handler of a heartbeat had grown to do four things, and one name stood for a number in the state's outcome and for a flag in the keeper.

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -506,15 +506,15 @@
   // it all that is kept of a worker begins anew, and commands on the life
   // before that are still under way find nobody.
   if (number == 0 || aWorker.mFacts.mBornMs > known) {
-    outcome.mOutlived = std::exchange(number, ++mLastWorker);
+    outcome.mFormerLife = std::exchange(number, ++mLastWorker);
     mNumbers[aWorker.mFacts.mId] = number;
   }
   worker_record& record = mWorkers[number];
   record.mFacts = aWorker.mFacts;
   record.mDraining = record.mDraining || aWorker.mDraining;
-  if (outcome.mOutlived != 0) {
-    MovePlaced(outcome.mOutlived, number);
-    mWorkers.erase(outcome.mOutlived);
+  if (outcome.mFormerLife != 0) {
+    MovePlaced(outcome.mFormerLife, number);
+    mWorkers.erase(outcome.mFormerLife);
   }
   return outcome;
 }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -41,7 +41,7 @@
   std::optional<error> mError{};
   std::vector<run_start> mStarted{}; // of start_runs: those that were accepted
   std::vector<job_id> mEnded{};      // jobs that ended by this command
-  worker_number mOutlived = 0; // by register_worker: the life before; 0: none
+  worker_number mFormerLife = 0;     // by register_worker: now over; 0: none
 };
 
 struct placed_amounts
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -57,7 +57,7 @@
 {
   mPace.Changed(ConcernsFirst(aCommand));
   if (const auto* worker = std::get_if<register_worker>(&aCommand)) {
-    ForgetWorker(aOutcome.mOutlived);
+    ForgetWorker(aOutcome.mFormerLife);
     mKeeper.Registered(mState.NumberOf(worker->mFacts.mId), mAt.mNow);
   } else if (const auto* gone = std::get_if<remove_worker>(&aCommand)) {
     ForgetWorker(gone->mWorker);
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -171,6 +171,10 @@
   // what doesn't need the leader.
   [[nodiscard]] bool IsLarge() const;
   [[nodiscard]] advisor_load AdvisorLoad();
+  // Of a worker that is known: as in worker_facts.
+  [[nodiscard]] std::int64_t BornOf(worker_number aWorker) const;
+  void NoteLateBeat(const worker_beat& aBeat, worker_number aKnown);
+  void NoteRestart(worker_number aKnown);
   [[nodiscard]] static bool IsOfEarlierLife(const worker_farewell& aFarewell,
                                             const worker_record& aKnown);
   [[nodiscard]] bool IsWorkerChanged(const worker_beat& aBeat,
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -175,42 +175,58 @@
 leading::On(call_number aCall, const worker_beat& aBeat)
 {
   const worker_number number = mState.NumberOf(aBeat.mFacts.mId);
-  const std::int64_t born =
-    number == 0 ? 0 : mState.FindWorker(number)->mFacts.mBornMs;
-  if (aBeat.mFacts.mBornMs < born) {
-    // It was on its way for long: its sender is gone, or it isn't whole.
-    mPort.mNote({ "worker.late_beat",
-                  { { "worker", aBeat.mFacts.mId.Value() },
-                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
-                    { "known_born", std::to_string(born) },
-                    { "beat", std::to_string(aBeat.mNumber) } } });
+  if (number != 0 && aBeat.mFacts.mBornMs < BornOf(number)) {
+    // It was on its way for long, and its sender is gone; or it isn't whole.
+    NoteLateBeat(aBeat, number);
     mPort.mAnswer(aCall, acknowledged{});
     return;
   }
-  if (number != 0 && aBeat.mFacts.mBornMs > born) {
-    mPort.mNote(
-      { "worker.restarted",
-        { { "worker", aBeat.mFacts.mId.Value() },
-          { "known_born", std::to_string(born) },
-          { "runs", std::to_string(mState.PlacedAt(number).size()) } } });
+  if (number != 0 && !IsWorkerChanged(aBeat, number)) {
+    mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
+    mPort.mAnswer(aCall, acknowledged{ IsLarge() });
+    return;
+  }
+  if (number != 0 && aBeat.mFacts.mBornMs > BornOf(number)) {
+    NoteRestart(number);
     mKeeper.KeepCheckpoints(number);
     PumpKeeper();
   }
-  if (number == 0 || IsWorkerChanged(aBeat, number)) {
-    mPort.mNote({ number == 0 ? "worker.new" : "worker.changed",
-                  { { "worker", aBeat.mFacts.mId.Value() },
-                    { "address", aBeat.mFacts.mAddress },
-                    { "service", aBeat.mFacts.mService.Value() },
-                    { "draining", aBeat.mDraining ? "yes" : "no" },
-                    { "born", std::to_string(aBeat.mFacts.mBornMs) },
-                    { "beat", std::to_string(aBeat.mNumber) } } });
-    ProposeAndAnswer(aCall,
-                     register_worker{ aBeat.mFacts, aBeat.mDraining },
-                     acknowledged{ IsLarge() });
-    return;
-  }
-  mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
-  mPort.mAnswer(aCall, acknowledged{ IsLarge() });
+  mPort.mNote({ number == 0 ? "worker.new" : "worker.changed",
+                { { "worker", aBeat.mFacts.mId.Value() },
+                  { "address", aBeat.mFacts.mAddress },
+                  { "service", aBeat.mFacts.mService.Value() },
+                  { "draining", aBeat.mDraining ? "yes" : "no" },
+                  { "born", std::to_string(aBeat.mFacts.mBornMs) },
+                  { "beat", std::to_string(aBeat.mNumber) } } });
+  ProposeAndAnswer(aCall,
+                   register_worker{ aBeat.mFacts, aBeat.mDraining },
+                   acknowledged{ IsLarge() });
+}
+
+std::int64_t
+leading::BornOf(worker_number aWorker) const
+{
+  return mState.FindWorker(aWorker)->mFacts.mBornMs;
+}
+
+void
+leading::NoteLateBeat(const worker_beat& aBeat, worker_number aKnown)
+{
+  mPort.mNote({ "worker.late_beat",
+                { { "worker", aBeat.mFacts.mId.Value() },
+                  { "born", std::to_string(aBeat.mFacts.mBornMs) },
+                  { "known_born", std::to_string(BornOf(aKnown)) },
+                  { "beat", std::to_string(aBeat.mNumber) } } });
+}
+
+void
+leading::NoteRestart(worker_number aKnown)
+{
+  mPort.mNote(
+    { "worker.restarted",
+      { { "worker", mState.FindWorker(aKnown)->mFacts.mId.Value() },
+        { "known_born", std::to_string(BornOf(aKnown)) },
+        { "runs", std::to_string(mState.PlacedAt(aKnown).size()) } } });
 }
 
 void
@@ -219,8 +235,7 @@
   unknown_workers unknown;
   for (const beat_note& note : aSummary.mNotes) {
     const worker_number number = mState.NumberOf(note.mId);
-    if (number == 0 ||
-        mState.FindWorker(number)->mFacts.mBornMs != note.mBornMs) {
+    if (number == 0 || BornOf(number) != note.mBornMs) {
       unknown.mIds.push_back(note.mId); // its next heartbeat comes whole
     } else {
       mKeeper.Heard(number, note.mNumber, note.mClockMs, mAt.mNow);
--- a/testing/flow/flow_state_test.cc
+++ b/testing/flow/flow_state_test.cc
@@ -52,7 +52,7 @@
   made.Start(placed, before);
   made.End(ended, before, run_outcome::Done, 7);
   facts.mBornMs = 2'000;
-  CHECK(made.Apply(register_worker{ facts, false }).mOutlived == before);
+  CHECK(made.Apply(register_worker{ facts, false }).mFormerLife == before);
   const worker_number after = made.mState.NumberOf(facts.mId);
   CHECK(after != before);
   CHECK(made.mState.FindWorker(before) == nullptr);
