Keeper tests: a run that is under way is set up in one place

Read once more as a whole: five tests wrote the same three lines to begin a run, answer its start and let the next look go. They call BeginRunning now; every check stands as it was.

--- a/testing/flow/worker_keeper_test.cc
+++ b/testing/flow/worker_keeper_test.cc
@@ -102,6 +102,15 @@
     return run;
   }
 
+  // Its start is answered as done, and the next look is on its way.
+  run_ref BeginRunning()
+  {
+    run_ref run = Begin();
+    Answer(*Next<start_order>(), With(order_result::Done));
+    Advance(milliseconds(10));
+    return run;
+  }
+
   [[nodiscard]] bool IsDropped(const run_ref& aRun) const
   {
     return std::ranges::any_of(mCommands, [&](const command_body& aBody) {
@@ -119,10 +128,7 @@
   // isn't committed before the worker goes, the task begins anew.
   keeper_scene scene;
   scene.Sync();
-  const run_ref run = scene.Begin();
-  scene.Answer(*scene.Next<start_order>(),
-               keeper_scene::With(order_result::Done));
-  scene.Advance(milliseconds(10));
+  const run_ref run = scene.BeginRunning();
   order_answer shown = keeper_scene::Showing({ run });
   shown.mRunning[0].mCheckpoint = "half";
   scene.Answer(*scene.Next<hold_order>(), shown);
@@ -246,10 +252,7 @@
   keeper_scene scene;
   scene.Sync();
   scene.Advance(seconds(7)); // whatever an earlier leader gave is over
-  const run_ref run = scene.Begin();
-  scene.Answer(*scene.Next<start_order>(),
-               keeper_scene::With(order_result::Done));
-  scene.Advance(milliseconds(10));
+  const run_ref run = scene.BeginRunning();
   const worker_order first = *scene.Next<hold_order>();
   CHECK(first.mLeaseClockMs);
   const time_point given = scene.mNow;
@@ -314,10 +317,7 @@
   // finished task again.
   keeper_scene scene;
   scene.Sync();
-  const run_ref run = scene.Begin();
-  scene.Answer(*scene.Next<start_order>(),
-               keeper_scene::With(order_result::Done));
-  scene.Advance(milliseconds(10));
+  const run_ref run = scene.BeginRunning();
   order_answer ended = keeper_scene::Showing({});
   ended.mEnded.push_back({ 3, { run, run_outcome::Done, {} } });
   scene.Answer(*scene.Next<hold_order>(), ended);
@@ -374,10 +374,7 @@
   // right after it listed them, and not again and again.
   keeper_scene scene;
   scene.Sync();
-  const run_ref run = scene.Begin();
-  scene.Answer(*scene.Next<start_order>(),
-               keeper_scene::With(order_result::Done));
-  scene.Advance(milliseconds(10));
+  const run_ref run = scene.BeginRunning();
   order_answer ended = keeper_scene::Showing({});
   ended.mEnded.push_back({ 3, { run, run_outcome::Done, {} } });
   const run_ref next = scene.Begin(1);
@@ -414,10 +411,7 @@
 {
   keeper_scene scene;
   scene.Sync();
-  const run_ref known = scene.Begin();
-  scene.Answer(*scene.Next<start_order>(),
-               keeper_scene::With(order_result::Done));
-  scene.Advance(milliseconds(10));
+  const run_ref known = scene.BeginRunning();
   const run_ref stray = state_builder::Run(scene.mJob, 9, 2);
   scene.Answer(*scene.Next<hold_order>(),
                keeper_scene::Showing({ known, stray }));
