HTTP client: a request may be meant for one process only

Cause: an address outlives its process. A request that waits for a connection, or in a process that stands still, is sent to whoever listens there by then.

Change: send_options::mPeer names the process. A connection doesn't outlive the process that accepted it, so the client asks for its name once a connection and sends such a request only where the right name was told; else it ends as never_started (Conflict) with what the other process said. Connections that told the name are chosen first.

Ruled out: a header that the peer compares (peers of the platform don't compare their start), and the age of a request (a frozen process's steady clock stands still, so it can't tell).

Nothing uses it yet.

--- a/oriolewalk/http/client.cc
+++ b/oriolewalk/http/client.cc
@@ -1,6 +1,7 @@
 #include "oriolewalk/http/client.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -64,7 +65,7 @@
     } else if (mClosed) {
       refusal = "the client is closed";
     } else {
-      refusal = Choose(aCall->mTo, chosen, givenUp);
+      refusal = Choose(*aCall, chosen, givenUp);
     }
   }
   // Not under the lock: it may run at once, if this is its own thread's turn.
@@ -89,16 +90,37 @@
   chosen->Start(std::move(aCall));
 }
 
+std::shared_ptr<connection>
+client::core::TakeIdle(pool& aPool, const call& aCall)
+{
+  const auto latest = [&](const std::string& aPeerName) {
+    return std::ranges::find(aPool.mIdle.rbegin(),
+                             aPool.mIdle.rend(),
+                             aPeerName,
+                             &idle_connection::mPeerName);
+  };
+  auto found = aPool.mIdle.rbegin();
+  if (aCall.mOptions.mPeer) {
+    found = latest(aCall.mOptions.mPeer->mName);
+    found = found == aPool.mIdle.rend() ? latest({}) : found;
+  }
+  if (found == aPool.mIdle.rend()) {
+    return nullptr;
+  }
+  mIdleSince.erase(found->mSince);
+  std::shared_ptr<connection> taken = std::move(found->mConnection);
+  aPool.mIdle.erase(std::next(found).base());
+  return taken;
+}
+
 std::string
-client::core::Choose(const settings::address& aTo,
+client::core::Choose(const call& aCall,
                      std::shared_ptr<connection>& aChosen,
                      std::shared_ptr<connection>& aGivenUp)
 {
-  pool& there = mPools[aTo];
-  if (!there.mIdle.empty()) {
-    mIdleSince.erase(there.mIdle.back().mSince);
-    aChosen = std::move(there.mIdle.back().mConnection);
-    there.mIdle.pop_back();
+  pool& there = mPools[aCall.mTo];
+  aChosen = TakeIdle(there, aCall);
+  if (aChosen) {
     return {};
   }
   if (there.mOpen >= mLimits.mMaxConnections) {
@@ -110,7 +132,7 @@
       return "all " + std::to_string(mOpen) + " connections to anyone are busy";
     }
   }
-  ++mPools[aTo].mOpen; // the closing may have ended the pool
+  ++mPools[aCall.mTo].mOpen; // the closing may have ended the pool
   ++mOpen;
   return {};
 }
@@ -140,11 +162,13 @@
 }
 
 bool
-client::core::Return(const std::shared_ptr<connection>& aConnection)
+client::core::Return(const std::shared_ptr<connection>& aConnection,
+                     const std::string& aPeerName)
 {
   const std::scoped_lock lock(mLock);
   if (!mClosed) {
-    mPools[aConnection->To()].mIdle.push_back({ ++mLastReturn, aConnection });
+    mPools[aConnection->To()].mIdle.push_back(
+      { ++mLastReturn, aPeerName, aConnection });
     mIdleSince.emplace(mLastReturn, aConnection->To());
   }
   return !mClosed;
--- a/oriolewalk/http/client.h
+++ b/oriolewalk/http/client.h
@@ -11,11 +11,18 @@
 //       [](never_started& aNone) { ... safe to send elsewhere ... },
 //       [](unknown_outcome& aLost) { ... it may have run ... } }, aOutcome);
 //   });
+//
+// A request that only one process may get, whatever listens at its address by
+// the time it is sent:
+//
+//   options.mPeer = peer_check{ "1785721069176", askForName, ReadName };
 
 #include <cstddef>
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -40,6 +47,9 @@
 struct never_started
 {
   error mError;
+  // What the process that is there answered to peer_check's question, where
+  // that is why.
+  std::optional<response> mAnswer{};
 };
 
 // Some of the request was written, but no whole answer to it came: cut off,
@@ -53,6 +63,18 @@
 // On a strand of the io_context, exactly once.
 using send_callback = std::function<void(send_outcome)>;
 
+// Which process may get a request. A connection doesn't outlive the process
+// that accepted it: what is sent where that process has told its name reaches
+// it or nobody, also if another one listens at its address by then.
+struct peer_check
+{
+  std::string mName; // not empty
+  // Sent before the request on a connection where no name was told yet.
+  request mQuestion{};
+  // The name that the question's answer tells; empty: none.
+  std::function<std::string(const response&)> mReadName;
+};
+
 struct send_options
 {
   milliseconds mConnectTimeout{ 1'000 };
@@ -63,6 +85,9 @@
   // A faulty peer that answers one request twice would otherwise have its
   // second answer taken for the next request's.
   std::vector<header> mMustMatch{};
+  // Where the process has another name the request is never_started
+  // (Conflict).
+  std::optional<peer_check> mPeer{};
 };
 
 struct client_limits
--- a/oriolewalk/http/client_core.h
+++ b/oriolewalk/http/client_core.h
@@ -44,8 +44,10 @@
   }
 
   void Launch(std::unique_ptr<call> aCall);
-  // The connection is idle. False if the client is closed.
-  bool Return(const std::shared_ptr<connection>& aConnection);
+  // The connection is idle; aPeerName: as its process told it, or empty. False
+  // if the client is closed.
+  bool Return(const std::shared_ptr<connection>& aConnection,
+              const std::string& aPeerName);
   // Once for each connection, when it closes: it no longer counts.
   void Remove(connection& aConnection);
   // From its constructor and destructor.
@@ -60,6 +62,7 @@
   struct idle_connection
   {
     std::uint64_t mSince = 0; // rises with each return
+    std::string mPeerName;
     std::shared_ptr<connection> mConnection;
   };
   struct pool
@@ -73,9 +76,11 @@
   // of them until the process has no descriptor left for its disk.
   std::shared_ptr<connection> GiveUpOldestIdle();
 
+  // Under mLock: takes the idle connection that suits the call best, or none.
+  std::shared_ptr<connection> TakeIdle(pool& aPool, const call& aCall);
   // Under mLock: an idle connection, none where one may be opened (it is
   // counted), or why not. aGivenUp: to be closed for it.
-  std::string Choose(const settings::address& aTo,
+  std::string Choose(const call& aCall,
                      std::shared_ptr<connection>& aChosen,
                      std::shared_ptr<connection>& aGivenUp);
 
--- a/oriolewalk/http/connection.cc
+++ b/oriolewalk/http/connection.cc
@@ -106,7 +106,7 @@
     return;
   }
   mUsedBefore = true;
-  Write();
+  AskOrWrite();
 }
 
 // The peer may have closed, or sent what nobody asked for, without our read's
@@ -153,33 +153,44 @@
   }
   system_code ignored;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ignored);
-  Write();
+  AskOrWrite();
 }
 
 void
-connection::Write()
+connection::AskOrWrite()
+{
+  const std::optional<peer_check>& check = mCall->mOptions.mPeer;
+  mAsking = check && check->mName != mPeerName;
+  if (mAsking) {
+    Write(check->mQuestion, check->mQuestion.mBody);
+  } else {
+    // A copy would be needed only for a resend; the body is moved back into the
+    // call if nothing was written.
+    Write(mCall->mRequest, std::move(mCall->mRequest.mBody));
+  }
+}
+
+void
+connection::Write(const request& aHead, bytes aBody)
 {
   mState = state::Sending;
   mBytesWritten = false;
   mWriting = true;
   mDeadline.Set(mCall->mDue);
   StartAnswer();
-  // A copy of the body would be needed only for a resend; the request is
-  // moved back into the call if nothing was written.
-  request& whole = mCall->mRequest;
   mMessage.emplace();
   mMessage->version(kVersion11);
-  mMessage->method_string(whole.mMethod);
-  mMessage->target(whole.mTarget);
-  if (!whole.Find("Host")) { // a caller may mean another name at this address
+  mMessage->method_string(aHead.mMethod);
+  mMessage->target(aHead.mTarget);
+  if (!aHead.Find("Host")) { // a caller may mean another name at this address
     mMessage->set(beast::http::field::host, mTo.ToString());
   }
-  for (const header& one : whole.mHeaders) {
+  for (const header& one : aHead.mHeaders) {
     if (!IsOurs(one)) {
       mMessage->insert(one.mName, one.mValue);
     }
   }
-  mMessage->body() = std::move(whole.mBody);
+  mMessage->body() = std::move(aBody);
   mMessage->prepare_payload();
   beast::http::async_write(
     mSocket,
@@ -195,11 +206,17 @@
 {
   mWriting = false;
   mBytesWritten = mBytesWritten || aCount > 0;
+  if (!aCode && mAsking && mCall && mParser->is_done()) {
+    HandleAnswer(); // it came before this handler ran
+    return;
+  }
   if (!aCode || mState != state::Sending || !mCall) {
     return;
   }
   if (mUsedBefore && !mBytesWritten && mMessage) {
-    mCall->mRequest.mBody = std::move(mMessage->body());
+    if (!mAsking) {
+      mCall->mRequest.mBody = std::move(mMessage->body());
+    }
     auto call = std::move(mCall);
     CloseNow();
     mCore->Launch(std::move(call));
@@ -292,9 +309,9 @@
   } else if (wrong) {
     FailCall(code::Corrupt, wrong.message());
     CloseNow();
-  } else if (mParser->is_done()) {
+  } else if (mParser->is_done() && !(mAsking && mWriting)) {
     HandleAnswer();
-  } else {
+  } else if (!mParser->is_done()) {
     Read();
   }
 }
@@ -320,6 +337,10 @@
       { std::string(field.name_string()), std::string(field.value()) });
   }
   std::erase_if(whole.mHeaders, IsOurs);
+  if (mAsking) {
+    HandleName(std::move(whole), reuse);
+    return;
+  }
   if (!Matches(whole)) {
     FailCall(code::Corrupt, "the answer is to another request");
     CloseNow();
@@ -329,12 +350,27 @@
   mState = state::Idle;
   mDeadline.Set(runtime_clock::now() + mCore->Limits().mIdleTimeout);
   Read();
-  if (!reuse || !mCore->Return(shared_from_this())) {
+  if (!reuse || !mCore->Return(shared_from_this(), mPeerName)) {
     CloseNow();
   }
   call->mDone(answered{ std::move(whole) });
 }
 
+void
+connection::HandleName(response aAnswer, bool aReuse)
+{
+  const peer_check& check = *mCall->mOptions.mPeer;
+  mPeerName = check.mReadName(aAnswer);
+  if (aReuse && mPeerName == check.mName) {
+    AskOrWrite();
+    return;
+  }
+  FailCall(code::Conflict,
+           aReuse ? "another process is there" : "the peer keeps no connection",
+           std::move(aAnswer));
+  CloseNow();
+}
+
 void
 connection::HandleTimeout()
 {
@@ -349,13 +385,16 @@
 // Ends the call, if there is one, by what is known of its bytes. While a write
 // is under way some may have gone out that its handler has not told of.
 void
-connection::FailCall(code aCode, std::string_view aReason)
+connection::FailCall(code aCode,
+                     std::string_view aReason,
+                     std::optional<response> aAnswer)
 {
   const auto call = std::move(mCall);
   if (!call) {
     return;
   }
-  const bool sent = mState == state::Sending && (mBytesWritten || mWriting);
+  const bool sent =
+    mState == state::Sending && !mAsking && (mBytesWritten || mWriting);
   error problem{ aCode,
                  mState == state::Sending ? "waiting for the answer"
                                           : "connecting",
@@ -364,7 +403,7 @@
   if (sent) {
     call->mDone(unknown_outcome{ std::move(problem) });
   } else {
-    call->mDone(never_started{ std::move(problem) });
+    call->mDone(never_started{ std::move(problem), std::move(aAnswer) });
   }
 }
 
--- a/oriolewalk/http/connection.h
+++ b/oriolewalk/http/connection.h
@@ -67,7 +67,10 @@
   void Connect();
   void HandleConnect(boost::system::error_code aCode);
   [[nodiscard]] bool IsStale();
-  void Write();
+  // Asks for the process's name first, if the call wants one that it hasn't
+  // told here.
+  void AskOrWrite();
+  void Write(const request& aHead, bytes aBody);
   void HandleWritten(boost::system::error_code aCode, std::size_t aCount);
   void Read();
   void HandleRead(boost::system::error_code aCode, std::size_t aCount);
@@ -75,8 +78,11 @@
   [[nodiscard]] boost::system::error_code Feed();
   void Parse();
   void HandleAnswer();
+  void HandleName(response aAnswer, bool aReuse);
   [[nodiscard]] bool Matches(const response& aResponse) const;
-  void FailCall(oriolewalk::error_code aCode, std::string_view aReason);
+  void FailCall(oriolewalk::error_code aCode,
+                std::string_view aReason,
+                std::optional<response> aAnswer = {});
   void CloseNow();
 
   boost::asio::ip::tcp::socket mSocket;
@@ -92,6 +98,8 @@
   bool mReading = false;
   bool mWriting = false;
   bool mBytesWritten = false;
+  bool mAsking = false;  // under way is the question, not the request
+  std::string mPeerName; // as the process told it here
 };
 
 } // namespace oriolewalk::http
--- /dev/null
+++ b/testing/histories/main.cc
@@ -0,0 +1,147 @@
+// Plays random histories of faults over a range of seeds, and prints those that
+// break a promise. Exit code: 0 none did, 1 some did, 2 wrong arguments.
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <cstdint>
+#include <cstdio>
+#include <mutex>
+#include <optional>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include <getopt.h>
+
+#include "testing/flow/flow_history.h"
+
+namespace {
+
+namespace flow = oriolewalk::flow;
+
+struct hunt_options
+{
+  std::uint64_t mFrom = 1;
+  std::uint64_t mTo = 1'000; // the last seed
+  unsigned mThreads = std::max(1U, std::thread::hardware_concurrency() / 2);
+  int mActions = 60;
+  flow::flow_options mFlow;
+  flow::history_troubles mTroubles;
+};
+
+constexpr const char* kUsage =
+  "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
+  "                 [--busy] [--restarts] [--holds] [--carried]\n"
+  "  --busy      orders, answers and commits are slow at times\n"
+  "  --restarts  workers start again under their ids\n"
+  "  --holds     orders stand still on their way for seconds\n"
+  "  --carried   other control processes carry the leader's orders\n";
+
+template<class Number>
+bool
+ReadNumber(std::string_view aText, Number& aNumber)
+{
+  const char* const end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, aNumber);
+  return read.ec == std::errc() && read.ptr == end;
+}
+
+std::optional<hunt_options>
+ReadArguments(int aCount, char** aArguments)
+{
+  const option known[] = {
+    { "from", required_argument, nullptr, 'f' },
+    { "to", required_argument, nullptr, 't' },
+    { "threads", required_argument, nullptr, 'j' },
+    { "actions", required_argument, nullptr, 'a' },
+    { "busy", no_argument, nullptr, 'b' },
+    { "restarts", no_argument, nullptr, 'r' },
+    { "holds", no_argument, nullptr, 'h' },
+    { "carried", no_argument, nullptr, 'c' },
+    { nullptr, 0, nullptr, 0 },
+  };
+  hunt_options options;
+  bool sound = true;
+  for (int chosen = 0;
+       (chosen = getopt_long(aCount, aArguments, "", known, nullptr)) != -1;) {
+    switch (chosen) {
+      case 'f':
+        sound = sound && ReadNumber(optarg, options.mFrom);
+        break;
+      case 't':
+        sound = sound && ReadNumber(optarg, options.mTo);
+        break;
+      case 'j':
+        sound = sound && ReadNumber(optarg, options.mThreads);
+        break;
+      case 'a':
+        sound = sound && ReadNumber(optarg, options.mActions);
+        break;
+      case 'b':
+        options.mTroubles.mBusy = true;
+        break;
+      case 'r':
+        options.mTroubles.mRestarts = true;
+        break;
+      case 'h':
+        options.mTroubles.mHolds = true;
+        break;
+      case 'c':
+        options.mFlow.mWorkersAlone = 0;
+        break;
+      default:
+        sound = false;
+    }
+  }
+  const bool whole = sound && optind == aCount && options.mThreads > 0 &&
+                     options.mFrom <= options.mTo;
+  return whole ? std::optional(options) : std::nullopt;
+}
+
+// Returns how many broke a promise.
+std::uint64_t
+Hunt(const hunt_options& aOptions)
+{
+  std::atomic<std::uint64_t> next = aOptions.mFrom;
+  std::atomic<std::uint64_t> broken = 0;
+  std::mutex printing;
+  const auto play = [&]() {
+    for (std::uint64_t seed = next++; seed <= aOptions.mTo; seed = next++) {
+      const auto what = flow::PlayFlowSeed(
+        seed, aOptions.mActions, aOptions.mFlow, aOptions.mTroubles);
+      if (what) {
+        ++broken;
+        const std::scoped_lock lock(printing);
+        std::printf("seed %llu: %s\n",
+                    static_cast<unsigned long long>(seed),
+                    what->c_str());
+        std::fflush(stdout);
+      }
+    }
+  };
+  std::vector<std::jthread> threads;
+  for (unsigned thread = 0; thread < aOptions.mThreads; ++thread) {
+    threads.emplace_back(play);
+  }
+  threads.clear(); // joins
+  return broken;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  const auto options = ReadArguments(aCount, aArguments);
+  if (!options) {
+    std::fputs(kUsage, stderr);
+    return 2;
+  }
+  const std::uint64_t broken = Hunt(*options);
+  std::printf(
+    "%llu histories played, %llu broke a promise\n",
+    static_cast<unsigned long long>(options->mTo - options->mFrom + 1),
+    static_cast<unsigned long long>(broken));
+  return broken == 0 ? 0 : 1;
+}
--- a/testing/http/client_test.cc
+++ b/testing/http/client_test.cc
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
@@ -263,6 +265,137 @@
   CHECK(std::holds_alternative<answered>(first.get()));
 }
 
+// A process at a port: tells its name, and notes what else it gets.
+class named_process
+{
+public:
+  named_process(boost::asio::io_context& aContext,
+                std::uint16_t aPort,
+                const std::string& aName)
+  {
+    // The process before gives its port back a moment after it went.
+    result<std::uint16_t> port = aPort;
+    do {
+      mServer = std::make_unique<server>(
+        aContext,
+        settings::address{ "127.0.0.1", aPort },
+        server_limits{},
+        [this, aName](const request& aRequest, const responder& aCall) {
+          ++(aRequest.mTarget == "/name" ? mAsked : mGot);
+          aCall.Send({ 200, {}, aName });
+        });
+      port = mServer->Start();
+    } while (!port);
+    mPort = *port;
+  }
+
+  [[nodiscard]] settings::address Address() const
+  {
+    return { "127.0.0.1", mPort };
+  }
+
+  std::atomic<int> mAsked = 0;
+  std::atomic<int> mGot = 0;
+
+private:
+  std::unique_ptr<server> mServer;
+  std::uint16_t mPort = 0;
+};
+
+send_options
+OnlyTo(std::string aName)
+{
+  send_options options;
+  options.mTotalTimeout = milliseconds(500);
+  options.mPeer = peer_check{
+    .mName = std::move(aName),
+    .mQuestion = { .mTarget = "/name" },
+    .mReadName = [](const response& aAnswer) { return aAnswer.mBody; },
+  };
+  return options;
+}
+
+TEST_CASE("a process is asked for its name once a connection")
+{
+  running_context context;
+  named_process one(context.Get(), 0, "one");
+  client caller(context.Get(), {});
+  constexpr int kRequests = 3;
+  for (int sent = 0; sent < kRequests; ++sent) {
+    const send_outcome outcome =
+      SendTo(caller, one.Address(), {}, OnlyTo("one")).get();
+    CHECK(std::holds_alternative<answered>(outcome));
+  }
+  CHECK(one.mAsked == 1);
+  CHECK(one.mGot == kRequests);
+  caller.Close();
+  context.Stop();
+}
+
+TEST_CASE("a request for a process that has ended reaches no later one there")
+{
+  // Guards against a request that is carried out by the next process at the
+  // address, over a kept connection or over a new one.
+  running_context context;
+  client caller(context.Get(), {});
+  settings::address where;
+  {
+    named_process one(context.Get(), 0, "one");
+    where = one.Address();
+    REQUIRE(std::holds_alternative<answered>(
+      SendTo(caller, where, {}, OnlyTo("one")).get()));
+  }
+  named_process two(context.Get(), where.mPort, "two");
+  constexpr int kTries = 3;
+  for (int sent = 0; sent < kTries; ++sent) {
+    const send_outcome outcome = SendTo(caller, where, {}, OnlyTo("one")).get();
+    REQUIRE(std::holds_alternative<never_started>(outcome));
+    const auto& none = std::get<never_started>(outcome);
+    CHECK(none.mError.mCode == error_code::Conflict);
+    REQUIRE(none.mAnswer);
+    CHECK(none.mAnswer->mBody == "two");
+  }
+  CHECK(two.mGot == 0);
+  CHECK(std::holds_alternative<answered>(
+    SendTo(caller, where, {}, OnlyTo("two")).get()));
+  CHECK(two.mGot == 1);
+  caller.Close();
+  context.Stop();
+}
+
+TEST_CASE("a process that doesn't tell its name gets no request meant for one")
+{
+  // Its answer is cut, names nobody, or ends the connection.
+  const auto [bytes, close] = GENERATE(table<std::string, bool>({
+    { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\non", true },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: "
+      "close\r\n\r\none",
+      true },
+    { "", false },
+  }));
+  CAPTURE(bytes);
+  running_context context;
+  std::atomic<int> requests = 0;
+  const raw_target target(
+    [&, bytes = bytes, close = close](tcp::socket& aPeer) {
+      for (std::string text = ReadRequest(aPeer); !text.empty();
+           text = ReadRequest(aPeer)) {
+        requests += text.starts_with("GET /name") ? 0 : 1;
+        WriteAll(aPeer, bytes);
+        if (close) {
+          return;
+        }
+      }
+    });
+  client caller(context.Get(), {});
+  CHECK(std::holds_alternative<never_started>(
+    SendTo(caller, target.Address(), {}, OnlyTo("one")).get()));
+  CHECK(requests == 0);
+  caller.Close();
+  context.Stop();
+}
+
 TEST_CASE("a closed client ends what is under way and refuses what is new")
 {
   running_context context;
