An order reaches the process that it was meant for, or none

Callers saw: a task that had ended as done started again; and a task that ran twice at once.

Cause: an order names its worker's id, and a worker that starts again under its id is another process.

Change: an order carries the start (`born`) of the process that it is for, and goes only over a connection on which that process told it, whoever makes the call. Only looks that renew no lease and name no cursor go to any process: that is how a new one is found. What can't be delivered for this reason is NotSent, so that its task is placed again at once. Workers that tell no start are dealt with as before; their ids differ. Events that are impossible now: a cursor, a lease, a start, a stop, a ticket or a pace for one process is carried out by another one.

Ruled out: a stop that reaches the next process keeps the leader waiting for ever (its test passed before too, it stays); a quiet window around the cursor (costs start latency and leaves leases and carriers as they are); a rising fence (a new process accepts any). The leases' longer reckoning once a later process was seen is gone: none of ours reaches it.

The fake group no longer spares orders that were given up: it delivers them to whichever process is there, unless they name another. The cost: one look more for each new connection to a worker that tells its start.

--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -16,6 +16,15 @@
 // Covers the rounding of clocks to whole milliseconds on both sides.
 constexpr milliseconds kClockRounding{ 10 };
 
+// It renews no lease and lets nothing be forgotten: whichever process gets it
+// only tells what it holds.
+bool
+IsPlainLook(const worker_order& aOrder)
+{
+  const auto* hold = std::get_if<hold_order>(&aOrder.mBody);
+  return hold != nullptr && hold->mCursor == 0 && !aOrder.mLeaseClockMs;
+}
+
 duration
 Stretch(duration aSpan, double aBySlow)
 {
@@ -93,8 +102,8 @@
     if (view.mRuns.empty()) {
       view.mLapsesAt = aNow; // nothing can run in a new life
     } else {
-      // A start to the former life that is carried out by this one: its lease
-      // was reckoned by another clock, so it is the longest, from its arrival.
+      // A worker that didn't tell its start before may still be the same
+      // process, and get a start that is on its way.
       view.mLapsesAt += mOptions.mAnswerBound;
     }
     mViews.emplace(aWorker, std::move(view));
@@ -151,6 +160,9 @@
                aNow + Stretch(lease, mOptions.mSlowClock) + kClockRounding);
   }
   order.mBody = aBody;
+  if (!IsPlainLook(order)) {
+    order.mBornMs = record->mFacts.mBornMs;
+  }
   mOpen[order.mId] = { aWorker, std::move(aBody), aNow };
   mOrders.push_back(std::move(order));
   return mLastOrder;
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -11,7 +11,10 @@
 //
 // What it relies on: a worker does nothing for a fence lower than one it has
 // seen; a stop of an attempt that isn't there yet makes it impossible; leases
-// end on the worker's own clock, which may be slow by a bound.
+// end on the worker's own clock, which may be slow by a bound; and an order
+// that names a process (worker_order::mBornMs) reaches that one or none. All
+// orders do but looks that renew no lease and name no cursor, where the worker
+// tells its start.
 //
 // A worker's next life under its id is met as a new leader meets a worker:
 // under a higher fence, with all that was placed there taken over until a look
@@ -161,8 +164,7 @@
                                    const order_answer& aAnswer) const;
   void NoteOutlived(worker_number aWorker,
                     worker_view& aView,
-                    const order_answer& aAnswer,
-                    time_point aNow);
+                    const order_answer& aAnswer);
   std::uint64_t Send(worker_number aWorker,
                      order_body aBody,
                      bool aWithLease,
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -39,10 +39,11 @@
   // cursor that isn't theirs. Its heartbeat will tell.
   const bool later = IsOfOtherLife(order.mWorker, aAnswer);
   if (later) {
-    NoteOutlived(order.mWorker, view, aAnswer, aNow);
+    NoteOutlived(order.mWorker, view, aAnswer);
   }
   static const order_answer sNone;
-  const order_answer& answer = later ? sNone : aAnswer;
+  const bool unread = later && aAnswer.mResult != order_result::NotSent;
+  const order_answer& answer = unread ? sNone : aAnswer;
   NoteAnswer(order, view, answer, aNow);
   std::visit(
     overloaded{
@@ -70,14 +71,11 @@
 void
 worker_keeper::NoteOutlived(worker_number aWorker,
                             worker_view& aView,
-                            const order_answer& aAnswer,
-                            time_point aNow)
+                            const order_answer& aAnswer)
 {
   if (std::exchange(aView.mOutlived, true)) {
     return;
   }
-  // Its clock isn't the one that leases were reckoned by.
-  aView.mLapsesAt = LongestLapse(aNow) + mOptions.mAnswerBound;
   const worker_facts& facts = mState.FindWorker(aWorker)->mFacts;
   mNotes.push_back({ "worker.outlived",
                      { { "worker", facts.mId.Value() },
--- a/oriolewalk/flow/worker_order.h
+++ b/oriolewalk/flow/worker_order.h
@@ -97,6 +97,9 @@
   std::uint64_t mId = 0;
   worker_number mWorker = 0;
   worker_id mLife; // any other life must refuse it
+  // The one process of that life that may get it, as in worker_facts: it goes
+  // only over a connection on which that process has told its start. 0: any.
+  std::int64_t mBornMs = 0;
   std::string mAddress;
   std::string mCarrier;     // RPC address of who makes the call; empty: leader
   std::uint64_t mFence = 0; // FenceOf the leader's term and mWorker
@@ -107,7 +110,8 @@
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mId, mWorker, mLife, mAddress, mFence, mLeaseClockMs, mBody);
+    aArchive(
+      mId, mWorker, mLife, mBornMs, mAddress, mFence, mLeaseClockMs, mBody);
   }
 };
 
@@ -123,7 +127,7 @@
   Unhealthy,     // it has done nothing
   OtherLife,     // the life that was meant is over
   NoAnswer,      // it may have been done, or be done later
-  NotSent,       // surely not delivered
+  NotSent,       // surely not delivered; also if another process is there
 };
 
 struct listed_run
@@ -157,8 +161,10 @@
 {
   order_result mResult = order_result::NoAnswer;
   std::optional<std::int64_t> mClockMs; // the worker's clock
+  // Whose lists these are, or which process is there instead of the one that
+  // the order was meant for; as in worker_facts.
+  std::int64_t mBornMs = 0;
   // Of a hold.
-  std::int64_t mBornMs = 0; // whose lists these are, as in worker_facts
   std::vector<listed_run> mRunning;
   std::vector<listed_end> mEnded;
 
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -199,13 +199,18 @@
     return;
   }
   const auto worker = static_cast<std::size_t>(place - mWorkers.begin());
+  if (mHoldsBack && mHoldsBack(aOrder)) {
+    mHeld.emplace_back(worker, aOrder);
+    At(wait, [answer]() { answer(order_answer{}); });
+    return;
+  }
   if (mRandom.Fraction() < mLateShare) {
     // The worker's process holds it, and takes it along when it ends.
     const std::int64_t born = mWorkers[worker].mWorker->Facts().mBornMs;
     At(kLeastLate + milliseconds(mRandom.Below(kLateSpanMs)),
        [this, worker, aOrder, born]() {
          if (mWorkers[worker].mWorker->Facts().mBornMs == born) {
-           mWorkers[worker].mWorker->Handle(aOrder, mNow);
+           Arrive(worker, aOrder);
          }
        });
     At(wait, [answer]() { answer(order_answer{}); });
@@ -219,14 +224,8 @@
   };
   const milliseconds there = delay();
   const milliseconds back = delay();
-  // Given up, its connection is closed: a process that starts later never gets
-  // it.
-  const std::int64_t born = mWorkers[worker].mWorker->Facts().mBornMs;
-  At(there, [this, worker, aOrder, answer, back, there, wait, born]() {
-    if (there >= wait && mWorkers[worker].mWorker->Facts().mBornMs != born) {
-      return;
-    }
-    const order_answer got = mWorkers[worker].mWorker->Handle(aOrder, mNow);
+  At(there, [this, worker, aOrder, answer, back, there, wait]() {
+    const order_answer got = Arrive(worker, aOrder);
     if (there + back < wait) {
       At(back, [answer, got]() { answer(got); });
     }
@@ -236,6 +235,46 @@
   }
 }
 
+order_answer
+fake_group::Arrive(std::size_t aWorker, const worker_order& aOrder)
+{
+  fake_worker& worker = *mWorkers[aWorker].mWorker;
+  const bool forOther =
+    aOrder.mBornMs != 0 && aOrder.mBornMs != worker.Facts().mBornMs;
+  if (!forOther || !worker.IsUp()) {
+    return worker.Handle(aOrder, mNow);
+  }
+  if (mRandom.Below(2) == 0) {
+    return {}; // over a connection to the former process, and lost with it
+  }
+  // Over a new connection: the process that is there is asked who it is.
+  worker_order question = aOrder;
+  question.mBornMs = 0;
+  question.mLeaseClockMs.reset();
+  question.mBody = hold_order{};
+  const order_answer told = worker.Handle(question, mNow);
+  order_answer refusal;
+  refusal.mBornMs = told.mBornMs;
+  refusal.mResult =
+    told.mResult == order_result::Done ? order_result::NotSent : told.mResult;
+  return refusal;
+}
+
+void
+fake_group::HoldOrders(std::function<bool(const worker_order&)> aWhich)
+{
+  mHoldsBack = std::move(aWhich);
+}
+
+void
+fake_group::ReleaseOrders()
+{
+  mHoldsBack = nullptr;
+  for (const auto& [worker, order] : std::exchange(mHeld, {})) {
+    Arrive(worker, order);
+  }
+}
+
 bool
 fake_group::HandOver(std::size_t aFrom, const worker_order& aOrder)
 {
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "oriolewalk/base/random.h"
@@ -52,6 +53,11 @@
   // Orders and their answers wait up to this long each, at random, in the
   // leader's queues and on the way; the worker carries out each one that comes.
   void SetOrderDelay(milliseconds aMost) { mOrderDelay = aMost; }
+  // Orders that aWhich picks wait on their way and get no answer, until
+  // ReleaseOrders() delivers them to whichever process is there by then: as
+  // with a carrier that stands still.
+  void HoldOrders(std::function<bool(const worker_order&)> aWhich);
+  void ReleaseOrders();
   // How long a write to a disk takes.
   void SetSync(milliseconds aSync) { mSync = aSync; }
 
@@ -104,6 +110,8 @@
   void Pump(std::size_t aNode);
   void Deliver(std::size_t aFrom, const consensus::message& aMessage);
   void Order(std::size_t aFrom, const worker_order& aOrder);
+  // What the worker's process makes of it now.
+  order_answer Arrive(std::size_t aWorker, const worker_order& aOrder);
   // False: the order's carrier can't be reached; the leader is told.
   bool HandOver(std::size_t aFrom, const worker_order& aOrder);
   void Beats();
@@ -120,6 +128,8 @@
   std::vector<worker_place> mWorkers;
   std::multimap<time_point, std::function<void()>> mEvents;
   run_oracle mOracle;
+  std::function<bool(const worker_order&)> mHoldsBack;
+  std::vector<std::pair<std::size_t, worker_order>> mHeld; // by worker
   double mLateShare = 0;
   milliseconds mOrderDelay{ 0 };
   milliseconds mSync{ 9 };
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "oriolewalk/base/random.h"
 #include "testing/flow/fake_group.h"
 #include "testing/flow/fixtures.h"
 
@@ -30,6 +31,10 @@
       mActions.push_back(&player::RestartWorker);
       mActions.push_back(&player::RestartWorker);
     }
+    if (mTroubles.mHolds) {
+      mActions.push_back(&player::HoldOrders);
+      mActions.push_back(&player::ReleaseOrders);
+    }
     for (std::size_t worker = 0; worker < kWorkers; ++worker) {
       AddWorker();
     }
@@ -165,6 +170,14 @@
       mGroup.RestartWorker(chosen, milliseconds(100 * Choose(15)));
     }
   }
+  void HoldOrders()
+  {
+    const std::uint64_t kind = Choose(5); // four: of any kind
+    mGroup.HoldOrders([kind](const worker_order& aOrder) {
+      return kind == 4 || aOrder.mBody.index() == kind;
+    });
+  }
+  void ReleaseOrders() { mGroup.ReleaseOrders(); }
   void Drain()
   {
     const std::size_t chosen = Choose(mWorkers.size());
@@ -177,6 +190,7 @@
   std::optional<std::string> Finish()
   {
     mGroup.SetLateShare(0);
+    mGroup.ReleaseOrders();
     mGroup.SetOrderDelay(milliseconds(0));
     mGroup.SetSync(milliseconds(9));
     for (std::size_t node = 0; node < kNodes; ++node) {
@@ -232,4 +246,18 @@
   return player(aChoose, seed, aOptions, aTroubles).Play(aMost);
 }
 
+std::optional<std::string>
+PlayFlowSeed(std::uint64_t aSeed,
+             int aMost,
+             flow_options aOptions,
+             history_troubles aTroubles)
+{
+  random_source random(aSeed);
+  const flow_choices choose =
+    [&](std::uint64_t aBound) -> std::optional<std::uint64_t> {
+    return random.Below(aBound);
+  };
+  return PlayFlowHistory(choose, aMost, aOptions, aTroubles);
+}
+
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -31,6 +31,8 @@
   bool mBusy = false;
   // Workers start again under their ids.
   bool mRestarts = false;
+  // Orders stand still on their way for seconds, and then go on.
+  bool mHolds = false;
 };
 
 std::optional<std::string>
@@ -39,4 +41,11 @@
                 flow_options aOptions = {},
                 history_troubles aTroubles = {});
 
+// The same, with all choices drawn from a seed.
+std::optional<std::string>
+PlayFlowSeed(std::uint64_t aSeed,
+             int aMost,
+             flow_options aOptions = {},
+             history_troubles aTroubles = {});
+
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -1,9 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <cstdint>
-#include <optional>
 
-#include "oriolewalk/base/random.h"
 #include "testing/flow/fake_group.h"
 #include "testing/flow/fixtures.h"
 #include "testing/flow/flow_history.h"
@@ -19,12 +17,7 @@
          history_troubles aTroubles)
 {
   CAPTURE(aSeed);
-  random_source random(aSeed);
-  const flow_choices choose =
-    [&](std::uint64_t aBound) -> std::optional<std::uint64_t> {
-    return random.Below(aBound);
-  };
-  const auto broken = PlayFlowHistory(choose, aActions, aOptions, aTroubles);
+  const auto broken = PlayFlowSeed(aSeed, aActions, aOptions, aTroubles);
   CHECK(broken.value_or("") == "");
 }
 
@@ -76,6 +69,16 @@
   PlaySeeds(75, {}, { .mBusy = true, .mRestarts = true });
 }
 
+TEST_CASE("random histories break no promise while orders stand still")
+{
+  // Guards against orders that go on after seconds and reach a process that
+  // started meanwhile.
+  flow_options carried;
+  carried.mWorkersAlone = 0;
+  PlaySeeds(75, {}, { .mBusy = true, .mRestarts = true, .mHolds = true });
+  PlaySeeds(75, carried, { .mRestarts = true, .mHolds = true });
+}
+
 TEST_CASE("a cursor on its way while its worker starts again tells nobody")
 {
   // A leader that is busy for a second has a look on its way that names the
--- a/testing/flow/restarted_worker_test.cc
+++ b/testing/flow/restarted_worker_test.cc
@@ -1,5 +1,7 @@
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -28,6 +30,23 @@
 constexpr const char* kBefore = "00000000000000aa";
 constexpr const char* kAfter = "00000000000000bb";
 
+template<class Body>
+std::function<bool(const worker_order&)>
+OrdersTo(const char* aWorker)
+{
+  return [aWorker](const worker_order& aOrder) {
+    return aOrder.mLife.Value() == aWorker &&
+           std::holds_alternative<Body>(aOrder.mBody);
+  };
+}
+
+bool
+NamesCursor(const worker_order& aOrder)
+{
+  const auto* hold = std::get_if<hold_order>(&aOrder.mBody);
+  return hold != nullptr && hold->mCursor > 0;
+}
+
 // One worker that has done twelve tasks, so that its cursor is at 12.
 struct worked_scene
 {
@@ -176,4 +195,101 @@
   }
 }
 
+TEST_CASE("a worker's next process forgets no end for a cursor of the last one")
+{
+  // Guards against tasks that start again after they ended as done: a look with
+  // the cursor arrives when the next process has ended tasks of its own.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (const bool onRise : { false, true }) {
+      CAPTURE(seed, onRise);
+      worked_scene scene(seed, onRise);
+      scene.mGroup.HoldOrders(NamesCursor);
+      scene.mGroup.Submit("00000000000000cc", { Step(1, 500) });
+      CHECK(scene.EndsAsDone("00000000000000cc", seconds(4)));
+      scene.mGroup.Worker(0).mWorkTime = milliseconds(50);
+      scene.mGroup.RestartWorker(0, milliseconds(700));
+      const std::size_t before = scene.mGroup.Oracle().Starts();
+      scene.mGroup.Submit(kAfter, { Step(4, 500) });
+      scene.mGroup.Run(milliseconds(150));
+      scene.mGroup.ReleaseOrders();
+      CHECK(scene.EndsAsDone(kAfter, seconds(6)));
+      CHECK(scene.mGroup.Oracle().Starts() == before + 4);
+      CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+    }
+  }
+}
+
+TEST_CASE("no lease reckoned by a worker's last process outlasts its run")
+{
+  // Guards against a task that runs twice at once: the next process, whose
+  // clock is near zero, takes a start with a lease by the last one's clock for
+  // the longest lease, and is cut off before it was heard.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    worked_scene scene(seed, false);
+    scene.mGroup.Run(seconds(8));
+    scene.mGroup.Worker(0).mWorkTime = milliseconds(5'500);
+    scene.mGroup.RestartWorker(0, seconds(30));
+    scene.mGroup.HoldOrders(OrdersTo<hold_order>("w"));
+    scene.mGroup.Submit(kAfter, { Step(1, 500) });
+    scene.mGroup.Run(milliseconds(100));
+    scene.mGroup.CutWorker(0, true);
+    scene.mGroup.AddWorker("w1", 0.02);
+    CHECK(scene.EndsAsDone(kAfter, seconds(15)));
+    CHECK(scene.mGroup.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
+TEST_CASE("a start that its carrier held reaches no later process")
+{
+  // Guards against a task that runs twice at once: a carrier goes on after
+  // seconds and sends a start that was given up to a process that started
+  // meanwhile, which has seen no fence.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    flow_options options;
+    options.mWorkersAlone = 0;
+    fake_group group(3, 3, seed, 9, options);
+    group.AddWorker("w0", 0.02);
+    group.Run(seconds(2));
+    group.HoldOrders(OrdersTo<start_order>("w0"));
+    group.Submit(kAfter, { Step(1, 500) });
+    group.Run(milliseconds(100));
+    group.Worker(0).mDraining = true;
+    group.Worker(group.AddWorker("w1", 0.02)).mWorkTime = seconds(8);
+    CHECK(group.RunUntil([&]() { return group.Oracle().Starts() > 0; },
+                         seconds(6)));
+    group.RestartWorker(0, seconds(4));
+    group.Worker(0).mWorkTime = seconds(2);
+    group.ReleaseOrders();
+    CHECK(group.RunUntil([&]() { return group.StateOf(kAfter) == "done"; },
+                         seconds(15)));
+    CHECK(group.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
+TEST_CASE("a stop that its carrier held keeps no task from a later process")
+{
+  // Guards against a leader that waits for ever for a run that the next process
+  // refuses.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    flow_options options;
+    options.mWorkersAlone = 0;
+    fake_group group(3, 3, seed, 9, options);
+    group.AddWorker("w0", 0.02);
+    group.Run(seconds(2));
+    group.HoldOrders([](const worker_order& aOrder) {
+      return !std::holds_alternative<hold_order>(aOrder.mBody);
+    });
+    group.Submit(kAfter, { Step(1, 500) });
+    group.Run(milliseconds(1'500));
+    group.RestartWorker(0, milliseconds(500));
+    group.ReleaseOrders();
+    CHECK(group.RunUntil([&]() { return group.StateOf(kAfter) == "done"; },
+                         seconds(8)));
+    CHECK(group.Oracle().Broken() == std::vector<std::string>{});
+  }
+}
+
 } // namespace oriolewalk::flow
--- a/testing/platform/worker_calls_test.cc
+++ b/testing/platform/worker_calls_test.cc
@@ -1,5 +1,8 @@
+#include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -15,25 +18,30 @@
 namespace http = oriolewalk::http;
 using oriolewalk::milliseconds;
 
-// What a look comes to at a worker that answers with this body.
+// What an order comes to at a worker that answers everything like this.
+// aPaths: what it was asked, in order.
 flow::order_answer
-LookAt(const std::string& aBody)
+SendTo(const http::response& aSaid,
+       flow::worker_order aOrder,
+       std::vector<std::string>* aPaths = nullptr)
 {
   boost::asio::io_context context;
   http::server worker(
     context,
     { "127.0.0.1", 0 },
     {},
-    [&](const http::request& /*aRequest*/, const http::responder& aResponder) {
-      aResponder.Send({ .mStatus = 200, .mBody = aBody });
+    [&](const http::request& aRequest, const http::responder& aResponder) {
+      if (aPaths != nullptr) {
+        aPaths->push_back(aRequest.mTarget);
+      }
+      aResponder.Send(aSaid);
     });
   const auto port = worker.Start();
   REQUIRE(port);
   http::client client(context, {});
-  flow::worker_order order;
+  flow::worker_order order = std::move(aOrder);
   order.mLife = oriolewalk::worker_id("w");
   order.mAddress = "127.0.0.1:" + std::to_string(*port);
-  order.mBody = flow::hold_order{ 0, 0 };
   std::optional<flow::order_answer> answer;
   platform::MakeWorkerPort(client, {})(order, [&](flow::order_answer aAnswer) {
     answer = std::move(aAnswer);
@@ -44,6 +52,25 @@
   return *answer;
 }
 
+// What a look comes to at a worker that answers with this body.
+flow::order_answer
+LookAt(const std::string& aBody)
+{
+  flow::worker_order look;
+  look.mBody = flow::hold_order{ 0, 0 };
+  return SendTo({ .mStatus = 200, .mBody = aBody }, look);
+}
+
+// A start that only the process of this time may get.
+flow::worker_order
+StartFor(std::int64_t aBornMs)
+{
+  flow::worker_order start;
+  start.mBornMs = aBornMs;
+  start.mBody = flow::start_order{};
+  return start;
+}
+
 } // namespace
 
 TEST_CASE("a look's answer that can't be read says nothing of what runs")
@@ -73,3 +100,39 @@
       flow::order_result::NoAnswer);
   }
 }
+
+TEST_CASE("an order goes to no other process than the one that it names")
+{
+  // Guards against a start, a stop or a cursor that a worker's next process
+  // takes for its own.
+  using flow::order_result;
+  using paths = std::vector<std::string>;
+  const http::response first{ .mStatus = 200,
+                              .mBody = R"({"born":1000,"running":[]})" };
+  paths seen;
+  CHECK(SendTo(first, StartFor(1'000), &seen).mResult == order_result::Done);
+  CHECK(seen == paths{ "/v1/hold", "/v1/run-start" });
+  seen.clear();
+  const flow::order_answer other = SendTo(first, StartFor(999), &seen);
+  CHECK(other.mResult == order_result::NotSent);
+  CHECK(other.mBornMs == 1'000);
+  CHECK(seen == paths{ "/v1/hold" });
+  seen.clear();
+  CHECK(SendTo(first, StartFor(0), &seen).mResult == order_result::Done);
+  CHECK(seen == paths{ "/v1/run-start" });
+}
+
+TEST_CASE("what a worker says instead of its start is the order's answer")
+{
+  using flow::order_result;
+  const auto startAt = [](unsigned aStatus, const char* aBody) {
+    return SendTo({ .mStatus = aStatus, .mBody = aBody }, StartFor(1'000))
+      .mResult;
+  };
+  CHECK(startAt(421, "{}") == order_result::OtherLife);
+  CHECK(startAt(409, R"({"reason":"fence"})") == order_result::Superseded);
+  CHECK(startAt(503, "") == order_result::Unhealthy);
+  CHECK(startAt(500, "") == order_result::NotSent);
+  CHECK(startAt(200, R"({"running":[]})") == order_result::NotSent);
+  CHECK(startAt(200, R"({"running":)") == order_result::NotSent);
+}
