HTTP client: a request whose time is over is not sent

Callers saw: nothing by itself; a busy process sent requests whose answers it could not hear any more, and counted them as possibly carried out.

Cause: the time runs from Send(); in a process that is late it may be over when the connection is there. The request was written all the same, and given up by the timer of the same turn of the event loop.

Change: it ends as never_started (Timeout) instead.

Failed before: test "a request that has no time left is not sent" (the peer got it, the outcome was unknown); passes now. Ruled out by a test that stays: an answer that came in time being missed because the timer is looked at first; the event loop reads first.

--- a/oriolewalk/http/connection.cc
+++ b/oriolewalk/http/connection.cc
@@ -159,6 +159,12 @@
 void
 connection::AskOrWrite()
 {
+  // Sent with no time left for the answer, it would be carried out unheard.
+  if (runtime_clock::now() >= mCall->mDue) {
+    FailCall(code::Timeout, "no time was left to send it");
+    CloseNow();
+    return;
+  }
   const std::optional<peer_check>& check = mCall->mOptions.mPeer;
   mAsking = check && check->mName != mPeerName;
   if (mAsking) {
--- a/testing/http/client_test.cc
+++ b/testing/http/client_test.cc
@@ -396,6 +396,62 @@
   context.Stop();
 }
 
+TEST_CASE("an answer that came in time counts, however late it is read")
+{
+  // Guards against a busy process that takes its own delay for its peer's
+  // silence: the time is over when its event loop comes to read.
+  std::promise<void> sent;
+  const raw_target target([&](tcp::socket& aSocket) {
+    ReadRequest(aSocket);
+    WriteAll(aSocket, kOk);
+    sent.set_value();
+    ReadRequest(aSocket);
+  });
+  boost::asio::io_context context;
+  client caller(context, {});
+  constexpr milliseconds kTime{ 50 };
+  auto outcome = SendTo(
+    caller, target.Address(), {}, send_options{ .mTotalTimeout = kTime });
+  auto answer = sent.get_future();
+  while (answer.wait_for(milliseconds(0)) != std::future_status::ready) {
+    context.poll();
+  }
+  std::this_thread::sleep_for(2 * kTime);
+  context.restart();
+  context.run_for(milliseconds(500));
+  caller.Close();
+  context.restart();
+  context.run();
+  REQUIRE(outcome.wait_for(milliseconds(0)) == std::future_status::ready);
+  CHECK(std::holds_alternative<answered>(outcome.get()));
+}
+
+TEST_CASE("a request that has no time left is not sent")
+{
+  // Guards against a request that is carried out though its sender has given it
+  // up before it could hear the answer.
+  std::atomic<int> requests = 0;
+  const raw_target target([&](tcp::socket& aSocket) {
+    while (!ReadRequest(aSocket).empty()) {
+      ++requests;
+      WriteAll(aSocket, kOk);
+    }
+  });
+  boost::asio::io_context context;
+  client caller(context, {});
+  constexpr milliseconds kTime{ 50 };
+  auto outcome = SendTo(
+    caller, target.Address(), {}, send_options{ .mTotalTimeout = kTime });
+  std::this_thread::sleep_for(2 * kTime);
+  context.run_for(milliseconds(500));
+  caller.Close();
+  context.restart();
+  context.run();
+  REQUIRE(outcome.wait_for(milliseconds(0)) == std::future_status::ready);
+  CHECK(std::holds_alternative<never_started>(outcome.get()));
+  CHECK(requests == 0);
+}
+
 TEST_CASE("a closed client ends what is under way and refuses what is new")
 {
   running_context context;
