A leader that is late doesn't take its own delay for a worker's silence

Its looks failed for 12 s (no connection in 400 ms, no answer in 600 ms) at workers that were up and whose heartbeats it heard: given up at 27.27 s, heard 0.16 s before. A look that fails renews no lease; so all leases lapsed, and all that was placed there was given up as lapsed (950 of 1,199 tasks that were given up though they had ended as done had this reason alone, none had another one alone) and started again. The ends had been listed in answers that the leader had no time to take.

Change: a look that fails while the process's ticks were late counts only if the worker wasn't heard since it was sent; and while the process is late a worker's runs are given up as lapsed only if it was silent for as long as makes it unusable for new work. A worker that is cut off is silent by then: nothing changes for it, nor for a leader whose ticks are on time (also where only the leader is cut off from a worker).

Evidence: test "a late leader gives up no run of a worker that it hears" failed before for late ticks with heartbeats, passes now, beside four cases in which the runs are given up as before.

--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -15,6 +15,9 @@
 
 // Covers the rounding of clocks to whole milliseconds on both sides.
 constexpr milliseconds kClockRounding{ 10 };
+// Ticks this far apart, 10 ms when there is time, leave answers unread for as
+// long as a look may take.
+constexpr milliseconds kLateTick{ 200 };
 
 // It renews no lease and lets nothing be forgotten: whichever process gets it
 // only tells what it holds.
@@ -43,6 +46,7 @@
   , mOptions(aOptions)
   , mTerm(aTerm)
   , mLastOrder(NumberBefore(aTerm))
+  , mTickedAt(aNow)
 {
   for (const auto& [number, worker] : mState.Workers()) {
     mViews[number] = TakeOver(number, aNow);
@@ -280,8 +284,8 @@
                           worker_view& aView,
                           time_point aNow)
 {
-  if (aView.mFailures == 0 || aNow < aView.mLapsesAt ||
-      aNow < aView.mNextDrop) {
+  if (aNow < aView.mLapsesAt || aNow < aView.mNextDrop ||
+      !IsUnreachable(aView, aNow)) {
     return;
   }
   const std::set<run_ref>& placed = mState.PlacedAt(aWorker);
@@ -371,9 +375,33 @@
          aNow < aView.mHeardAt + mOptions.mGoneWorker;
 }
 
+void
+worker_keeper::NoteTick(time_point aNow)
+{
+  if (aNow - mTickedAt >= kLateTick) {
+    mLateAt = aNow;
+  }
+  mTickedAt = aNow;
+}
+
+bool
+worker_keeper::IsOurDelay(const worker_view& aView) const
+{
+  return mLateAt > aView.mFailedLookAt && aView.mHeardAt > aView.mFailedLookAt;
+}
+
+bool
+worker_keeper::IsUnreachable(const worker_view& aView, time_point aNow) const
+{
+  const bool wasLate = mLateAt > aView.mFailingSince;
+  const bool isSilent = aNow >= aView.mHeardAt + mOptions.mQuietWorker;
+  return aView.mFailures > 0 && (!wasLate || isSilent);
+}
+
 void
 worker_keeper::Tick(time_point aNow)
 {
+  NoteTick(aNow);
   for (auto& [number, view] : mViews) {
     if (IsQuiet(view, aNow)) {
       continue;
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -25,7 +25,9 @@
 // - a look that was sent after the start was answered, or after its stop was,
 //   shows neither the run nor its end;
 // - the worker's life is over;
-// - every lease that this or an earlier leader gave it has surely lapsed.
+// - every lease that this or an earlier leader gave it has surely lapsed, and
+//   it can't be reached. While this process is late, one that is heard counts
+//   as one that can.
 //
 // Owned by the leading part of the flow core; made new for each term. No I/O.
 // Orders are numbered on from term to term: one that an earlier keeper of this
@@ -78,7 +80,9 @@
   bool mProbe = false; // a look that doesn't wait is wanted
   std::uint64_t mQuickLook = 0;
   time_point mNextDrop{};
-  int mFailures = 0; // looks and starts without an answer, in a row
+  int mFailures = 0;          // looks without an answer, in a row
+  time_point mFailedLookAt{}; // when the last of them was sent
+  time_point mFailingSince{}; // when the first of them was sent
   time_point mHeardAt{};
   time_point mUnhealthyUntil{};
   std::int64_t mBeat = -1; // the newest heartbeat's number
@@ -212,6 +216,13 @@
   void NotePassedOver(const worker_record& aRecord, const listed_end& aListed);
   void TickRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
+  void NoteTick(time_point aNow);
+  // Whether its last look may have failed only because this process was late:
+  // the worker was heard since it was sent.
+  [[nodiscard]] bool IsOurDelay(const worker_view& aView) const;
+  // Whether all its looks fail and that can't be for this process's delay.
+  [[nodiscard]] bool IsUnreachable(const worker_view& aView,
+                                   time_point aNow) const;
   [[nodiscard]] bool IsQuiet(const worker_view& aView, time_point aNow) const;
   [[nodiscard]] static bool NeedsLook(const worker_view& aView);
 
@@ -219,6 +230,8 @@
   flow_options mOptions;
   std::uint64_t mTerm;
   std::uint64_t mLastOrder;
+  time_point mTickedAt;
+  time_point mLateAt{}; // when a tick last came late
   std::map<worker_number, worker_view> mViews;
   std::map<std::uint64_t, open_order> mOpen;
   std::vector<worker_order> mOrders;
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -100,7 +100,11 @@
       // A single order may be lost; a look without an answer says that the
       // worker can't be reached.
       if (std::holds_alternative<hold_order>(aOrder.mBody)) {
-        ++aView.mFailures;
+        aView.mFailedLookAt = aOrder.mSentAt;
+        if (aView.mFailures == 0) {
+          aView.mFailingSince = aOrder.mSentAt;
+        }
+        aView.mFailures = IsOurDelay(aView) ? 0 : aView.mFailures + 1;
         aView.mTellCursor = false; // it may be another process by now
       }
       return;
--- a/testing/flow/worker_keeper_test.cc
+++ b/testing/flow/worker_keeper_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdint>
 #include <optional>
 #include <variant>
 
@@ -270,6 +271,53 @@
   CHECK(scene.IsDropped(run));
 }
 
+TEST_CASE("a late leader gives up no run of a worker that it hears")
+{
+  // Guards against tasks that start again after their end as done was listed:
+  // the leader has no time to read the answers, and takes its own delay for the
+  // worker's silence.
+  enum class heartbeats : std::uint8_t
+  {
+    None,
+    DuringLooks,
+    BetweenLooks,
+  };
+  const bool late = GENERATE(false, true);
+  const auto heard = GENERATE(
+    heartbeats::None, heartbeats::DuringLooks, heartbeats::BetweenLooks);
+  CAPTURE(late, heard);
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.BeginRunning();
+  const milliseconds tick(late ? 400 : 10);
+  const milliseconds bound =
+    scene.mOptions.mAnswerBound + scene.mOptions.mLookWait;
+  std::int64_t beat = 0;
+  for (int looks = 0; looks < 8 && !scene.IsDropped(run); ++looks) {
+    const auto look = scene.Next<hold_order>();
+    for (const time_point until = scene.mNow + bound; scene.mNow < until;) {
+      scene.mNow += tick;
+      scene.mKeeper.Tick(scene.mNow);
+      scene.Take();
+    }
+    if (heard == heartbeats::DuringLooks) {
+      scene.mKeeper.Heard(scene.mWorker, ++beat, 5'000, scene.mNow);
+    }
+    if (look) {
+      scene.Answer(*look, keeper_scene::With(order_result::NoAnswer));
+    }
+    if (heard == heartbeats::BetweenLooks) {
+      scene.mKeeper.Heard(scene.mWorker, ++beat, 5'000, scene.mNow);
+    }
+  }
+  CHECK(scene.IsDropped(run) == (!late || heard == heartbeats::None));
+  if (late && heard == heartbeats::DuringLooks) {
+    const auto look = scene.Next<hold_order>();
+    REQUIRE(look);
+    CHECK(look->mLeaseClockMs);
+  }
+}
+
 TEST_CASE("a new leader takes over what runs, and gives up what doesn't")
 {
   // The old leader committed two starts and died; one had reached the worker.
