--- a/testing/flow/restarted_worker_test.cc
+++ b/testing/flow/restarted_worker_test.cc
@@ -9,17 +9,8 @@
 #include "testing/flow/fake_group.h"
 #include "testing/flow/fixtures.h"
 
-// A worker may start again under the id that it had. It then knows nothing of
-// before, and its counts start anew. The leader kept what it had counted under
-// that id: it took only ends whose number was above the old cursor, and went on
-// telling the worker that it might forget all up to there.
-//
-// Callers saw tasks start again after they had ended: at 6.892 s three tasks of
-// one worker got a second attempt in the same millisecond, though the first
-// attempts had ended at 6.451 and 6.765 s, and no run.ended stood between. And
-// tasks that never came: one failed at 65.234 s and was not started again; of
-// another the predecessors were done at 7 s and it did not run at 126 s, though
-// plan.short counted 56 usable workers and no urgent task that waited.
+// Workers that start again under their ids: the new process knows nothing of
+// before, and its counts and its clock start anew.
 
 namespace oriolewalk::flow {
 
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -2,10 +2,11 @@
 // break a promise. Exit code: 0 none did, 1 some did, 2 wrong arguments.
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <charconv>
 #include <cstdint>
-#include <cstdio>
+#include <iostream>
 #include <mutex>
 #include <optional>
 #include <string_view>
@@ -50,21 +51,22 @@
 std::optional<hunt_options>
 ReadArguments(int aCount, char** aArguments)
 {
-  const option known[] = {
-    { "from", required_argument, nullptr, 'f' },
-    { "to", required_argument, nullptr, 't' },
-    { "threads", required_argument, nullptr, 'j' },
-    { "actions", required_argument, nullptr, 'a' },
-    { "busy", no_argument, nullptr, 'b' },
-    { "restarts", no_argument, nullptr, 'r' },
-    { "holds", no_argument, nullptr, 'h' },
-    { "carried", no_argument, nullptr, 'c' },
-    { nullptr, 0, nullptr, 0 },
+  const std::array known = {
+    option{ "from", required_argument, nullptr, 'f' },
+    option{ "to", required_argument, nullptr, 't' },
+    option{ "threads", required_argument, nullptr, 'j' },
+    option{ "actions", required_argument, nullptr, 'a' },
+    option{ "busy", no_argument, nullptr, 'b' },
+    option{ "restarts", no_argument, nullptr, 'r' },
+    option{ "holds", no_argument, nullptr, 'h' },
+    option{ "carried", no_argument, nullptr, 'c' },
+    option{ nullptr, 0, nullptr, 0 },
   };
   hunt_options options;
   bool sound = true;
   for (int chosen = 0;
-       (chosen = getopt_long(aCount, aArguments, "", known, nullptr)) != -1;) {
+       (chosen = getopt_long(aCount, aArguments, "", known.data(), nullptr)) !=
+       -1;) {
     switch (chosen) {
       case 'f':
         sound = sound && ReadNumber(optarg, options.mFrom);
@@ -113,10 +115,7 @@
       if (what) {
         ++broken;
         const std::scoped_lock lock(printing);
-        std::printf("seed %llu: %s\n",
-                    static_cast<unsigned long long>(seed),
-                    what->c_str());
-        std::fflush(stdout);
+        std::cout << "seed " << seed << ": " << *what << std::endl;
       }
     }
   };
@@ -135,13 +134,11 @@
 {
   const auto options = ReadArguments(aCount, aArguments);
   if (!options) {
-    std::fputs(kUsage, stderr);
+    std::cerr << kUsage;
     return 2;
   }
   const std::uint64_t broken = Hunt(*options);
-  std::printf(
-    "%llu histories played, %llu broke a promise\n",
-    static_cast<unsigned long long>(options->mTo - options->mFrom + 1),
-    static_cast<unsigned long long>(broken));
+  std::cout << options->mTo - options->mFrom + 1 << " histories played, "
+            << broken << " broke a promise\n";
   return broken == 0 ? 0 : 1;
 }
