Log: a worker's life that is over without a farewell, and what ran there

The incident's logs have no line between a start at a worker that crashes and the next start of the same task: the removal of the former life releases its runs in silence. So a crash can't be told from a lapse or from a late order, and a task that crashes its workers can't be told from one beside it.

No decision changes.

--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -123,6 +123,11 @@
   void EndsApplied(worker_number aWorker, time_point aNow);
   // Proposes to keep how far its runs had come; before they are given up.
   void KeepCheckpoints(worker_number aWorker);
+  // A later life has taken the worker's place: for the log, what ran there, and
+  // how it is known.
+  void NoteOver(worker_number aWorker,
+                std::string_view aKnownBy,
+                time_point aNow);
   // Runs there were given up.
   void RunsDropped(worker_number aWorker);
   void Answered(std::uint64_t aOrder,
@@ -223,6 +228,11 @@
   // Whether all its looks fail and that can't be for this process's delay.
   [[nodiscard]] bool IsUnreachable(const worker_view& aView,
                                    time_point aNow) const;
+  // For how long the run went on at least, by the last word from its worker.
+  // None: an earlier leader started it.
+  [[nodiscard]] static std::optional<duration> RanFor(
+    const worker_view& aView,
+    const worker_view::run_view& aRun);
   [[nodiscard]] bool IsQuiet(const worker_view& aView, time_point aNow) const;
   [[nodiscard]] static bool NeedsLook(const worker_view& aView);
 
--- a/oriolewalk/flow/worker_keeper_answers.cc
+++ b/oriolewalk/flow/worker_keeper_answers.cc
@@ -93,6 +93,7 @@
   switch (aAnswer.mResult) {
     case order_result::OtherLife:
       KeepCheckpoints(aOrder.mWorker);
+      NoteOver(aOrder.mWorker, "later life", aNow);
       mCommands.emplace_back(remove_worker{ aOrder.mWorker });
       return;
     case order_result::NoAnswer:
--- a/testing/flow/worker_keeper_test.cc
+++ b/testing/flow/worker_keeper_test.cc
@@ -1,7 +1,11 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -145,6 +149,32 @@
   CHECK(std::holds_alternative<remove_worker>(scene.mCommands[1]));
 }
 
+TEST_CASE("the log tells what ran at a worker whose life is over")
+{
+  // Guards against a crash that leaves no line on the runs that were there.
+  keeper_scene scene;
+  scene.Sync();
+  const run_ref run = scene.BeginRunning();
+  scene.Advance(milliseconds(500));
+  scene.Answer(*scene.Next<hold_order>(), keeper_scene::Showing({ run }));
+  scene.Advance(milliseconds(20));
+  scene.mKeeper.TakeNotes();
+  scene.Answer(*scene.Next<hold_order>(),
+               keeper_scene::With(order_result::OtherLife));
+  const std::vector<decision> notes = scene.mKeeper.TakeNotes();
+  REQUIRE(notes.size() == 2);
+  CHECK(notes[0].mEvent == "worker.over");
+  const auto& over = notes[0].mFields;
+  CHECK(std::ranges::count(over,
+                           std::pair<std::string_view, std::string>(
+                             "known_by", "later life")) == 1);
+  CHECK(notes[1].mEvent == "run.lost");
+  const auto& lost = notes[1].mFields;
+  CHECK(std::ranges::count(
+          lost, std::pair<std::string_view, std::string>("ran_ms", "510")) ==
+        1);
+}
+
 TEST_CASE("an answer to an earlier term's order says nothing of this one's")
 {
   // A process leads, loses its place and leads again while a look of its first
