--- /dev/null
+++ b/testing/flow/crashing_task_test.cc
@@ -0,0 +1,145 @@
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "testing/flow/fake_group.h"
+#include "testing/flow/fixtures.h"
+
+// Tasks that crash each worker that starts them.
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::Step;
+
+constexpr const char* kCrashing = "00000000000000cc";
+constexpr const char* kInnocent = "00000000000000ee";
+constexpr std::size_t kMostStarts = 5;
+
+// Six workers. Of the job that crashes, the first task does; its others don't.
+struct crashing_scene
+{
+  fake_group mGroup;
+  std::size_t mStarts = 0; // of the task that crashes
+
+  explicit crashing_scene(std::uint64_t aSeed,
+                          milliseconds aAway,
+                          bool aUnderTheirIds = false)
+    : mGroup(3, 3, aSeed)
+  {
+    constexpr std::size_t kWorkers = 6;
+    for (std::size_t made = 0; made < kWorkers; ++made) {
+      fake_worker& worker = mGroup.Worker(
+        mGroup.AddWorker(std::string(made + 1, 'w'), made % 2 == 0 ? 0.02 : 0));
+      worker.mSize = Step(1, 1'000).mSize;
+    }
+    mGroup.BringWorkersBack(aAway, aUnderTheirIds);
+    mGroup.Oracle().mCrashing = [](const task_ref& aTask) {
+      return aTask.mJob.Value() == kCrashing && aTask.mIndex == 0;
+    };
+    mGroup.Oracle().mOnStart = [this](const run_ref& aRun) {
+      mStarts += mGroup.Oracle().mCrashing(aRun.mTask) ? 1 : 0;
+    };
+    mGroup.Run(seconds(2));
+  }
+
+  bool EndsAs(const char* aJob, const char* aState, duration aWithin)
+  {
+    return mGroup.RunUntil([&]() { return mGroup.StateOf(aJob) == aState; },
+                           aWithin);
+  }
+
+  // The job that crashes ends as failed after few starts, and the tasks that
+  // ran beside its task end as done.
+  void CheckGivenUp(duration aWithin)
+  {
+    CHECK(EndsAs(kCrashing, "failed", aWithin));
+    CHECK(mStarts <= kMostStarts);
+    CHECK(EndsAs(kInnocent, "done", aWithin));
+    CHECK(mGroup.Oracle().Broken() == std::vector<std::string>{});
+  }
+};
+
+} // namespace
+
+TEST_CASE("a task that crashes its workers is not started without end")
+{
+  // Guards against crashes that leave no trace on the task.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (const bool sameId : { false, true }) {
+      CAPTURE(seed, sameId);
+      crashing_scene scene(seed, seconds(3), sameId);
+      scene.mGroup.Submit(kCrashing, { Step(3, 1'000) });
+      scene.mGroup.Submit(kInnocent, { Step(20, 1'000) });
+      scene.CheckGivenUp(seconds(40));
+    }
+  }
+}
+
+TEST_CASE("crashes count where the worker is away for longer than its lease")
+{
+  // Guards against runs that count as lapsed, which is no failure: the proof of
+  // the crash comes when the task has started elsewhere.
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    for (const std::int64_t away : { 5, 9, 14 }) {
+      CAPTURE(seed, away);
+      crashing_scene scene(seed, seconds(away));
+      scene.mGroup.Submit(kCrashing, { Step(3, 1'000) });
+      scene.mGroup.Submit(kInnocent, { Step(20, 1'000) });
+      scene.CheckGivenUp(seconds(100));
+    }
+  }
+}
+
+TEST_CASE("crashes are counted on by the next leader")
+{
+  // Guards against a count that goes with a leader's term.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    crashing_scene scene(seed, seconds(3));
+    scene.mGroup.Submit(kCrashing, { Step(1, 1'000) });
+    scene.mGroup.Submit(kInnocent, { Step(20, 1'000) });
+    for (int crashes = 0; crashes < 3; ++crashes) {
+      scene.mGroup.Run(milliseconds(2'500));
+      const auto leader = scene.mGroup.Leader();
+      REQUIRE(leader);
+      scene.mGroup.Kill(*leader, true);
+      scene.mGroup.Run(seconds(2));
+      scene.mGroup.Restart(*leader);
+    }
+    scene.CheckGivenUp(seconds(40));
+  }
+}
+
+TEST_CASE("a gang with a member that crashes its worker is given up")
+{
+  // Guards against members that are started again with the one that crashes.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    crashing_scene scene(seed, seconds(3));
+    step_spec gang = Step(3, 1'000);
+    gang.mGang = true;
+    scene.mGroup.Submit(kCrashing, { gang });
+    scene.mGroup.Submit(kInnocent, { Step(20, 1'000) });
+    scene.CheckGivenUp(seconds(60));
+  }
+}
+
+TEST_CASE("a lasting task that crashes its workers is given up")
+{
+  // Guards against tasks that last, which have no bound for their failures.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    crashing_scene scene(seed, seconds(3));
+    step_spec lasting = Step(1, 1'000);
+    lasting.mLasting = true;
+    scene.mGroup.Submit(kCrashing, { lasting });
+    scene.mGroup.Submit(kInnocent, { Step(20, 1'000) });
+    scene.CheckGivenUp(seconds(40));
+  }
+}
+
+} // namespace oriolewalk::flow
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -117,6 +117,7 @@
   for (worker_place& place : mWorkers) {
     place.mWorker->Advance(mNow);
   }
+  Returns();
   Beats();
   Joins();
   for (std::size_t node = 0; node < mNodes.size(); ++node) {
@@ -312,6 +313,38 @@
   }
 }
 
+void
+fake_group::BringWorkersBack(milliseconds aAway, bool aUnderTheirIds)
+{
+  mAway = aAway;
+  mBackUnderTheirIds = aUnderTheirIds;
+}
+
+void
+fake_group::Returns()
+{
+  for (worker_place& place : mWorkers) {
+    if (place.mWorker->IsUp() || !mAway) {
+      place.mBackAt.reset();
+      continue;
+    }
+    place.mBackAt = place.mBackAt.value_or(mNow + *mAway);
+    if (mNow < *place.mBackAt) {
+      continue;
+    }
+    place.mBeat = 0;
+    place.mBeatAt = mNow;
+    if (mBackUnderTheirIds) {
+      place.mWorker->Restart(mNow);
+    } else {
+      const std::string& id = place.mWorker->Facts().mId.Value();
+      place.mWorker->ComeBackAs(id.substr(0, id.find('~')) + "~" +
+                                  std::to_string(++place.mLives),
+                                mNow);
+    }
+  }
+}
+
 void
 fake_group::Joins()
 {
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -40,6 +40,9 @@
   std::size_t AddWorker(const std::string& aId, double aSlow = 0);
   // Its process starts again under its id, and says so aSilence later.
   void RestartWorker(std::size_t aWorker, duration aSilence = {});
+  // A worker whose process has died is back after so long: under another id at
+  // its address, or under its id. Without this it stays away.
+  void BringWorkersBack(milliseconds aAway, bool aUnderTheirIds);
   void Kill(std::size_t aNode, bool aLoseUnsynced = false);
   void Wipe(std::size_t aNode); // and kills
   void Restart(std::size_t aNode);
@@ -102,6 +105,8 @@
     bool mCut = false;
     std::int64_t mBeat = 0;
     time_point mBeatAt{};
+    std::optional<time_point> mBackAt{};
+    int mLives = 1;
   };
 
   [[nodiscard]] instant At() const;
@@ -115,6 +120,7 @@
   // False: the order's carrier can't be reached; the leader is told.
   bool HandOver(std::size_t aFrom, const worker_order& aOrder);
   void Beats();
+  void Returns();
   void Joins();
   void At(duration aAfter, std::function<void()> aDo);
   static consensus::node_id Id(std::size_t aNode);
@@ -130,6 +136,8 @@
   run_oracle mOracle;
   std::function<bool(const worker_order&)> mHoldsBack;
   std::vector<std::pair<std::size_t, worker_order>> mHeld; // by worker
+  std::optional<milliseconds> mAway;
+  bool mBackUnderTheirIds = false;
   double mLateShare = 0;
   milliseconds mOrderDelay{ 0 };
   milliseconds mSync{ 9 };
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::int64_t kLongestLeaseMs = 6'000;
+constexpr milliseconds kCrashesAfter{ 10 };
 
 std::string
 Name(const run_ref& aRun)
@@ -45,11 +46,33 @@
                       " after its end as done was noted");
   }
   running.insert(aRun.mAttempt);
+  constexpr std::size_t kMostCrashes = 3;
+  constexpr std::size_t kMostStartsAfter = 2;
+  if (mCrashing && mCrashing(aRun.mTask) &&
+      CrashesUnder(aRun.mTask) >= kMostCrashes &&
+      ++mStartsAfter[aRun.mTask] > kMostStartsAfter) {
+    mBroken.push_back(Name(aRun) + " starts at " + aWhere +
+                      ", the third time after three workers crashed under it");
+  }
   if (mOnStart) {
     mOnStart(aRun);
   }
 }
 
+void
+run_oracle::Crashed(const run_ref& aRun)
+{
+  ++mCrashes[aRun.mTask];
+  Ended(aRun, run_outcome::Lapsed);
+}
+
+std::size_t
+run_oracle::CrashesUnder(const task_ref& aTask) const
+{
+  const auto found = mCrashes.find(aTask);
+  return found == mCrashes.end() ? 0 : found->second;
+}
+
 void
 run_oracle::Ended(const run_ref& aRun, run_outcome aHow)
 {
@@ -162,7 +185,10 @@
     return With(order_result::Outlived);
   }
   mOracle.Started(aStart.mRun, mFacts.mId.Value());
-  mRuns[aStart.mRun] = { aNow + mWorkTime };
+  const bool crashes =
+    mOracle.mCrashing && mOracle.mCrashing(aStart.mRun.mTask);
+  mRuns[aStart.mRun] = { aNow + (crashes ? kCrashesAfter : mWorkTime),
+                         crashes };
   const cell::resources used = mSize * static_cast<std::int64_t>(mRuns.size());
   if (!used.FitsIn(mFacts.mCapacity)) {
     mOracle.NoteOverBooked(mFacts.mId.Value());
@@ -196,6 +222,10 @@
     }
   }
   for (const auto& [run, live] : mRuns) {
+    if (live.mDoneAt <= aNow && !lapsed && live.mCrashes) {
+      Die();
+      return;
+    }
     if (live.mDoneAt <= aNow && !lapsed) {
       const bool fails =
         mFailsFirst && run.mAttempt == 1 && run.mTask.mIndex % 2 == 1;
@@ -213,12 +243,25 @@
 fake_worker::Crash(time_point aNow)
 {
   Advance(aNow);
+  Die();
+}
+
+void
+fake_worker::Die()
+{
   mUp = false;
   for (const auto& [run, live] : std::exchange(mRuns, {})) {
-    mOracle.Ended(run, run_outcome::Lapsed);
+    mOracle.Crashed(run);
   }
 }
 
+void
+fake_worker::ComeBackAs(const std::string& aId, time_point aNow)
+{
+  Restart(aNow);
+  mFacts.mId = worker_id(aId);
+}
+
 void
 fake_worker::Restart(time_point aNow)
 {
--- a/testing/flow/fake_worker.h
+++ b/testing/flow/fake_worker.h
@@ -28,6 +28,9 @@
   // Its worker's lease lapsed between the end and its acknowledgement.
   void Excused(const run_ref& aRun) { mExcused.insert(aRun); }
   void NoteOverBooked(const std::string& aWhere);
+  // The worker's process died while this ran there.
+  void Crashed(const run_ref& aRun);
+  [[nodiscard]] std::size_t CrashesUnder(const task_ref& aTask) const;
 
   [[nodiscard]] const std::vector<std::string>& Broken() const
   {
@@ -35,6 +38,9 @@
   }
   [[nodiscard]] std::size_t Starts() const { return mStarts; }
 
+  // Tasks that crash each worker that starts them: no such task may start three
+  // times more after three workers have crashed under it.
+  std::function<bool(const task_ref&)> mCrashing;
   // Who else wants to know.
   std::function<void(const run_ref&)> mOnStart;
   std::function<void(const run_ref&, run_outcome)> mOnEnd;
@@ -44,6 +50,8 @@
   std::map<run_ref, run_outcome> mEnds;
   std::set<run_ref> mExcused;
   std::set<task_ref> mDoneNoted;
+  std::map<task_ref, std::size_t> mCrashes;
+  std::map<task_ref, std::size_t> mStartsAfter; // three crashes under the task
   std::vector<std::string> mBroken;
   std::size_t mStarts = 0;
 };
@@ -64,6 +72,8 @@
   // A new process under the same id: it knows nothing of before, and its counts
   // and its clock start anew.
   void Restart(time_point aNow);
+  // As Restart, under another id.
+  void ComeBackAs(const std::string& aId, time_point aNow);
   [[nodiscard]] std::int64_t ClockMs(time_point aNow) const;
   [[nodiscard]] const worker_facts& Facts() const { return mFacts; }
   [[nodiscard]] bool IsUp() const { return mUp; }
@@ -80,11 +90,13 @@
   struct live_run
   {
     time_point mDoneAt;
+    bool mCrashes = false; // at mDoneAt, and the worker with it
   };
 
   order_answer Start(const start_order& aStart, time_point aNow);
   void End(const run_ref& aRun, run_outcome aHow);
   void Forget(std::uint64_t aCursor);
+  void Die();
 
   worker_facts mFacts;
   double mSlow;
