No task starts by room that a worker has lost

What callers may see: on a worker whose capacity has shrunk more starts than it can hold, and with it work that is slow or fails.

A worker gets work only where its last heartbeat is younger than the platform allows; what a new leader takes for heard is the last leader's that led for a heartbeat's pause.

--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -184,7 +184,7 @@
     port.mNote = [this](const flow::decision& aNote) { Note(aNote); };
     port.mMembers = [this]() { return Advisors(); };
     mLead = std::make_unique<flow::leading>(
-      mState, mOptions, std::move(port), mTerm, Instant());
+      mState, mOptions, std::move(port), mTerm, Instant(), mNow);
   }
 
   [[nodiscard]] std::vector<std::string> Advisors() const
--- a/oriolewalk/cell/resources.h
+++ b/oriolewalk/cell/resources.h
@@ -96,6 +96,15 @@
            std::max(aLeft.mAccelerators, aRight.mAccelerators) };
 }
 
+// Dimension by dimension.
+inline resources
+Least(const resources& aLeft, const resources& aRight)
+{
+  return { std::min(aLeft.mMilliProcessors, aRight.mMilliProcessors),
+           std::min(aLeft.mMemoryMb, aRight.mMemoryMb),
+           std::min(aLeft.mAccelerators, aRight.mAccelerators) };
+}
+
 // The largest share of aTotal that aPart takes in any dimension, 0 to 1.
 double
 DominantShare(const resources& aPart, const resources& aTotal);
--- a/oriolewalk/consensus/raft_node.cc
+++ b/oriolewalk/consensus/raft_node.cc
@@ -286,6 +286,7 @@
   }
   mLeader = aLeader;
   mHeardLeaderAt = mNow;
+  mHasHeardLeader = true;
   mAskedInRow = 0;
   ResetElectionDeadline();
 }
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -65,6 +65,7 @@
                                                        aConfig.mFounders,
                                                        aSeed,
                                                        aNow);
+  core->mTickedAt = aNow;
   return core;
 }
 
@@ -219,6 +220,7 @@
   if (mRaft->Leader()) {
     mLeaderHeardAt = aAt.mNow;
   }
+  NoteLed();
   UpdateLeading();
   if (!mLeading) {
     return;
@@ -317,12 +319,42 @@
     mLeadingTerm = mRaft->Term();
     mLeadingSince = mAt.mNow;
     mLeading = std::make_unique<leading>(
-      mState, mConfig.mFlow, Port(), mLeadingTerm, mAt);
+      mState, mConfig.mFlow, Port(), mLeadingTerm, mAt, mLedUntil);
     mNotes.push_back(
       { "leading", { { "term", std::to_string(mLeadingTerm) } } });
   }
 }
 
+// When a leader last had heard all workers in reach, as far as this process
+// knows: one that has led for a heartbeat's pause. After a pause of its own the
+// process reads what was sent long ago, and takes that for new.
+void
+flow_core::NoteLed()
+{
+  constexpr milliseconds kPause{ 1'000 };
+  if (mAt.mNow >= mTickedAt + kPause) {
+    mReadsOldUntil = mAt.mNow + kPause;
+  }
+  mTickedAt = mAt.mNow;
+  const std::optional<time_point> heard = mRaft->HeardLeaderAt();
+  std::optional<time_point> led;
+  if (mLeading && mRaft->MayServe(mAt.mNow)) {
+    led = mAt.mNow;
+  } else if (heard && *heard > mReadsOldUntil) {
+    led = heard;
+  }
+  if (!led || *led <= mLedAt) {
+    return;
+  }
+  mLedAt = *led;
+  if (std::exchange(mLedTerm, mRaft->Term()) != mRaft->Term()) {
+    mLedSince = *led;
+  }
+  if (*led >= mLedSince + mConfig.mFlow.mHeartbeat) {
+    mLedUntil = *led;
+  }
+}
+
 // What was proposed may still be committed: whoever waits is told that the
 // outcome isn't known, and asks the next leader.
 void
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -114,6 +114,7 @@
   bool Propose(command_body aBody, leading_port::on_applied aThen);
   void Answer(call_number aCall, result<flow_answer> aAnswer);
   void UpdateLeading();
+  void NoteLed();
   void StepDown();
   void ApplyEntry(const consensus::log_entry& aEntry);
   void StartSnapshot();
@@ -129,6 +130,12 @@
   std::unique_ptr<leading> mLeading;
   consensus::term_t mLeadingTerm = 0;
   time_point mLeadingSince{};
+  time_point mLedUntil = time_point::min(); // min(): not known
+  time_point mLedAt{}; // when a leader was heard last, and since when
+  time_point mLedSince{};
+  std::uint64_t mLedTerm = 0;
+  time_point mTickedAt{};
+  time_point mReadsOldUntil = time_point::min();
   consensus::log_index mApplied = 0;
   consensus::log_index mSnapshotAt = 0;
   bool mSnapshotUnderWay = false;
--- a/oriolewalk/flow/leading.cc
+++ b/oriolewalk/flow/leading.cc
@@ -41,12 +41,13 @@
                  flow_options aOptions,
                  leading_port aPort,
                  std::uint64_t aTerm,
-                 instant aAt)
+                 instant aAt,
+                 time_point aLedUntil)
   : mState(aState)
   , mOptions(aOptions)
   , mPort(std::move(aPort))
   , mAt(aAt)
-  , mKeeper(aState, aOptions, aTerm, aAt.mNow)
+  , mKeeper(aState, aOptions, aTerm, aAt.mNow, aLedUntil)
   , mCarriers(aOptions.mWorkersAlone)
   , mLastQuestion(NumberBefore(aTerm))
 {
--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -82,11 +82,13 @@
 class leading
 {
 public:
+  // aLedUntil: as worker_keeper's.
   leading(const flow_state& aState,
           flow_options aOptions,
           leading_port aPort,
           std::uint64_t aTerm,
-          instant aAt);
+          instant aAt,
+          time_point aLedUntil);
 
   void SetTime(instant aAt) { mAt = aAt; }
   void Ask(call_number aCall, const flow_request& aRequest);
@@ -180,8 +182,16 @@
   void NoteRestart(worker_number aKnown);
   [[nodiscard]] static bool IsOfEarlierLife(const worker_farewell& aFarewell,
                                             const worker_record& aKnown);
-  [[nodiscard]] bool IsWorkerChanged(const worker_beat& aBeat,
+  [[nodiscard]] bool IsWorkerChanged(const worker_facts& aFacts,
+                                     bool aDraining,
                                      worker_number aNumber) const;
+  // What a heartbeat of a known life says of its worker.
+  [[nodiscard]] worker_facts FactsOf(const worker_beat& aBeat,
+                                     worker_number aNumber) const;
+  void Register(call_number aCall,
+                std::string_view aEvent,
+                const worker_beat& aBeat,
+                worker_facts aFacts);
 
   const flow_state& mState;
   flow_options mOptions;
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -161,46 +161,84 @@
 }
 
 bool
-leading::IsWorkerChanged(const worker_beat& aBeat, worker_number aNumber) const
+leading::IsWorkerChanged(const worker_facts& aFacts,
+                         bool aDraining,
+                         worker_number aNumber) const
 {
   const worker_record& known = *mState.FindWorker(aNumber);
-  return aBeat.mFacts.mBornMs != known.mFacts.mBornMs ||
-         (aBeat.mDraining && !known.mDraining) ||
-         aBeat.mFacts.mAddress != known.mFacts.mAddress ||
-         aBeat.mFacts.mService != known.mFacts.mService ||
-         aBeat.mFacts.mCapacity != known.mFacts.mCapacity;
+  return (aDraining && !known.mDraining) ||
+         aFacts.mAddress != known.mFacts.mAddress ||
+         aFacts.mService != known.mFacts.mService ||
+         aFacts.mCapacity != known.mFacts.mCapacity;
 }
 
 void
 leading::On(call_number aCall, const worker_beat& aBeat)
 {
   const worker_number number = mState.NumberOf(aBeat.mFacts.mId);
-  if (number != 0 && aBeat.mFacts.mBornMs < BornOf(number)) {
-    // It was on its way for long, and its sender is gone; or it isn't whole.
-    NoteLateBeat(aBeat, number);
-    mPort.mAnswer(aCall, acknowledged{});
+  if (number == 0) {
+    Register(aCall, "worker.new", aBeat, aBeat.mFacts);
     return;
   }
-  if (number != 0 && !IsWorkerChanged(aBeat, number)) {
-    mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
-    mPort.mAnswer(aCall, acknowledged{ IsLarge() });
+  const std::int64_t born = BornOf(number);
+  const bool isOld =
+    aBeat.mFacts.mBornMs == born && aBeat.mNumber < mKeeper.NewestBeat(number);
+  if (aBeat.mFacts.mBornMs < born || isOld) {
+    // It was on its way for long: its sender is gone or has said more since; or
+    // it isn't whole.
+    NoteLateBeat(aBeat, number);
+    mPort.mAnswer(aCall, acknowledged{});
     return;
   }
-  if (number != 0 && aBeat.mFacts.mBornMs > BornOf(number)) {
+  if (aBeat.mFacts.mBornMs > born) {
     NoteRestart(number);
     mKeeper.KeepCheckpoints(number);
     mKeeper.LifeIsOver(number, "restart", mAt.mNow);
     PumpKeeper();
+    Register(aCall, "worker.changed", aBeat, aBeat.mFacts);
+    return;
   }
-  mPort.mNote({ number == 0 ? "worker.new" : "worker.changed",
-                { { "worker", aBeat.mFacts.mId.Value() },
-                  { "address", aBeat.mFacts.mAddress },
-                  { "service", aBeat.mFacts.mService.Value() },
-                  { "draining", aBeat.mDraining ? "yes" : "no" },
-                  { "born", std::to_string(aBeat.mFacts.mBornMs) },
-                  { "beat", std::to_string(aBeat.mNumber) } } });
+  const worker_facts facts = FactsOf(aBeat, number);
+  mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
+  if (IsWorkerChanged(facts, aBeat.mDraining, number)) {
+    mKeeper.Changes(number);
+    Register(aCall, "worker.changed", aBeat, facts);
+  } else {
+    mPort.mAnswer(aCall, acknowledged{ IsLarge() });
+  }
+}
+
+// The first heartbeat that a leader hears may be an old one, from before the
+// worker's room shrank: more room than is known counts by the next one.
+worker_facts
+leading::FactsOf(const worker_beat& aBeat, worker_number aNumber) const
+{
+  worker_facts facts = aBeat.mFacts;
+  if (mKeeper.NewestBeat(aNumber) < 0) {
+    facts.mCapacity = cell::Least(facts.mCapacity,
+                                  mState.FindWorker(aNumber)->mFacts.mCapacity);
+  }
+  return facts;
+}
+
+void
+leading::Register(call_number aCall,
+                  std::string_view aEvent,
+                  const worker_beat& aBeat,
+                  worker_facts aFacts)
+{
+  mPort.mNote(
+    { aEvent,
+      { { "worker", aFacts.mId.Value() },
+        { "address", aFacts.mAddress },
+        { "service", aFacts.mService.Value() },
+        { "draining", aBeat.mDraining ? "yes" : "no" },
+        { "processors_m", std::to_string(aFacts.mCapacity.mMilliProcessors) },
+        { "memory_mb", std::to_string(aFacts.mCapacity.mMemoryMb) },
+        { "born", std::to_string(aFacts.mBornMs) },
+        { "beat", std::to_string(aBeat.mNumber) } } });
   ProposeAndAnswer(aCall,
-                   register_worker{ aBeat.mFacts, aBeat.mDraining },
+                   register_worker{ std::move(aFacts), aBeat.mDraining },
                    acknowledged{ IsLarge() });
 }
 
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -40,7 +40,14 @@
   // A worker that nothing was heard of for two and a half heartbeats gets no
   // new work.
   milliseconds mQuietWorker{ 3'750 };
-  // And after this long it is taken out, if nothing can run there any more.
+  // A worker's room may shrink while it runs, and its heartbeat says so:
+  // nothing starts where the last one is older (what the platform allows for
+  // contact and a heartbeat, less what an order takes).
+  milliseconds mKnownRoom{ 4'000 };
+  // The pause between a worker's heartbeats.
+  milliseconds mHeartbeat{ 1'500 };
+  // A silent worker is taken out after this long, if nothing can run there any
+  // more.
   milliseconds mGoneWorker{ 20'000 };
   // Ended jobs are shown so long.
   milliseconds mShowEnded{ 120'000 };
--- a/oriolewalk/flow/worker_keeper.cc
+++ b/oriolewalk/flow/worker_keeper.cc
@@ -41,7 +41,8 @@
 worker_keeper::worker_keeper(const flow_state& aState,
                              flow_options aOptions,
                              std::uint64_t aTerm,
-                             time_point aNow)
+                             time_point aNow,
+                             time_point aLedUntil)
   : mState(aState)
   , mOptions(aOptions)
   , mTerm(aTerm)
@@ -49,7 +50,12 @@
   , mTickedAt(aNow)
 {
   for (const auto& [number, worker] : mState.Workers()) {
-    mViews[number] = TakeOver(number, aNow);
+    worker_view& view = mViews[number] = TakeOver(number, aNow);
+    // Lost runs: the earlier leader didn't reach it, nor hear it.
+    if (aLedUntil != time_point::min() && !mState.Crashes().HasLost(number)) {
+      // It may have missed the last heartbeat before it went.
+      view.mBeatAt = aLedUntil - mOptions.mHeartbeat;
+    }
   }
 }
 
@@ -87,6 +93,8 @@
   }
   worker_view& view = found->second;
   view.mBeat = aBeat;
+  view.mBeatAt = aNow;
+  view.mIsChanging = false;
   view.mHeardAt = aNow;
   // A heartbeat may have been under way for long: an answer of late is better.
   if (!view.mHasClock || aNow - view.mClockAt > mOptions.mLease) {
@@ -110,8 +118,10 @@
       // process, and get a start that is on its way.
       view.mLapsesAt += mOptions.mAnswerBound;
     }
+    view.mBeatAt = aNow;
     mViews.emplace(aWorker, std::move(view));
   }
+  mViews[aWorker].mIsChanging = false;
   // Another life at the same address is over: one look there says so.
   for (auto& [number, view] : mViews) {
     const worker_record* other = mState.FindWorker(number);
@@ -428,8 +438,24 @@
   }
   const worker_view& view = found->second;
   return view.mSynced && view.mHasClock && view.mFailures == 0 &&
-         !view.mOutlived && aNow >= view.mUnhealthyUntil &&
-         aNow < view.mHeardAt + mOptions.mQuietWorker;
+         !view.mOutlived && !view.mIsChanging && aNow >= view.mUnhealthyUntil &&
+         aNow < view.mHeardAt + mOptions.mQuietWorker &&
+         aNow < view.mBeatAt + mOptions.mKnownRoom;
+}
+
+void
+worker_keeper::Changes(worker_number aWorker)
+{
+  if (const auto found = mViews.find(aWorker); found != mViews.end()) {
+    found->second.mIsChanging = true;
+  }
+}
+
+std::int64_t
+worker_keeper::NewestBeat(worker_number aWorker) const
+{
+  const auto found = mViews.find(aWorker);
+  return found == mViews.end() ? -1 : found->second.mBeat;
 }
 
 std::vector<worker_order>
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -86,6 +86,9 @@
   time_point mHeardAt{};
   time_point mUnhealthyUntil{};
   std::int64_t mBeat = -1; // the newest heartbeat's number
+  // When a heartbeat was heard last; of an earlier leader's, at the latest.
+  time_point mBeatAt{};
+  bool mIsChanging = false; // it said something new, which isn't committed yet
   bool mEndsUnderWay = false;
   // Its last look listed ends, so that the next one names the cursor. Named
   // again and again, it would make a process that has started since, unheard,
@@ -106,16 +109,24 @@
 class worker_keeper
 {
 public:
+  // aLedUntil: when an earlier leader was last heard of, which may have heard
+  // the workers; min(): not known.
   worker_keeper(const flow_state& aState,
                 flow_options aOptions,
                 std::uint64_t aTerm,
-                time_point aNow);
+                time_point aNow,
+                time_point aLedUntil);
 
   // A worker's heartbeat of a known life.
   void Heard(worker_number aWorker,
              std::int64_t aBeat,
              std::int64_t aClockMs,
              time_point aNow);
+  // What the heartbeat says is proposed: nothing is planned there by what was
+  // known before.
+  void Changes(worker_number aWorker);
+  // The number of its newest heartbeat in this term; -1: none was heard.
+  [[nodiscard]] std::int64_t NewestBeat(worker_number aWorker) const;
   // The worker is in the state (anew or changed).
   void Registered(worker_number aWorker, time_point aNow);
   void Removed(worker_number aWorker);
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -210,8 +210,11 @@
     const std::int64_t born = mWorkers[worker].mWorker->Facts().mBornMs;
     At(kLeastLate + milliseconds(mRandom.Below(kLateSpanMs)),
        [this, worker, aOrder, born]() {
-         if (mWorkers[worker].mWorker->Facts().mBornMs == born) {
+         fake_worker& late = *mWorkers[worker].mWorker;
+         if (late.Facts().mBornMs == born) {
+           late.mIsLate = true;
            Arrive(worker, aOrder);
+           late.mIsLate = false;
          }
        });
     At(wait, [answer]() { answer(order_answer{}); });
@@ -226,7 +229,10 @@
   const milliseconds there = delay();
   const milliseconds back = delay();
   At(there, [this, worker, aOrder, answer, back, there, wait]() {
+    fake_worker& reached = *mWorkers[worker].mWorker;
+    reached.mIsLate = there >= wait;
     const order_answer got = Arrive(worker, aOrder);
+    reached.mIsLate = false;
     if (there + back < wait) {
       At(back, [answer, got]() { answer(got); });
     }
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -13,6 +13,9 @@
 
 constexpr std::int64_t kLongestLeaseMs = 6'000;
 constexpr milliseconds kCrashesAfter{ 10 };
+// A capacity that has shrunk binds leaders so much later: what the platform
+// allows for contact, and a heartbeat.
+constexpr milliseconds kShrinksAfter{ 4'500 };
 
 std::string
 Name(const run_ref& aRun)
@@ -92,9 +95,9 @@
 }
 
 void
-run_oracle::NoteOverBooked(const std::string& aWhere)
+run_oracle::NoteOverBooked(const run_ref& aRun, const std::string& aWhere)
 {
-  mBroken.push_back(aWhere + " is booked over its capacity");
+  mBroken.push_back(Name(aRun) + " brings " + aWhere + " over its capacity");
 }
 
 fake_worker::fake_worker(worker_facts aFacts, double aSlow, run_oracle& aOracle)
@@ -190,8 +193,8 @@
   mRuns[aStart.mRun] = { aNow + (crashes ? kCrashesAfter : mWorkTime),
                          crashes };
   const cell::resources used = mSize * static_cast<std::int64_t>(mRuns.size());
-  if (!used.FitsIn(mFacts.mCapacity)) {
-    mOracle.NoteOverBooked(mFacts.mId.Value());
+  if (!mIsLate && !MayHold(used, aNow)) {
+    mOracle.NoteOverBooked(aStart.mRun, mFacts.mId.Value());
   }
   return With(order_result::Done);
 }
@@ -246,6 +249,22 @@
   Die();
 }
 
+void
+fake_worker::SetCapacity(const cell::resources& aCapacity, time_point aNow)
+{
+  mFormer.emplace_back(aNow, std::exchange(mFacts.mCapacity, aCapacity));
+}
+
+bool
+fake_worker::MayHold(const cell::resources& aUsed, time_point aNow) const
+{
+  return aUsed.FitsIn(mFacts.mCapacity) ||
+         std::ranges::any_of(mFormer, [&](const auto& aFormer) {
+           return aNow < aFormer.first + kShrinksAfter &&
+                  aUsed.FitsIn(aFormer.second);
+         });
+}
+
 void
 fake_worker::Die()
 {
--- a/testing/flow/fake_worker.h
+++ b/testing/flow/fake_worker.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
@@ -27,7 +28,7 @@
   void Noted(const run_ref& aRun);
   // Its worker's lease lapsed between the end and its acknowledgement.
   void Excused(const run_ref& aRun) { mExcused.insert(aRun); }
-  void NoteOverBooked(const std::string& aWhere);
+  void NoteOverBooked(const run_ref& aRun, const std::string& aWhere);
   // The worker's process died while this ran there.
   void Crashed(const run_ref& aRun);
   [[nodiscard]] std::size_t CrashesUnder(const task_ref& aTask) const;
@@ -77,11 +78,15 @@
   [[nodiscard]] std::int64_t ClockMs(time_point aNow) const;
   [[nodiscard]] const worker_facts& Facts() const { return mFacts; }
   [[nodiscard]] bool IsUp() const { return mUp; }
+  // Its capacity changes; its next heartbeat says so.
+  void SetCapacity(const cell::resources& aCapacity, time_point aNow);
 
   milliseconds mWorkTime{ 300 };
   cell::resources mSize; // of any task; for the booking judged here
   bool mFailsFirst = false;
   bool mDraining = false;
+  // It carries out an order late: the rule on its capacity doesn't bind it.
+  bool mIsLate = false;
   // Ends are forgotten only when a look names a higher cursor than all before
   // it; else by each look that names one. A worker may do either.
   bool mForgetsOnRise = false;
@@ -97,6 +102,9 @@
   void End(const run_ref& aRun, run_outcome aHow);
   void Forget(std::uint64_t aCursor);
   void Die();
+  // Whether they are within its capacity, or what that was of late.
+  [[nodiscard]] bool MayHold(const cell::resources& aUsed,
+                             time_point aNow) const;
 
   worker_facts mFacts;
   double mSlow;
@@ -110,6 +118,8 @@
   std::uint64_t mLastEnd = 0;
   std::uint64_t mToldCursor = 0;
   time_point mClockZero{};
+  // Former capacities, and until when they held.
+  std::vector<std::pair<time_point, cell::resources>> mFormer;
 };
 
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -38,6 +38,9 @@
       mActions.push_back(&player::HoldOrders);
       mActions.push_back(&player::ReleaseOrders);
     }
+    if (mTroubles.mShrinking) {
+      mActions.insert(mActions.end(), 3, &player::Resize);
+    }
     if (mTroubles.mCrashing) {
       SetCrashes();
     }
@@ -204,6 +207,17 @@
       mGroup.RestartWorker(chosen, milliseconds(100 * Choose(15)));
     }
   }
+  // Down to nothing, or up to what it was.
+  void Resize()
+  {
+    fake_worker& chosen = mGroup.Worker(mWorkers[Choose(mWorkers.size())]);
+    constexpr std::int64_t kQuarters = 4;
+    const auto quarters = static_cast<std::int64_t>(Choose(kQuarters + 1));
+    cell::resources capacity = testing::Worker("w").mCapacity;
+    capacity.mMilliProcessors =
+      capacity.mMilliProcessors * quarters / kQuarters;
+    chosen.SetCapacity(capacity, mGroup.Now());
+  }
   void HoldOrders()
   {
     const std::uint64_t kind = Choose(5); // four: of any kind
@@ -290,6 +304,10 @@
     Restart();
     for (const std::size_t worker : mWorkers) {
       mGroup.CutWorker(worker, false);
+      if (mTroubles.mShrinking) {
+        mGroup.Worker(worker).SetCapacity(testing::Worker("w").mCapacity,
+                                          mGroup.Now());
+      }
     }
     for (int extra = 0; extra < 2; ++extra) {
       AddWorker();
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -20,7 +20,7 @@
 // Plays aMost actions at most, then heals everything and waits. The first
 // promise that was broken, or nothing:
 // - no task runs twice at once, or starts after its end as done was noted;
-// - no worker is booked over its capacity;
+// - no start brings a worker over its capacity, or what that was of late;
 // - an accepted job that nobody cancelled ends as done (its tasks fail once at
 //   most), or as failed if two workers have crashed under one of its tasks, and
 //   is never unknown to a leader that answers;
@@ -39,6 +39,8 @@
   bool mHolds = false;
   // Some tasks crash each worker that starts them; it is back after seconds.
   bool mCrashing = false;
+  // Workers' capacities shrink and grow again.
+  bool mShrinking = false;
 };
 
 // What befell the jobs of a history beside its promises.
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -90,6 +90,48 @@
   PlaySeeds(75, carried, { .mBusy = true, .mCrashing = true });
 }
 
+TEST_CASE("random histories break no promise while workers' rooms shrink")
+{
+  // Guards against starts by a capacity that a late heartbeat, another leader
+  // or a commit under way doesn't show.
+  flow_options carried;
+  carried.mWorkersAlone = 0;
+  PlaySeeds(150, {}, { .mShrinking = true });
+  PlaySeeds(75, carried, { .mBusy = true, .mShrinking = true });
+  PlaySeeds(75, {}, { .mRestarts = true, .mHolds = true, .mShrinking = true });
+}
+
+TEST_CASE("a leader knows no room by a leader that didn't hear the worker")
+{
+  // Guards against a start by a room that has shrunk unheard: a leader of less
+  // than a heartbeat's pause (2071, 202, 815), one that was paused (1097), a
+  // start that overtakes the commit of the change (1374).
+  flow_options carried;
+  carried.mWorkersAlone = 0;
+  for (const std::uint64_t seed : { 1'097, 1'374, 2'071 }) {
+    PlaySeed(seed, 60, {}, { .mShrinking = true });
+  }
+  for (const std::uint64_t seed : { 202, 815 }) {
+    PlaySeed(seed, 60, carried, { .mBusy = true, .mShrinking = true });
+  }
+}
+
+TEST_CASE("a start that its carrier held brings no worker over its capacity")
+{
+  // Guards against a start that was planned by room that shrinks while it
+  // stands still on its way, with a lease that is still valid.
+  flow_options carried;
+  carried.mWorkersAlone = 0;
+  PlaySeed(1'872,
+           60,
+           carried,
+           { .mBusy = true,
+             .mRestarts = true,
+             .mHolds = true,
+             .mCrashing = true,
+             .mShrinking = true });
+}
+
 TEST_CASE("a crash counts where its worker's next life is not heard")
 {
   // Guards against a loss that is forgotten when the silent worker is taken
--- /dev/null
+++ b/testing/flow/shrinking_worker_test.cc
@@ -0,0 +1,103 @@
+#include <cstdint>
+
+#include <catch2/catch.hpp>
+
+#include "testing/flow/fake_group.h"
+#include "testing/flow/fixtures.h"
+
+// Workers whose capacity shrinks and grows again while they run.
+
+namespace oriolewalk::flow {
+
+namespace {
+
+using testing::Step;
+
+struct shrinking_scene
+{
+  fake_group mGroup;
+  worker_facts mLarge; // as it was
+
+  explicit shrinking_scene(std::uint64_t aSeed)
+    : mGroup(3, 3, aSeed)
+  {
+    mGroup.AddWorker("w");
+    mGroup.Worker(0).mSize = Step(1, 2'000).mSize;
+    mGroup.Worker(0).mWorkTime = seconds(20);
+    mLarge = mGroup.Worker(0).Facts();
+    mGroup.Run(seconds(2));
+  }
+
+  void Shrink()
+  {
+    cell::resources small = mLarge.mCapacity;
+    small.mMilliProcessors = 2'000;
+    mGroup.Worker(0).SetCapacity(small, mGroup.Now());
+  }
+
+  [[nodiscard]] std::int64_t KnownRoom()
+  {
+    const flow_state& state = mGroup.Core(*mGroup.Leader()).State();
+    return state.FindWorker(state.NumberOf(mLarge.mId))
+      ->mFacts.mCapacity.mMilliProcessors;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an older heartbeat that comes late gives no room back")
+{
+  // Guards against a start that brings a worker over its capacity, by what it
+  // said before it shrank.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    shrinking_scene scene(seed);
+    scene.Shrink();
+    scene.mGroup.Run(seconds(6));
+    CHECK(scene.KnownRoom() == 2'000);
+    scene.mGroup.Ask(worker_beat{ scene.mLarge, false, 0, 1'000, 1 });
+    scene.mGroup.Submit("0000000000000001", { Step(4, 2'000) });
+    scene.mGroup.Run(milliseconds(500));
+    CHECK(scene.mGroup.Oracle().Broken().empty());
+    CHECK(scene.mGroup.Oracle().Starts() == 1);
+  }
+}
+
+TEST_CASE("the first heartbeat that a leader hears gives no room back")
+{
+  // Guards against the same by a leader that can't know that it is old.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    shrinking_scene scene(seed);
+    scene.Shrink();
+    scene.mGroup.Run(seconds(6));
+    const std::size_t leader = *scene.mGroup.Leader();
+    scene.mGroup.Kill(leader);
+    CHECK(scene.mGroup.RunUntil(
+      [&]() { return scene.mGroup.Leader().has_value(); }, seconds(5)));
+    scene.mGroup.Ask(worker_beat{ scene.mLarge, false, 0, 1'000, 1 });
+    scene.mGroup.Submit("0000000000000001", { Step(4, 2'000) });
+    scene.mGroup.Run(seconds(2));
+    CHECK(scene.mGroup.Oracle().Broken().empty());
+    CHECK(scene.mGroup.Oracle().Starts() == 1);
+  }
+}
+
+TEST_CASE("room that grows again is used")
+{
+  // Guards against a worker that stays small for ever.
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    shrinking_scene scene(seed);
+    scene.Shrink();
+    scene.mGroup.Submit("0000000000000001", { Step(4, 2'000) });
+    scene.mGroup.Run(seconds(6));
+    scene.mGroup.Worker(0).SetCapacity(scene.mLarge.mCapacity,
+                                       scene.mGroup.Now());
+    scene.mGroup.Run(seconds(2));
+    CHECK(scene.mGroup.Oracle().Starts() == 4);
+    CHECK(scene.mGroup.Oracle().Broken().empty());
+  }
+}
+
+} // namespace oriolewalk::flow
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -34,11 +34,12 @@
 constexpr const char* kUsage =
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
-  "                 [--crashing]\n"
+  "                 [--crashing] [--shrinking]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
   "  --holds     orders stand still on their way for seconds\n"
   "  --crashing  some tasks crash each worker that starts them\n"
+  "  --shrinking workers' capacities shrink and grow again\n"
   "  --carried   other control processes carry the leader's orders\n";
 
 template<class Number>
@@ -63,6 +64,7 @@
     option{ "holds", no_argument, nullptr, 'h' },
     option{ "carried", no_argument, nullptr, 'c' },
     option{ "crashing", no_argument, nullptr, 'x' },
+    option{ "shrinking", no_argument, nullptr, 's' },
     option{ nullptr, 0, nullptr, 0 },
   };
   hunt_options options;
@@ -98,6 +100,9 @@
       case 'x':
         options.mTroubles.mCrashing = true;
         break;
+      case 's':
+        options.mTroubles.mShrinking = true;
+        break;
       default:
         sound = false;
     }
