--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -229,10 +229,7 @@
   const milliseconds there = delay();
   const milliseconds back = delay();
   At(there, [this, worker, aOrder, answer, back, there, wait]() {
-    fake_worker& reached = *mWorkers[worker].mWorker;
-    reached.mIsLate = there >= wait;
     const order_answer got = Arrive(worker, aOrder);
-    reached.mIsLate = false;
     if (there + back < wait) {
       At(back, [answer, got]() { answer(got); });
     }
