Crashes: a life's end is logged once, counts go with jobs that ended well

Two answers of a later life on their way at once wrote worker.over and its run.lost lines twice. They are kept only for jobs that failed, whose reason they are. test_flow passes; the linter is clean on the product's changed files.

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -487,6 +487,11 @@
   aJob.mEndedWallMs = aWallMs;
   aOutcome.mEnded.push_back(aId);
   UpdateLive(aId, aJob);
+  // What made a job fail is kept for as long as the job is shown. Plans go
+  // through what is kept.
+  if (aState != job_state::Failed) {
+    mCrashes.ForgetJob(aId);
+  }
 }
 
 void
--- a/oriolewalk/flow/worker_keeper.h
+++ b/oriolewalk/flow/worker_keeper.h
@@ -104,6 +104,7 @@
   // Of the runs that were given up as lapsed: for how long they went on at
   // least.
   std::map<run_ref, duration> mLost;
+  bool mOverNoted = false; // that its life is over; every late answer says so
 };
 
 class worker_keeper
--- a/oriolewalk/flow/worker_keeper_losses.cc
+++ b/oriolewalk/flow/worker_keeper_losses.cc
@@ -104,8 +104,10 @@
   if (found == mViews.end() || record == nullptr) {
     return;
   }
-  const worker_view& view = found->second;
-  NoteOver(aWorker, view, aKnownBy, aNow);
+  worker_view& view = found->second;
+  if (!std::exchange(view.mOverNoted, true)) {
+    NoteOver(aWorker, view, aKnownBy, aNow);
+  }
   if (record->mDraining) {
     return; // it left, and its farewell was lost
   }
