--- a/oriolewalk/flow/leading.h
+++ b/oriolewalk/flow/leading.h
@@ -189,7 +189,6 @@
   [[nodiscard]] worker_facts FactsOf(const worker_beat& aBeat,
                                      worker_number aNumber) const;
   void Register(call_number aCall,
-                std::string_view aEvent,
                 const worker_beat& aBeat,
                 worker_facts aFacts);
 
--- a/oriolewalk/flow/leading_calls.cc
+++ b/oriolewalk/flow/leading_calls.cc
@@ -177,7 +177,7 @@
 {
   const worker_number number = mState.NumberOf(aBeat.mFacts.mId);
   if (number == 0) {
-    Register(aCall, "worker.new", aBeat, aBeat.mFacts);
+    Register(aCall, aBeat, aBeat.mFacts);
     return;
   }
   const std::int64_t born = BornOf(number);
@@ -195,14 +195,14 @@
     mKeeper.KeepCheckpoints(number);
     mKeeper.LifeIsOver(number, "restart", mAt.mNow);
     PumpKeeper();
-    Register(aCall, "worker.changed", aBeat, aBeat.mFacts);
+    Register(aCall, aBeat, aBeat.mFacts);
     return;
   }
   const worker_facts facts = FactsOf(aBeat, number);
   mKeeper.Heard(number, aBeat.mNumber, aBeat.mClockMs, mAt.mNow);
   if (IsWorkerChanged(facts, aBeat.mDraining, number)) {
     mKeeper.Changes(number);
-    Register(aCall, "worker.changed", aBeat, facts);
+    Register(aCall, aBeat, facts);
   } else {
     mPort.mAnswer(aCall, acknowledged{ IsLarge() });
   }
@@ -223,20 +223,25 @@
 
 void
 leading::Register(call_number aCall,
-                  std::string_view aEvent,
                   const worker_beat& aBeat,
                   worker_facts aFacts)
 {
-  mPort.mNote(
-    { aEvent,
-      { { "worker", aFacts.mId.Value() },
-        { "address", aFacts.mAddress },
-        { "service", aFacts.mService.Value() },
-        { "draining", aBeat.mDraining ? "yes" : "no" },
-        { "processors_m", std::to_string(aFacts.mCapacity.mMilliProcessors) },
-        { "memory_mb", std::to_string(aFacts.mCapacity.mMemoryMb) },
-        { "born", std::to_string(aFacts.mBornMs) },
-        { "beat", std::to_string(aBeat.mNumber) } } });
+  const worker_number number = mState.NumberOf(aFacts.mId);
+  decltype(decision::mFields) fields{
+    { "worker", aFacts.mId.Value() },
+    { "address", aFacts.mAddress },
+    { "service", aFacts.mService.Value() },
+    { "draining", aBeat.mDraining ? "yes" : "no" },
+    { "processors_m", std::to_string(aFacts.mCapacity.mMilliProcessors) },
+    { "memory_mb", std::to_string(aFacts.mCapacity.mMemoryMb) },
+    { "born", std::to_string(aFacts.mBornMs) },
+    { "beat", std::to_string(aBeat.mNumber) },
+  };
+  if (number == 0) {
+    mPort.mNote({ "worker.new", std::move(fields) });
+  } else {
+    mPort.mNote({ "worker.changed", std::move(fields) });
+  }
   ProposeAndAnswer(aCall,
                    register_worker{ std::move(aFacts), aBeat.mDraining },
                    acknowledged{ IsLarge() });
