--- a/testing/flow/crash_book_test.cc
+++ b/testing/flow/crash_book_test.cc
@@ -1,4 +1,7 @@
+#include <cstdint>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -39,7 +42,7 @@
     const run_ref run = state_builder::Run(
       mJob, mMade.mState.FindTask({ mJob, 0, 0, aTask })->mAttempt + 1, aTask);
     mMade.Start(run, worker);
-    const apply_outcome outcome = mMade.Apply(
+    apply_outcome outcome = mMade.Apply(
       Crash(worker, aSuspected ? std::vector{ run } : std::vector<run_ref>{}));
     mMade.Apply(remove_worker{ worker });
     return outcome;
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -317,7 +317,7 @@
       return mGroup.Oracle().Broken().front();
     }
     for (const auto& [id, cancelled] : mJobs) {
-      if (const auto broken = CheckEnd(id, cancelled)) {
+      if (auto broken = CheckEnd(id, cancelled)) {
         return broken;
       }
     }
@@ -355,7 +355,7 @@
 {
   const std::uint64_t seed = aChoose(1U << 16U).value_or(1);
   history_account account;
-  const auto broken =
+  auto broken =
     player(aChoose, seed, aOptions, aTroubles, account).Play(aMost);
   if (aAccount != nullptr) {
     *aAccount = account;
