--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -355,8 +355,7 @@
 {
   const std::uint64_t seed = aChoose(1U << 16U).value_or(1);
   history_account account;
-  auto broken =
-    player(aChoose, seed, aOptions, aTroubles, account).Play(aMost);
+  auto broken = player(aChoose, seed, aOptions, aTroubles, account).Play(aMost);
   if (aAccount != nullptr) {
     *aAccount = account;
   }
