Orders to start carry the latest time at which they may be sent

Cause: a start is planned by a capacity that is at most so old, but nothing bounded the time from the plan to the moment at which the order is written to the worker: the commit, the leader's queues, the relay and a suspended relay's socket.

Change: the order says until when it may be sent, from the age of the heartbeat that it relies on. Whoever holds it (the leader's HTTP client, the relay) drops it afterwards and answers that it wasn't sent, so the start is known not to have happened. A relay has another clock: a batch carries the time that remains and its time of sending, and the relay takes off what the batch was in transit longer than the fastest ones, which covers a batch that waited in the socket of a suspended relay. A heartbeat that reports another capacity, not committed yet, doesn't prolong the time.

Ruled out: a bound on the relay's receipt alone (a suspended relay receives late and would call the order fresh); synchronised clocks.

--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -20,6 +20,8 @@
 inline constexpr std::uint16_t kLeaderNotice = 23; // leader_notice -> nothing
 inline constexpr std::uint16_t kOrdersCall = 24;   // order_batch -> nothing
 inline constexpr std::uint16_t kAnswersCall = 25;  // answer_batch -> nothing
+// timed_order_batch -> nothing
+inline constexpr std::uint16_t kTimedOrdersCall = 26;
 
 // Tells the seeds outside the leader's group where the leader is.
 struct leader_notice
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -44,6 +44,10 @@
   // platform's limit for contact and a heartbeat, less the duration of an
   // order.
   milliseconds mMaxCapacityAge{ 4'000 };
+  // How much older the last heartbeat may be when the order to start is sent to
+  // the worker than when the start was planned. The rest of the duration of an
+  // order is for its transit.
+  milliseconds mMaxStartDelay{ 400 };
   // Interval between a worker's heartbeats.
   milliseconds mHeartbeatInterval{ 1'500 };
   // A silent worker is removed after this time, if nothing can still run there.
--- a/oriolewalk/flow/worker_order.h
+++ b/oriolewalk/flow/worker_order.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/codec.h"
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/types.h"
@@ -107,8 +108,18 @@
   std::uint64_t mFence = 0; // FenceOf() the leader's term and mWorker
   // When the lease of all runs there ends, on the worker's clock.
   std::optional<std::int64_t> mLeaseClockMs;
+  // The order may be sent to the worker only before this time, on the clock of
+  // the process that holds the order: what the leader knew when it gave the
+  // order is too old afterwards. None: at any time. A batch for a relay carries
+  // the time that remains.
+  std::optional<time_point> mSendBefore;
   order_body mBody;
 
+  [[nodiscard]] bool IsExpired(time_point aNow) const
+  {
+    return mSendBefore && aNow >= *mSendBefore;
+  }
+
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
@@ -199,6 +210,31 @@
   }
 };
 
+// An order_batch with the times that its orders may still wait. A process of an
+// earlier version doesn't know this message and takes none of the orders.
+struct timed_order_batch
+{
+  order_batch mBatch;
+  std::int64_t mSentAtNs = 0; // on the leader's steady clock
+  // For each order, the nanoseconds from mSentAtNs to its mSendBefore.
+  std::vector<std::optional<std::int64_t>> mRemainingNs;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mBatch, mSentAtNs, mRemainingNs);
+  }
+};
+
+// aSentAt: the leader's time of sending.
+timed_order_batch
+MakeTimedBatch(order_batch aBatch, time_point aSentAt);
+
+// Returns the batch's orders with mSendBefore on the relay's clock. aExcess:
+// how much longer the batch was in transit than is usual, see transit_delay.
+std::vector<worker_order>
+TakeOrders(timed_order_batch aBatch, time_point aReceivedAt, duration aExcess);
+
 struct answered_order
 {
   std::uint64_t mFence = 0;
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -96,6 +96,9 @@
   }
   worker_view& view = found->second;
   view.mHeartbeatNumber = aNumber;
+  if (!view.mHasUncommittedUpdate) {
+    view.mConfirmedAt = view.mHeartbeatAt;
+  }
   view.mHeartbeatAt = aNow;
   view.mHasUncommittedUpdate = false;
   view.mLastContactAt = aNow;
@@ -157,7 +160,8 @@
 worker_supervisor::Send(worker_number aWorker,
                         order_body aBody,
                         bool aWithLease,
-                        time_point aNow)
+                        time_point aNow,
+                        std::optional<time_point> aSendBefore)
 {
   const worker_record* record = mState.FindWorker(aWorker);
   worker_view& view = mViews[aWorker];
@@ -179,6 +183,7 @@
       std::max(view.mLeasesExpireAt,
                aNow + Stretch(lease, mOptions.mMaxClockDrift) + kClockRounding);
   }
+  order.mSendBefore = aSendBefore;
   order.mBody = aBody;
   if (!IsReadOnlyPoll(order)) {
     order.mProcessStartMs = record->mDescription.mProcessStartMs;
@@ -205,7 +210,18 @@
     start_order{
       aStart.mRun, job->mSpec.mPayload, task->mCheckpoint, std::move(aTicket) },
     true,
-    aNow);
+    aNow,
+    SendStartsBefore(found->second));
+}
+
+// A heartbeat that reported another capacity, which isn't committed yet, shows
+// that the known one has been out of date for up to a heartbeat's time.
+time_point
+worker_supervisor::SendStartsBefore(const worker_view& aView) const
+{
+  return (aView.mHasUncommittedUpdate ? aView.mConfirmedAt
+                                      : aView.mHeartbeatAt) +
+         mOptions.mMaxCapacityAge + mOptions.mMaxStartDelay;
 }
 
 void
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -91,6 +91,9 @@
   // When the last heartbeat arrived; a conservative estimate if it arrived at
   // an earlier leader.
   time_point mHeartbeatAt{};
+  // The same for the heartbeat before the one that reported a change which
+  // isn't committed yet.
+  time_point mConfirmedAt{};
   bool mHasUncommittedUpdate =
     false; // it reported a change that isn't committed yet
   bool mHasUncommittedEnds = false;
@@ -206,7 +209,8 @@
   std::uint64_t Send(worker_number aWorker,
                      order_body aBody,
                      bool aWithLease,
-                     time_point aNow);
+                     time_point aNow,
+                     std::optional<time_point> aSendBefore = std::nullopt);
   std::uint64_t SendPoll(worker_number aWorker,
                          worker_view& aView,
                          milliseconds aWait,
@@ -279,6 +283,8 @@
     const worker_view::run_view& aRun);
   [[nodiscard]] bool IsIdle(const worker_view& aView, time_point aNow) const;
   [[nodiscard]] static bool NeedsLongPoll(const worker_view& aView);
+  // Until when a start may be sent to the worker, by the age of its capacity.
+  [[nodiscard]] time_point SendStartsBefore(const worker_view& aView) const;
 
   const flow_state& mState;
   flow_options mOptions;
--- a/oriolewalk/host/control_calls.cc
+++ b/oriolewalk/host/control_calls.cc
@@ -65,6 +65,13 @@
       });
     return;
   }
+  if (aKind == flow::kTimedOrdersCall) {
+    TakeOver<flow::timed_order_batch>(
+      aBody, aReply, [this](const flow::timed_order_batch& aBatch) {
+        mOrders.Carry(aBatch);
+      });
+    return;
+  }
   if (aKind == flow::kAnswersCall) {
     TakeOver<flow::answer_batch>(
       aBody, aReply, [this](const flow::answer_batch& aBatch) {
--- a/oriolewalk/host/order_relay.cc
+++ b/oriolewalk/host/order_relay.cc
@@ -59,7 +59,7 @@
 order_relay::Send(const flow::worker_order& aOrder, order_callback aDone)
 {
   if (aOrder.mRelay.empty() || aOrder.mRelay == mSelf) {
-    mWorkers(aOrder, std::move(aDone));
+    SendToWorker(aOrder, std::move(aDone));
     return;
   }
   mOpen.insert_or_assign(
@@ -69,6 +69,17 @@
   ArmFlush();
 }
 
+void
+order_relay::SendToWorker(const flow::worker_order& aOrder,
+                          order_callback aDone)
+{
+  if (aOrder.IsExpired(runtime_clock::now())) {
+    aDone(Unanswered(flow::order_result::NotSent));
+    return;
+  }
+  mWorkers(aOrder, std::move(aDone));
+}
+
 void
 order_relay::ArmFlush()
 {
@@ -105,8 +116,9 @@
       return order_key{ aOrder.mFence, aOrder.mId };
     });
   mRpc.Call(aCarrier,
-            flow::kOrdersCall,
-            Encode(flow::order_batch{ mSelf, std::move(aOrders) }),
+            flow::kTimedOrdersCall,
+            Encode(flow::MakeTimedBatch({ mSelf, std::move(aOrders) },
+                                        runtime_clock::now())),
             kHandOverBound,
             [this, aCarrier, handed = std::move(keys)](
               const result<bytes>& aReply) mutable {
@@ -147,13 +159,30 @@
   }
 }
 
+void
+order_relay::Carry(flow::timed_order_batch aBatch)
+{
+  const time_point now = runtime_clock::now();
+  const std::string leader = aBatch.mBatch.mLeader;
+  const duration excess = mTransitDelays[leader].OnMessage(
+    time_point(duration(aBatch.mSentAtNs)), now);
+  CarryAll(leader, flow::TakeOrders(std::move(aBatch), now, excess));
+}
+
 void
 order_relay::Carry(const flow::order_batch& aBatch)
 {
-  for (const flow::worker_order& order : aBatch.mOrders) {
-    mWorkers(
+  CarryAll(aBatch.mLeader, aBatch.mOrders);
+}
+
+void
+order_relay::CarryAll(const std::string& aLeader,
+                      const std::vector<flow::worker_order>& aOrders)
+{
+  for (const flow::worker_order& order : aOrders) {
+    SendToWorker(
       order,
-      [this, leader = aBatch.mLeader, fence = order.mFence, id = order.mId](
+      [this, leader = aLeader, fence = order.mFence, id = order.mId](
         flow::order_answer aAnswer) {
         mToGiveBack[leader].push_back({ fence, id, std::move(aAnswer) });
         ArmFlush();
--- a/oriolewalk/host/order_relay.h
+++ b/oriolewalk/host/order_relay.h
@@ -5,7 +5,7 @@
 //
 //   order_relay relay(context, rpc, self, workers, options);
 //   relay.Send(order, [](const order_answer& aAnswer) {...});   // leader
-//   relay.Carry(batch);                                         // carrier
+//   relay.Carry(std::move(batch));                              // carrier
 //   relay.Answered(answers);                                    // leader
 //
 // Each order that was sent is answered exactly once: by its worker, or as
@@ -16,6 +16,10 @@
 // Batches: what is given within kGather goes in one message. At 1,200 starts a
 // second each alone would cost two processes a wake-up of two threads.
 //
+// An order whose time to be sent is over (worker_order::mSendBefore) is dropped
+// by whoever holds it and answered as NotSent: a suspended carrier drops it
+// when it wakes, and also one that waited in the carrier's socket meanwhile.
+//
 // Owned by the control host; the io_context's thread.
 
 #include <functional>
@@ -29,6 +33,7 @@
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/flow/options.h"
+#include "oriolewalk/flow/transit_delay.h"
 #include "oriolewalk/flow/worker_order.h"
 #include "oriolewalk/host/policy_port.h"
 #include "oriolewalk/wire/rpc_node.h"
@@ -47,6 +52,8 @@
               std::function<void(const std::string&)> aCarrierFailed);
 
   void Send(const flow::worker_order& aOrder, order_callback aDone);
+  void Carry(flow::timed_order_batch aBatch);
+  // A batch from a leader of an earlier version, whose orders say no time.
   void Carry(const flow::order_batch& aBatch);
   void Answered(const flow::answer_batch& aBatch);
   // Ends what carriers left unanswered; every few milliseconds.
@@ -64,6 +71,9 @@
   };
 
   [[nodiscard]] duration BoundOf(const flow::worker_order& aOrder) const;
+  void SendToWorker(const flow::worker_order& aOrder, order_callback aDone);
+  void CarryAll(const std::string& aLeader,
+                const std::vector<flow::worker_order>& aOrders);
   void ArmFlush();
   void Flush();
   void HandOver(const std::string& aCarrier,
@@ -86,6 +96,7 @@
   std::map<std::string, std::vector<flow::worker_order>> mToHandOver;
   std::map<std::string, std::vector<flow::answered_order>> mToGiveBack;
   std::map<order_key, open_order> mOpen;
+  std::map<std::string, flow::transit_delay> mTransitDelays; // by leader
 };
 
 } // namespace oriolewalk::host
--- a/oriolewalk/http/client.h
+++ b/oriolewalk/http/client.h
@@ -79,6 +79,8 @@
 {
   milliseconds mConnectTimeout{ 1'000 };
   milliseconds mTotalTimeout{ 10'000 }; // from Send to the whole answer
+  // The request isn't written from this time on; it is never_started then.
+  std::optional<time_point> mStartBefore{};
   std::size_t mMaxAnswerBytes = 1024UL * 1024;
   std::size_t mMaxAnswerHeaderBytes = 16UL * 1024;
   // Headers that must have this value in the answer, if it has them at all.
--- a/oriolewalk/http/connection.cc
+++ b/oriolewalk/http/connection.cc
@@ -160,7 +160,9 @@
 connection::AskOrWrite()
 {
   // Sent with no time left for the answer, it would be carried out unheard.
-  if (runtime_clock::now() >= mCall->mDue) {
+  const time_point now = runtime_clock::now();
+  const auto& startBefore = mCall->mOptions.mStartBefore;
+  if (now >= mCall->mDue || (startBefore && now >= *startBefore)) {
     FailCall(code::Timeout, "no time was left to send it");
     CloseNow();
     return;
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -196,6 +196,12 @@
     return aPlace.mWorker->Description().mAddress == aOrder.mAddress;
   });
   const milliseconds wait{ 600 };
+  if (aOrder.IsExpired(mNow)) {
+    order_answer dropped;
+    dropped.mResult = order_result::NotSent;
+    At(kTransitTime, [answer, dropped]() { answer(dropped); });
+    return;
+  }
   if (place == mWorkers.end() || place->mCut || !PassToRelay(aFrom, aOrder)) {
     At(wait, [answer]() { answer(order_answer{}); });
     return;
@@ -232,7 +238,13 @@
   const milliseconds wayThere = delay();
   const milliseconds wayBack = delay();
   At(wayThere, [this, worker, aOrder, answer, wayBack, wayThere, wait]() {
-    const order_answer workerAnswer = DeliverOrder(worker, aOrder);
+    // Whoever sends it checks the time just before that.
+    order_answer workerAnswer;
+    if (aOrder.IsExpired(mNow - kTransitTime)) {
+      workerAnswer.mResult = order_result::NotSent;
+    } else {
+      workerAnswer = DeliverOrder(worker, aOrder);
+    }
     if (wayThere + wayBack < wait) {
       At(wayBack, [answer, workerAnswer]() { answer(workerAnswer); });
     }
@@ -279,7 +291,9 @@
 {
   mHoldsOrder = nullptr;
   for (const auto& [worker, order] : std::exchange(mHeldOrders, {})) {
-    DeliverOrder(worker, order);
+    if (!order.IsExpired(mNow)) { // the relay drops it when it wakes
+      DeliverOrder(worker, order);
+    }
   }
 }
 
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -56,12 +56,12 @@
   // later.
   void SetLateShare(double aShare) { mLateShare = aShare; }
   // Delays each order and each answer by up to aMax, at random, as in the
-  // leader's queues and in transit. The worker executes every order that
-  // arrives.
+  // leader's queues. An order whose time to be sent is over when it comes out
+  // of the queue is dropped; the worker executes every order that arrives.
   void SetOrderDelay(milliseconds aMax) { mOrderDelay = aMax; }
   // Holds the orders that aWhich selects, without an answer, until
-  // ReleaseOrders() delivers them to whichever process is there by then. This
-  // simulates a relay that is suspended.
+  // ReleaseOrders() delivers them to whichever process is there by then, unless
+  // their time to be sent is over. This simulates a relay that is suspended.
   void HoldOrders(std::function<bool(const worker_order&)> aWhich);
   void ReleaseOrders();
   // Sets how long a write to a disk takes.
--- a/testing/host/order_relay_test.cc
+++ b/testing/host/order_relay_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -26,6 +28,8 @@
   std::vector<order_callback> mAnswers;
   std::vector<std::string> mFailed;
   std::unique_ptr<order_relay> mRelay;
+  bool mSuspended = false;
+  std::vector<flow::timed_order_batch> mWaiting;
 
   explicit relay_process(boost::asio::io_context& aContext)
     : mContext(aContext)
@@ -37,8 +41,8 @@
              const wire::reply_function& aReply) {
         aReply(bytes());
         boost::asio::post(mContext, [this, aKind, aBody]() {
-          if (aKind == flow::kOrdersCall) {
-            mRelay->Carry(*Decode<flow::order_batch>(aBody, "test"));
+          if (aKind == flow::kTimedOrdersCall) {
+            Carry(*Decode<flow::timed_order_batch>(aBody, "test"));
           } else {
             mRelay->Answered(*Decode<flow::answer_batch>(aBody, "test"));
           }
@@ -64,9 +68,28 @@
   relay_process(relay_process&&) = delete;
   relay_process& operator=(relay_process&&) = delete;
 
+  // While it is suspended, batches wait in its socket.
+  void Carry(flow::timed_order_batch aBatch)
+  {
+    if (mSuspended) {
+      mWaiting.push_back(std::move(aBatch));
+    } else {
+      mRelay->Carry(std::move(aBatch));
+    }
+  }
+  void Resume()
+  {
+    mSuspended = false;
+    for (flow::timed_order_batch& batch : mWaiting) {
+      mRelay->Carry(std::move(batch));
+    }
+    mWaiting.clear();
+  }
+
   void Send(std::uint64_t aId,
             const std::string& aCarrier,
-            std::vector<flow::order_answer>& aAnswers) const
+            std::vector<flow::order_answer>& aAnswers,
+            std::optional<duration> aSendWithin = std::nullopt) const
   {
     flow::worker_order order;
     order.mId = aId;
@@ -74,6 +97,9 @@
     order.mWorkerId = worker_id("w");
     order.mRelay = aCarrier;
     order.mLeaseClockMs = 5'000;
+    if (aSendWithin) {
+      order.mSendBefore = runtime_clock::now() + *aSendWithin;
+    }
     order.mBody = flow::start_order{
       { { job_id("job"), 0, 1, 2 }, 4 }, "payload", "half", "ticket"
     };
@@ -96,6 +122,21 @@
   return aDone();
 }
 
+// The same while the runtime's clock is paused.
+template<class Done>
+bool
+Poll(boost::asio::io_context& aContext, Done aDone)
+{
+  constexpr int kMaxRounds = 4'000;
+  for (int round = 0; round < kMaxRounds && !aDone(); ++round) {
+    aContext.restart();
+    aContext.poll();
+    paused_clock::Advance(milliseconds(0));
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return aDone();
+}
+
 } // namespace
 
 TEST_CASE("an order goes through its carrier whole, and its answer comes back")
@@ -128,6 +169,35 @@
   CHECK(leader.mRelay->Open() == 1);
 }
 
+TEST_CASE(
+  "an order that waited in a suspended carrier's socket isn't sent late")
+{
+  // Guards against a start that reaches a worker after its capacity shrank.
+  const paused_clock clock;
+  boost::asio::io_context context;
+  relay_process leader(context);
+  relay_process carrier(context);
+  std::vector<flow::order_answer> answers;
+  leader.Send(1, carrier.mAddress, answers, milliseconds(500));
+  paused_clock::Advance(milliseconds(10));
+  REQUIRE(Poll(context, [&]() { return carrier.mOrders.size() == 1; }));
+  flow::order_answer done;
+  done.mResult = flow::order_result::Done;
+  carrier.mAnswers[0](done);
+  carrier.mSuspended = true;
+  leader.Send(2, carrier.mAddress, answers, milliseconds(500));
+  leader.Send(3, carrier.mAddress, answers);
+  paused_clock::Advance(milliseconds(10));
+  REQUIRE(Poll(context, [&]() { return carrier.mWaiting.size() == 1; }));
+  paused_clock::Advance(milliseconds(900));
+  carrier.Resume();
+  CHECK(carrier.mOrders.size() == 2); // the third, which may wait
+  CHECK(carrier.mOrders.back().mId == 3);
+  paused_clock::Advance(milliseconds(10));
+  REQUIRE(Poll(context, [&]() { return answers.size() == 2; }));
+  CHECK(answers[1].mResult == flow::order_result::NotSent);
+}
+
 TEST_CASE("an order whose carrier is not there was surely not sent")
 {
   // The carrier has died. The leader is told at once, so that the order goes
