--- a/oriolewalk/flow/command.h
+++ b/oriolewalk/flow/command.h
@@ -233,6 +233,34 @@
   }
 };
 
+// A table that says who may use its queues.
+struct put_table_with_access
+{
+  put_table mPut;
+  access_rules mAccess;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mPut, mAccess);
+  }
+};
+
+// A job that belongs to an organisation.
+struct submit_owned_job
+{
+  submit_job mSubmit;
+  organisation_id mOwner;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mSubmit, mOwner);
+  }
+};
+
+// A process of an earlier version can't read commands that were added later and
+// stops. They are proposed only where a table with organisations needs them.
 using command_body = std::variant<put_table,
                                   submit_job,
                                   cancel_job,
@@ -246,7 +274,9 @@
                                   save_checkpoints,
                                   mark_runs_lost,
                                   record_worker_return,
-                                  record_worker_crash>;
+                                  record_worker_crash,
+                                  put_table_with_access,
+                                  submit_owned_job>;
 
 // An entry of the log. All replicas use the proposer's wall time.
 struct command
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -37,8 +37,9 @@
     2 * std::size_t{ aLostInstances } + 1, kMinVoters, kMaxVoters);
 }
 
-flow_core::flow_core(flow_config aConfig)
+flow_core::flow_core(flow_config aConfig, std::uint64_t aSeed)
   : mConfig(std::move(aConfig))
+  , mState(aSeed)
 {
 }
 
@@ -51,7 +52,7 @@
   if (const auto sound = consensus::CheckRestored(aRestored); !sound) {
     return Fail(sound.error());
   }
-  std::unique_ptr<flow_core> core(new flow_core(aConfig));
+  std::unique_ptr<flow_core> core(new flow_core(aConfig, aSeed));
   core->mLeaderHeardAt = aNow;
   if (aRestored.mSnapshot) {
     if (const auto read = core->mState.Restore(aRestored.mSnapshot->mState);
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -113,7 +113,7 @@
   [[nodiscard]] bool ShouldJoin(time_point aNow) const;
 
 private:
-  explicit flow_core(flow_config aConfig);
+  flow_core(flow_config aConfig, std::uint64_t aSeed);
 
   void SetTime(instant aAt);
   bool Propose(command_body aBody, leader_port::on_applied aThen);
--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -28,8 +28,8 @@
                                            : nullptr;
 }
 
-// The format of a snapshot.
-struct saved_state
+// The format of snapshots without organisations, and the beginning of all.
+struct saved_state_without_access
 {
   queue_table mTable;
   bytes mTableSource;
@@ -45,10 +45,25 @@
   }
 };
 
+// The format of a snapshot.
+struct saved_state
+{
+  saved_state_without_access mState;
+  std::optional<access_rules> mAccess;
+  std::map<organisation_id, organisations::organisation_row> mFormer;
+  std::map<job_id, organisation_id> mOwners;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mState, mAccess, mFormer, mOwners);
+  }
+};
+
 // The format of snapshots from before crashes were counted.
 struct saved_state_without_crashes
 {
-  saved_state mState;
+  saved_state_without_access mState;
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
@@ -77,6 +92,24 @@
   }
 }
 
+// Reads a snapshot of this or an earlier version.
+result<saved_state>
+ReadSnapshot(std::string_view aBytes)
+{
+  constexpr std::string_view kWhat = "restoring the workflow state";
+  auto read = Decode<saved_state>(aBytes, kWhat);
+  if (read) {
+    return read;
+  }
+  if (auto older = Decode<saved_state_without_access>(aBytes, kWhat)) {
+    return saved_state{ std::move(*older), std::nullopt, {}, {} };
+  }
+  if (auto oldest = Decode<saved_state_without_crashes>(aBytes, kWhat)) {
+    return saved_state{ std::move(oldest->mState), std::nullopt, {}, {} };
+  }
+  return read;
+}
+
 bool
 IsRunPlaced(const task_record& aTask, attempt_t aAttempt, worker_number aWorker)
 {
@@ -86,6 +119,11 @@
 
 } // namespace
 
+flow_state::flow_state(std::uint64_t aKeySeed)
+  : mKeys(aKeySeed)
+{
+}
+
 apply_outcome
 flow_state::Apply(const command& aCommand)
 {
@@ -226,24 +264,49 @@
 
 apply_outcome
 flow_state::On(const put_table& aPut, std::int64_t /*aWallMs*/)
+{
+  PutTable(aPut, std::nullopt);
+  return {};
+}
+
+void
+flow_state::PutTable(const put_table& aPut, std::optional<access_rules> aAccess)
 {
   // A version that is not higher changes nothing and is no error: it may be a
   // retry, or a later change may have overtaken it.
-  if (aPut.mTable.mVersion > mTable.mVersion) {
-    mTable = aPut.mTable;
-    mTableSource = aPut.mSource;
-    IndexQueues();
+  if (aPut.mTable.mVersion <= mTable.mVersion) {
+    return;
   }
-  return {};
+  mTable = aPut.mTable;
+  mTableSource = aPut.mSource;
+  KeepFormerOrganisations(aAccess);
+  mAccess = std::move(aAccess);
+  IndexQueues();
+  IndexAccess();
 }
 
 apply_outcome
 flow_state::On(const submit_job& aSubmit, std::int64_t aWallMs)
 {
-  if (mJobs.contains(aSubmit.mId)) {
-    return {}; // a retry of the same submission
+  return Submit(aSubmit, {}, aWallMs);
+}
+
+apply_outcome
+flow_state::Submit(const submit_job& aSubmit,
+                   const organisation_id& aOwner,
+                   std::int64_t aWallMs)
+{
+  if (const job_record* known = FindJob(aSubmit.mId)) {
+    // The same owner's is a retry of the same submission.
+    return known->mOwner == aOwner
+             ? apply_outcome{}
+             : Refuse(error_code::Conflict, "the id is another job's");
+  }
+  if (!aOwner.Value().empty() && FindOrganisation(aOwner) == nullptr) {
+    return Refuse(error_code::NotFound, "the organisation was removed");
   }
   job_record job;
+  job.mOwner = aOwner;
   job.mSpec = aSubmit.mSpec;
   job.mQueue = aSubmit.mQueue;
   job.mSubmittedWallMs = aWallMs;
@@ -299,10 +362,17 @@
 apply_outcome
 flow_state::On(const start_runs& aStart, std::int64_t /*aWallMs*/)
 {
+  const std::set<task_ref> refused = GangsBeyondQuota(aStart);
   apply_outcome outcome;
-  std::ranges::copy_if(aStart.mRuns,
-                       std::back_inserter(outcome.mStarted),
-                       [this](const run_start& aOne) { return Start(aOne); });
+  std::ranges::copy_if(
+    aStart.mRuns,
+    std::back_inserter(outcome.mStarted),
+    [&](const run_start& aOne) {
+      const task_ref& task = aOne.mRun.mTask;
+      return !refused.contains(
+               { task.mJob, task.mOccurrence, task.mStep, 0 }) &&
+             Start(aOne);
+    });
   return outcome;
 }
 
@@ -323,16 +393,22 @@
     return false;
   }
   occurrence_record& occurrence = job.mOccurrences.at(ref.mOccurrence);
-  if (!AreDependenciesDone(job, occurrence, ref.mStep)) {
+  const step_spec& step = job.mSpec.mSteps[ref.mStep];
+  organisations::quota_account* account = AccountOf(job);
+  if (!AreDependenciesDone(job, occurrence, ref.mStep) ||
+      (account != nullptr && !account->MayStart(step.mSize))) {
     return false;
   }
+  if (account != nullptr) {
+    account->Add(step.mSize);
+  }
   task->mPhase = task_phase::Placed;
   task->mAttempt = aStart.mRun.mAttempt;
   task->mWorker = aStart.mWorker;
   occurrence.mHasStarted = true;
   job.mHasStarted = true;
   ++job.mPlacedRuns;
-  mPlaced[aStart.mWorker].Add(aStart.mRun, job.mSpec.mSteps[ref.mStep]);
+  mPlaced[aStart.mWorker].Add(aStart.mRun, step);
   return true;
 }
 
@@ -351,6 +427,9 @@
   if (placed->second.mRuns.empty()) {
     mPlaced.erase(placed);
   }
+  if (organisations::quota_account* account = AccountOf(job)) {
+    account->Remove(job.mSpec.mSteps[aRun.mTask.mStep].mSize);
+  }
   UpdateLive(aRun.mTask.mJob, job);
 }
 
@@ -679,28 +758,39 @@
 bytes
 flow_state::Save() const
 {
-  return Encode(saved_state{
-    mTable, mTableSource, mJobs, mWorkers, mLastWorker, mCrashes });
+  saved_state saved{
+    { mTable, mTableSource, mJobs, mWorkers, mLastWorker, mCrashes },
+    mAccess,
+    mFormer,
+    {}
+  };
+  for (const auto& [id, job] : mJobs) {
+    if (!job.mOwner.Value().empty()) {
+      saved.mOwners.emplace(id, job.mOwner);
+    }
+  }
+  return Encode(saved);
 }
 
 result<void>
 flow_state::Restore(std::string_view aBytes)
 {
-  constexpr std::string_view kWhat = "restoring the workflow state";
-  auto read = Decode<saved_state>(aBytes, kWhat);
+  auto read = ReadSnapshot(aBytes);
   if (!read) {
-    auto older = Decode<saved_state_without_crashes>(aBytes, kWhat);
-    if (!older) {
-      return Fail(read.error());
-    }
-    read = std::move(older->mState);
-  }
-  mTable = std::move(read->mTable);
-  mTableSource = std::move(read->mTableSource);
-  mJobs = std::move(read->mJobs);
-  mWorkers = std::move(read->mWorkers);
-  mLastWorker = read->mLastWorker;
-  mCrashes = std::move(read->mCrashes);
+    return Fail(read.error());
+  }
+  saved_state_without_access& state = read->mState;
+  mTable = std::move(state.mTable);
+  mTableSource = std::move(state.mTableSource);
+  mJobs = std::move(state.mJobs);
+  mWorkers = std::move(state.mWorkers);
+  mLastWorker = state.mLastWorker;
+  mCrashes = std::move(state.mCrashes);
+  mAccess = std::move(read->mAccess);
+  mFormer = std::move(read->mFormer);
+  for (const auto& [id, owner] : read->mOwners) {
+    mJobs.at(id).mOwner = owner;
+  }
   RebuildIndexes();
   return {};
 }
@@ -711,15 +801,19 @@
   mLive.clear();
   mNumbers.clear();
   mPlaced.clear();
+  mAccounts.clear();
   IndexQueues();
+  IndexAccess();
   for (const auto& [number, worker] : mWorkers) {
     mNumbers[worker.mDescription.mId] = number;
   }
   for (const auto& [id, job] : mJobs) {
     UpdateLive(id, job);
+    organisations::quota_account* account = AccountOf(mJobs.at(id));
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-        IndexPlacedTasks({ id, number, step, 0 }, job, occurrence.mSteps[step]);
+        IndexPlacedTasks(
+          { id, number, step, 0 }, job, occurrence.mSteps[step], account);
       }
     }
   }
@@ -739,10 +833,14 @@
 void
 flow_state::IndexPlacedTasks(task_ref aFirst,
                              const job_record& aJob,
-                             const step_record& aStep)
+                             const step_record& aStep,
+                             organisations::quota_account* aAccount)
 {
   for (const task_record& task : aStep.mTasks) {
     if (task.mPhase == task_phase::Placed) {
+      if (aAccount != nullptr) {
+        aAccount->Add(aJob.mSpec.mSteps[aFirst.mStep].mSize);
+      }
       mPlaced[task.mWorker].Add({ aFirst, task.mAttempt },
                                 aJob.mSpec.mSteps[aFirst.mStep]);
     }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -10,6 +10,8 @@
 // - a task has at most one attempt that may be in progress, but the attempts of
 //   a gang's members are assigned together;
 // - no task of a step is placed before all steps that it depends on are done;
+// - the runs of an organisation that may be in progress take no more than its
+//   maximum, but for a single task that is larger by itself;
 // - no task is placed after its job has ended, or on a worker that is draining
 //   or has been removed;
 // - an end counts only for the attempt that is in progress, and only once;
@@ -27,6 +29,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "oriolewalk/base/codec.h"
@@ -35,6 +38,8 @@
 #include "oriolewalk/flow/crash_tracker.h"
 #include "oriolewalk/flow/records.h"
 #include "oriolewalk/flow/types.h"
+#include "oriolewalk/organisations/key_index.h"
+#include "oriolewalk/organisations/quota.h"
 
 namespace oriolewalk::flow {
 
@@ -59,6 +64,10 @@
 class flow_state
 {
 public:
+  // aKeySeed: for the hashes of callers' keys; unknown to callers. It isn't
+  // part of the replicated state.
+  explicit flow_state(std::uint64_t aKeySeed = 0);
+
   apply_outcome Apply(const command& aCommand);
 
   [[nodiscard]] const queue_table& Table() const { return mTable; }
@@ -101,6 +110,26 @@
   // has been removed since.
   [[nodiscard]] const queue_row& QueueOf(const job_record& aJob) const;
   [[nodiscard]] const crash_tracker& Crashes() const { return mCrashes; }
+
+  // None: everybody may use every queue.
+  [[nodiscard]] const std::optional<access_rules>& Access() const
+  {
+    return mAccess;
+  }
+  [[nodiscard]] bool IsPublic(const queue_row& aQueue) const;
+  // The organisation that the key belongs to in the table in force; null if
+  // there is none.
+  [[nodiscard]] const organisation_id* OwnerOfKey(std::string_view aKey) const
+  {
+    return mKeys.OwnerOf(aKey);
+  }
+  // The organisation's row in force, or its last one if it has been removed;
+  // null for an unknown one.
+  [[nodiscard]] const organisations::organisation_row* FindOrganisation(
+    const organisation_id& aName) const;
+  // What the organisations' runs take that may be in progress. An organisation
+  // without a row or a run has no account.
+  [[nodiscard]] const auto& Accounts() const { return mAccounts; }
   // The number of accepted jobs of the queue without a placed task so far.
   [[nodiscard]] std::uint64_t PendingJobs(std::string_view aQueue) const;
 
@@ -134,6 +163,22 @@
   apply_outcome On(const mark_runs_lost& aLost, std::int64_t aWallMs);
   apply_outcome On(const record_worker_return& aReturn, std::int64_t aWallMs);
   apply_outcome On(const record_worker_crash& aCrash, std::int64_t aWallMs);
+  apply_outcome On(const put_table_with_access& aPut, std::int64_t aWallMs);
+  apply_outcome On(const submit_owned_job& aSubmit, std::int64_t aWallMs);
+
+  void PutTable(const put_table& aPut, std::optional<access_rules> aAccess);
+  apply_outcome Submit(const submit_job& aSubmit,
+                       const organisation_id& aOwner,
+                       std::int64_t aWallMs);
+  // Keeps the rows of organisations that the new rules no longer have, as long
+  // as they have jobs.
+  void KeepFormerOrganisations(const std::optional<access_rules>& aNext);
+  void IndexAccess();
+  // Gangs of which not all members in the command fit their owner's maximum.
+  [[nodiscard]] std::set<task_ref> GangsBeyondQuota(
+    const start_runs& aStart) const;
+  // The account that the runs of the job count in; null if nobody owns it.
+  organisations::quota_account* AccountOf(const job_record& aJob);
 
   void OpenOccurrence(job_record& aJob,
                       std::uint32_t aNumber,
@@ -182,9 +227,11 @@
   void RebuildIndexes();
   void IndexQueues();
   // Indexes the placed tasks of a step. aFirst: the step's first task.
+  // aAccount: of the job's owner, or null.
   void IndexPlacedTasks(task_ref aFirst,
                         const job_record& aJob,
-                        const step_record& aStep);
+                        const step_record& aStep,
+                        organisations::quota_account* aAccount);
   [[nodiscard]] std::uint32_t MaxAttempts(const job_record& aJob) const;
 
   queue_table mTable;
@@ -193,12 +240,19 @@
   std::map<worker_number, worker_record> mWorkers;
   worker_number mLastWorker = 0;
   crash_tracker mCrashes;
+  std::optional<access_rules> mAccess;
+  // Without keys.
+  std::map<organisation_id, organisations::organisation_row> mFormer;
 
   // Derived from the members above.
   std::map<job_id, const job_record*> mLive; // into mJobs' stable nodes
   std::map<worker_id, worker_number> mNumbers;
   std::unordered_map<std::string, std::size_t> mQueueIndexes; // index by name
   std::unordered_map<worker_number, placed_runs> mPlaced;
+  organisations::key_index mKeys;
+  std::unordered_map<organisation_id, std::size_t> mOrganisationIndexes;
+  std::unordered_set<std::string> mPublicQueues;
+  std::unordered_map<organisation_id, organisations::quota_account> mAccounts;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -48,11 +48,17 @@
       }
     });
   if (!proposed) {
-    mPort.mFail(aCall,
-                { error_code::Busy, "propose", {}, "too much is under way" });
+    FailBusy(aCall);
   }
 }
 
+void
+leader_core::FailBusy(call_number aCall)
+{
+  mPort.mFail(aCall,
+              { error_code::Busy, "propose", {}, "too much is under way" });
+}
+
 void
 leader_core::HandleRequest(call_number aCall, const flow_request& aRequest)
 {
@@ -69,97 +75,190 @@
                                         mPort.mMembers() });
 }
 
+void
+leader_core::AnswerCaller(call_number aCall,
+                          job_reply aReply,
+                          std::string aText)
+{
+  mPort.mAnswer(aCall, job_answer{ aReply, std::move(aText), 0, 0 });
+}
+
+std::optional<organisation_id>
+leader_core::Authenticate(const queue_row* aQueue, std::string_view aKey) const
+{
+  if (!mState.Access() || (aQueue != nullptr && mState.IsPublic(*aQueue))) {
+    return organisation_id();
+  }
+  const organisation_id* owner = mState.OwnerOfKey(aKey);
+  return owner == nullptr ? std::nullopt : std::optional(*owner);
+}
+
+// Callers of one organisation learn as little of another's job as of a job that
+// doesn't exist.
+const job_record*
+leader_core::FindVisibleJob(std::string_view aPath,
+                            const std::optional<organisation_id>& aCaller) const
+{
+  if (aPath.size() < kJobIdLength) {
+    return nullptr;
+  }
+  const job_record* job = mState.FindJob(
+    job_id(std::string(aPath.substr(aPath.size() - kJobIdLength))));
+  const bool visible =
+    job != nullptr && (job->mOwner.Value().empty() || job->mOwner == aCaller);
+  return visible ? job : nullptr;
+}
+
 void
 leader_core::Handle(call_number aCall, const job_submission& aJob)
+{
+  Serve(aCall, aJob, {});
+}
+
+void
+leader_core::Handle(call_number aCall, const job_query& aQuery)
+{
+  Serve(aCall, aQuery, {});
+}
+
+void
+leader_core::Handle(call_number aCall, const job_cancellation& aCancel)
+{
+  Serve(aCall, aCancel, {});
+}
+
+void
+leader_core::Handle(call_number aCall, const keyed_request& aRequest)
+{
+  std::visit([&](const auto& aOne) { Serve(aCall, aOne, aRequest.mKey); },
+             aRequest.mRequest);
+}
+
+void
+leader_core::Serve(call_number aCall,
+                   const job_submission& aJob,
+                   std::string_view aKey)
 {
   const auto& place = aJob.mPath;
   if (mState.Table().mVersion == 0) {
-    mPort.mAnswer(aCall, job_answer{ job_reply::NotConfigured, {}, 0, 0 });
+    AnswerCaller(aCall, job_reply::NotConfigured);
     return;
   }
   const queue_row* queue = mState.Table().Route(place.mHost, place.mPath);
   if (queue == nullptr) {
-    mPort.mAnswer(aCall, job_answer{ job_reply::NoQueue, {}, 0, 0 });
+    AnswerCaller(aCall, job_reply::NoQueue);
+    return;
+  }
+  const std::optional<organisation_id> owner = Authenticate(queue, aKey);
+  if (!owner) {
+    AnswerCaller(aCall, job_reply::Unauthorized);
     return;
   }
   const std::string id = place.mPath.substr(queue->mPrefix.size());
   if (!IsJobId(id)) {
-    mPort.mAnswer(
-      aCall,
-      job_answer{ job_reply::Malformed, "not 16 hexadecimal digits", 0, 0 });
+    AnswerCaller(aCall, job_reply::Malformed, "not 16 hexadecimal digits");
     return;
   }
-  const job_answer accepted{ job_reply::Accepted, {}, 0, 0 };
-  if (mState.FindJob(job_id(id)) != nullptr) {
-    mPort.mAnswer(aCall, accepted);
+  if (const job_record* known = mState.FindJob(job_id(id))) {
+    AnswerCaller(aCall,
+                 known->mOwner == *owner ? job_reply::Accepted
+                                         : job_reply::Conflict);
     return;
   }
   if (const auto sound = CheckJob(aJob.mSpec); !sound) {
-    mPort.mAnswer(
-      aCall, job_answer{ job_reply::Malformed, sound.error().mMessage, 0, 0 });
+    AnswerCaller(aCall, job_reply::Malformed, sound.error().mMessage);
     return;
   }
-  LogAccepted(id, *queue, aJob.mSpec);
-  ProposeAndAnswer(
-    aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, accepted);
+  LogAccepted(id, *queue, aJob.mSpec, *owner);
+  ProposeSubmission(
+    aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, *owner);
 }
 
+// Whether the organisation still exists, and whether the id is free, is decided
+// where the job is committed.
 void
-leader_core::Handle(call_number aCall, const job_query& aQuery)
+leader_core::ProposeSubmission(call_number aCall,
+                               submit_job aSubmit,
+                               const organisation_id& aOwner)
+{
+  command_body body = std::move(aSubmit);
+  if (!aOwner.Value().empty()) {
+    body = submit_owned_job{ std::get<submit_job>(std::move(body)), aOwner };
+  }
+  const bool proposed =
+    mPort.mPropose(std::move(body), [this, aCall](const apply_outcome& aDone) {
+      if (!aDone.mError) {
+        AnswerCaller(aCall, job_reply::Accepted);
+      } else if (aDone.mError->mCode == error_code::Conflict) {
+        AnswerCaller(aCall, job_reply::Conflict);
+      } else {
+        AnswerCaller(aCall, job_reply::Unauthorized);
+      }
+    });
+  if (!proposed) {
+    FailBusy(aCall);
+  }
+}
+
+void
+leader_core::Serve(call_number aCall,
+                   const job_query& aQuery,
+                   std::string_view aKey)
 {
   if (mState.Table().mVersion == 0) {
-    mPort.mAnswer(aCall, job_answer{ job_reply::NotConfigured, {}, 0, 0 });
+    AnswerCaller(aCall, job_reply::NotConfigured);
     return;
   }
   const auto& place = aQuery.mPath;
   const queue_row* queue = mState.Table().Route(place.mHost, place.mPath);
-  const std::string_view path = place.mPath;
-  const job_record* job =
-    path.size() < kJobIdLength
-      ? nullptr
-      : mState.FindJob(
-          job_id(std::string(path.substr(path.size() - kJobIdLength))));
-  if (job != nullptr) {
-    AnswerState(aCall, *job);
+  const std::optional<organisation_id> caller = Authenticate(queue, aKey);
+  if (queue != nullptr && !caller) {
+    AnswerCaller(aCall, job_reply::Unauthorized);
+    return;
+  }
+  if (const job_record* job = FindVisibleJob(place.mPath, caller)) {
+    AnswerCaller(aCall, job_reply::State, std::string(StateName(*job)));
     return;
   }
   if (queue == nullptr) {
-    mPort.mAnswer(aCall, job_answer{ job_reply::NoQueue, {}, 0, 0 });
+    AnswerCaller(aCall, job_reply::NoQueue);
     return;
   }
-  if (path.size() == queue->mPrefix.size()) {
+  if (place.mPath.size() == queue->mPrefix.size()) {
     mPort.mAnswer(
       aCall,
       job_answer{
         job_reply::Pending, {}, mState.PendingJobs(queue->mName), 0 });
     return;
   }
-  mPort.mAnswer(aCall, job_answer{ job_reply::NotFound, {}, 0, 0 });
+  AnswerCaller(aCall, job_reply::NotFound);
 }
 
 void
-leader_core::AnswerState(call_number aCall, const job_record& aJob)
+leader_core::Serve(call_number aCall,
+                   const job_cancellation& aCancel,
+                   std::string_view aKey)
 {
-  mPort.mAnswer(
-    aCall, job_answer{ job_reply::State, std::string(StateName(aJob)), 0, 0 });
-}
-
-void
-leader_core::Handle(call_number aCall, const job_cancellation& aCancel)
-{
-  const std::string_view path = aCancel.mPath.mPath;
-  const job_id id(std::string(
-    path.substr(path.size() - std::min(path.size(), kJobIdLength))));
-  const job_record* job = mState.FindJob(id);
-  const job_answer cancelled{ job_reply::Cancelled, {}, 0, 0 };
+  const auto& place = aCancel.mPath;
+  const queue_row* queue = mState.Table().Route(place.mHost, place.mPath);
+  const std::optional<organisation_id> caller = Authenticate(queue, aKey);
+  if (queue != nullptr && !caller) {
+    AnswerCaller(aCall, job_reply::Unauthorized);
+    return;
+  }
+  const job_record* job = FindVisibleJob(place.mPath, caller);
   if (job == nullptr) {
-    mPort.mAnswer(aCall, job_answer{ job_reply::NotFound, {}, 0, 0 });
-  } else if (!job->IsActive()) {
-    mPort.mAnswer(aCall, cancelled);
-  } else {
-    mPort.mLogDecision({ "job.cancel", { { "job", id.Value() } } });
-    ProposeAndAnswer(aCall, cancel_job{ id }, cancelled);
+    AnswerCaller(aCall, job_reply::NotFound);
+    return;
+  }
+  if (!job->IsActive()) {
+    AnswerCaller(aCall, job_reply::Cancelled);
+    return;
   }
+  const job_id id(place.mPath.substr(place.mPath.size() - kJobIdLength));
+  mPort.mLogDecision({ "job.cancel", { { "job", id.Value() } } });
+  ProposeAndAnswer(
+    aCall, cancel_job{ id }, job_answer{ job_reply::Cancelled, {}, 0, 0 });
 }
 
 bool
@@ -341,6 +440,24 @@
 
 void
 leader_core::Handle(call_number aCall, const table_change& aChange)
+{
+  ProposeTable(aCall, aChange, put_table{ aChange.mTable, aChange.mSource });
+}
+
+void
+leader_core::Handle(call_number aCall, const table_change_with_access& aChange)
+{
+  const table_change& change = aChange.mChange;
+  ProposeTable(aCall,
+               change,
+               put_table_with_access{ { change.mTable, change.mSource },
+                                      aChange.mAccess });
+}
+
+void
+leader_core::ProposeTable(call_number aCall,
+                          const table_change& aChange,
+                          command_body aBody)
 {
   mPort.mLogDecision(
     { "table.put",
@@ -350,8 +467,7 @@
     mPort.mAnswer(aCall, acknowledgement{});
     return;
   }
-  ProposeAndAnswer(
-    aCall, put_table{ aChange.mTable, aChange.mSource }, acknowledgement{});
+  ProposeAndAnswer(aCall, std::move(aBody), acknowledgement{});
 }
 
 void
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -26,6 +26,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
@@ -125,20 +126,48 @@
   void Handle(call_number aCall, const job_submission& aJob);
   void Handle(call_number aCall, const job_query& aQuery);
   void Handle(call_number aCall, const job_cancellation& aCancel);
+  void Handle(call_number aCall, const keyed_request& aRequest);
   void Handle(call_number aCall, const worker_heartbeat& aHeartbeat);
   void Handle(call_number aCall, const heartbeat_summary& aSummary);
   void Handle(call_number aCall, const worker_deregistration& aDeregistration);
   void Handle(call_number aCall, const table_change& aChange);
+  void Handle(call_number aCall, const table_change_with_access& aChange);
   void Handle(call_number aCall, const table_read& aRead);
   void Handle(call_number aCall, const join_request& aJoin);
   void Handle(call_number aCall, const leader_probe& aProbe);
 
   void Propose(command_body aBody, leader_port::on_applied aThen = {});
+  void FailBusy(call_number aCall);
   // Proposes aBody and answers the call with aAnswer once it is applied.
   void ProposeAndAnswer(call_number aCall,
                         command_body aBody,
                         flow_answer aAnswer);
-  void AnswerState(call_number aCall, const job_record& aJob);
+  // The requests of callers; aKey is empty without one.
+  void Serve(call_number aCall,
+             const job_submission& aJob,
+             std::string_view aKey);
+  void Serve(call_number aCall, const job_query& aQuery, std::string_view aKey);
+  void Serve(call_number aCall,
+             const job_cancellation& aCancel,
+             std::string_view aKey);
+  void AnswerCaller(call_number aCall,
+                    job_reply aReply,
+                    std::string aText = {});
+  // The organisation that sends the request, empty if the queue is public. None
+  // if the queue requires a key and this is no organisation's.
+  [[nodiscard]] std::optional<organisation_id> Authenticate(
+    const queue_row* aQueue,
+    std::string_view aKey) const;
+  // The job, if the caller may see it.
+  [[nodiscard]] const job_record* FindVisibleJob(
+    std::string_view aPath,
+    const std::optional<organisation_id>& aCaller) const;
+  void ProposeSubmission(call_number aCall,
+                         submit_job aSubmit,
+                         const organisation_id& aOwner);
+  void ProposeTable(call_number aCall,
+                    const table_change& aChange,
+                    command_body aBody);
   void OnStartsApplied(const std::vector<run_start>& aProposed,
                        const apply_outcome& aOutcome);
   void StopRuns(const job_id& aId, const job_record& aJob);
@@ -164,7 +193,8 @@
   [[nodiscard]] bool AffectsTopPriority(const command_body& aCommand) const;
   void LogAccepted(const std::string& aId,
                    const queue_row& aQueue,
-                   const job_spec& aSpec);
+                   const job_spec& aSpec,
+                   const organisation_id& aOwner);
   void LogWaits(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void Start(std::vector<planned_start> aStarts);
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -62,12 +62,14 @@
 void
 leader_core::LogAccepted(const std::string& aId,
                          const queue_row& aQueue,
-                         const job_spec& aSpec)
+                         const job_spec& aSpec,
+                         const organisation_id& aOwner)
 {
   mPort.mLogDecision(
     { "job.accepted",
       { { "job", aId },
         { "queue", aQueue.mName },
+        { "organisation", aOwner.Value() },
         { "priority", std::to_string(aQueue.mPriority) },
         { "table", std::to_string(mState.Table().mVersion) },
         { "objective_ms", std::to_string(ObjectiveMs(aSpec, aQueue)) },
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -149,6 +149,9 @@
   return std::visit(
     overloaded{
       [](const submit_job& aSubmit) { return aSubmit.mQueue.mPriority == 0; },
+      [](const submit_owned_job& aSubmit) {
+        return aSubmit.mSubmit.mQueue.mPriority == 0;
+      },
       [&](const end_runs& aEnds) {
         return mTopPriorityWaiting > 0 ||
                std::ranges::any_of(aEnds.mEnds, isTopPriority, &run_end::mRun);
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -174,6 +174,19 @@
   }
 };
 
+// A table that says who may use its queues.
+struct table_change_with_access
+{
+  table_change mChange;
+  access_rules mAccess;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mChange, mAccess);
+  }
+};
+
 struct table_read
 {
   template<class Archive>
@@ -195,6 +208,20 @@
   }
 };
 
+// A caller's request that came with a key. A request without one is sent by
+// itself, so that a leader of an earlier version can read it.
+struct keyed_request
+{
+  std::string mKey; // a secret
+  std::variant<job_submission, job_query, job_cancellation> mRequest;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mKey, mRequest);
+  }
+};
+
 using flow_request = std::variant<entry_heartbeat,
                                   job_submission,
                                   job_query,
@@ -205,7 +232,9 @@
                                   table_read,
                                   join_request,
                                   leader_probe,
-                                  heartbeat_summary>;
+                                  heartbeat_summary,
+                                  keyed_request,
+                                  table_change_with_access>;
 
 struct entry_heartbeat_answer
 {
@@ -230,7 +259,9 @@
   State,
   Pending,
   Cancelled,
-  Malformed, // mText describes the error
+  Malformed,    // mText describes the error
+  Unauthorized, // no key, or one that no organisation has
+  Conflict,     // the id is that of another organisation's job
 };
 
 struct job_answer
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "oriolewalk/flow/organisation_order.h"
+
 namespace oriolewalk::flow {
 
 namespace {
@@ -46,16 +48,9 @@
 class collector
 {
 public:
-  collector(const flow_state& aState,
-            const std::map<task_ref, worker_number>& aProposed,
-            std::int64_t aWallMs,
-            plan_scope aScope,
-            const suspect_summary& aSuspicions)
+  collector(const flow_state& aState, const open_steps_input& aInput)
     : mState(aState)
-    , mProposed(aProposed)
-    , mWallMs(aWallMs)
-    , mScope(aScope)
-    , mSuspicions(aSuspicions)
+    , mInput(aInput)
   {
   }
 
@@ -87,14 +82,20 @@
       if (considered >= kMaxConsidered) {
         break;
       }
+      if (mInput.mQuotas != nullptr &&
+          mInput.mQuotas->IsExhausted(*step.mJob, *step.mSpec)) {
+        step.mAtQuota = true;
+        continue;
+      }
       step.mWaiting = WaitingOf(step.mRef, *step.mRecord);
       if (!mState.Crashes().Records().empty()) {
         MoveSuspectsLast(step, listedSuspects[step.mRef.mJob]);
       }
       considered += step.mWaiting.size();
     }
-    std::erase_if(
-      aSteps, [](const open_step& aStep) { return aStep.mWaiting.empty(); });
+    std::erase_if(aSteps, [](const open_step& aStep) {
+      return aStep.mWaiting.empty() && !aStep.mAtQuota;
+    });
   }
 
 private:
@@ -108,7 +109,7 @@
     for (std::uint32_t step = 0; step < aOccurrence.mSteps.size(); ++step) {
       const step_record& record = aOccurrence.mSteps[step];
       const bool hasWaitingTask =
-        (mScope == plan_scope::All ||
+        (mInput.mScope == plan_scope::All ||
          IsTopPriority(queue, aJob.mSpec.mSteps[step])) &&
         !record.IsDone() &&
         flow_state::AreDependenciesDone(aJob, aOccurrence, step) &&
@@ -118,14 +119,15 @@
       if (!hasWaitingTask) {
         continue;
       }
-      aSteps.push_back({ { aId, aNumber, step },
-                         &aJob,
-                         &queue,
-                         &aJob.mSpec.mSteps[step],
-                         &record,
-                         {},
-                         {},
-                         SlackMs(aJob, queue, aOccurrence, step, mWallMs) });
+      aSteps.push_back(
+        { { aId, aNumber, step },
+          &aJob,
+          &queue,
+          &aJob.mSpec.mSteps[step],
+          &record,
+          {},
+          {},
+          SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs) });
     }
   }
 
@@ -137,7 +139,8 @@
     for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
       const task_ref ref{ aStep.mJob, aStep.mOccurrence, aStep.mStep, index };
       if (aRecord.mTasks[index].mPhase == task_phase::Waiting &&
-          !mProposed.contains(ref) && !mSuspicions.mBlocked.contains(ref)) {
+          !mInput.mProposed->contains(ref) &&
+          !mInput.mSuspicions->mBlocked.contains(ref)) {
         waiting.push_back(index);
       }
     }
@@ -172,7 +175,7 @@
     if (aStep.mSpec->mGang) {
       return;
     }
-    const std::uint32_t max = mSuspicions.MaxStarts(crashes, ref.mJob);
+    const std::uint32_t max = mInput.mSuspicions->MaxStarts(crashes, ref.mJob);
     const auto suspects = static_cast<std::uint32_t>(aStep.mSuspects.size());
     const std::uint32_t allowed =
       std::min(suspects, max - std::min(max, aListed));
@@ -181,10 +184,7 @@
   }
 
   const flow_state& mState;
-  const std::map<task_ref, worker_number>& mProposed;
-  std::int64_t mWallMs;
-  plan_scope mScope;
-  const suspect_summary& mSuspicions;
+  const open_steps_input& mInput;
 };
 
 } // namespace
@@ -209,23 +209,21 @@
 }
 
 std::vector<open_step>
-CollectOpenSteps(const flow_state& aState,
-                 const std::map<task_ref, worker_number>& aProposed,
-                 std::int64_t aWallMs,
-                 plan_order aOrder,
-                 plan_scope aScope,
-                 const suspect_summary& aSuspicions)
+CollectOpenSteps(const flow_state& aState, const open_steps_input& aInput)
 {
-  const collector collect(aState, aProposed, aWallMs, aScope, aSuspicions);
+  const collector collect(aState, aInput);
   std::vector<open_step> steps = collect.Find();
-  std::ranges::sort(steps, {}, [aOrder](const open_step& aStep) {
+  std::ranges::sort(steps, {}, [&](const open_step& aStep) {
     const int priority =
-      aOrder == plan_order::Arrival ? 0 : aStep.mQueue->mPriority;
-    const std::int64_t next = aOrder == plan_order::LeastSlack
+      aInput.mOrder == plan_order::Arrival ? 0 : aStep.mQueue->mPriority;
+    const std::int64_t next = aInput.mOrder == plan_order::LeastSlack
                                 ? aStep.mSlackMs
                                 : aStep.mJob->mSubmittedWallMs;
     return std::make_tuple(priority, next, aStep.mRef);
   });
+  if (aInput.mOrder != plan_order::Arrival) {
+    OrderByShares(steps, aState, aInput.mCapacity, aInput.mShares);
+  }
   collect.ListTasks(steps);
   return steps;
 }
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -3,7 +3,9 @@
 // The first stage of a plan: collects the steps that have tasks to place, in
 // the order in which they are served.
 //
-//   for (const open_step& step : CollectOpenSteps(state, proposed, wallMs)) ...
+//   for (const open_step& step :
+//        CollectOpenSteps(state, { .mProposed = &proposed, .mWallMs = now }))
+//        ...
 //
 // Steps are ordered by priority, then by least slack. Without the order by
 // slack, large jobs that have time left take the capacity of jobs that must
@@ -11,6 +13,9 @@
 // queue starve: the fraction of a queue's jobs in time fell from 0.99 to 0.95
 // on one day and from 0.87 to 0.72 on another.
 //
+// Of an organisation that is at its maximum the tasks aren't listed, however
+// many wait.
+//
 // Pure. The cost is linear in the live jobs and the waiting tasks, of which at
 // most kMaxConsidered are listed.
 
@@ -19,17 +24,25 @@
 #include <vector>
 
 #include "oriolewalk/flow/plan_types.h"
+#include "oriolewalk/flow/quota_planner.h"
 
 namespace oriolewalk::flow {
 
-// aProposed: starts that are not yet applied; these tasks count as started.
+struct open_steps_input
+{
+  // Starts that are not yet applied; these tasks count as started.
+  const std::map<task_ref, worker_number>* mProposed = nullptr;
+  std::int64_t mWallMs = 0;
+  plan_order mOrder = plan_order::LeastSlack;
+  share_rule mShares = share_rule::None;
+  plan_scope mScope = plan_scope::All;
+  const suspect_summary* mSuspicions = nullptr;
+  quota_planner* mQuotas = nullptr;
+  cell::resources mCapacity{}; // of all workers together
+};
+
 std::vector<open_step>
-CollectOpenSteps(const flow_state& aState,
-                 const std::map<task_ref, worker_number>& aProposed,
-                 std::int64_t aWallMs,
-                 plan_order aOrder = plan_order::LeastSlack,
-                 plan_scope aScope = plan_scope::All,
-                 const suspect_summary& aSuspicions = {});
+CollectOpenSteps(const flow_state& aState, const open_steps_input& aInput);
 
 // How many milliseconds after its first submission a job must end to be in
 // time, from the caller's estimates.
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -48,6 +48,10 @@
   // the worker than when the start was planned. The rest of the duration of an
   // order is for its transit.
   milliseconds mMaxStartDelay{ 400 };
+  // The order to start an organisation's task is sent within this time of the
+  // commit of the start: a table that lowers its maximum may be in force
+  // everywhere soon afterwards.
+  milliseconds mMaxQuotaAge{ 2'000 };
   // Interval between a worker's heartbeats.
   milliseconds mHeartbeatInterval{ 1'500 };
   // A silent worker is removed after this time, if nothing can still run there.
--- a/oriolewalk/flow/plan_policy.h
+++ b/oriolewalk/flow/plan_policy.h
@@ -25,6 +25,17 @@
   TopPriority, // only top-priority steps, whatever the backlog behind them
 };
 
+// How the steps of a priority are ordered among organisations.
+enum class share_rule : std::uint8_t
+{
+  None, // like the steps of one organisation
+  // Steps beyond their organisation's share of the capacity come last. The
+  // share counts only where several organisations have waiting steps.
+  WithinShare,
+  // The organisation with the smallest weighted dominant share is next.
+  DominantShare,
+};
+
 // How a worker is selected from those on which a task fits.
 enum class placement_rule : std::uint8_t
 {
@@ -36,6 +47,7 @@
 struct plan_policy
 {
   plan_order mOrder = plan_order::LeastSlack;
+  share_rule mShares = share_rule::WithinShare;
   placement_rule mPlacement = placement_rule::Packing;
   bool mQueriesAhead = true; // advice queries include workers that are full
   bool mReservesCapacity =
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -46,10 +46,12 @@
   const step_spec* mSpec = nullptr;
   const step_record* mRecord = nullptr;
   // Indexes of the waiting tasks. Tasks suspected of crashing their workers
-  // come last.
+  // come last. Empty if mAtQuota.
   std::vector<std::uint32_t> mWaiting;
   std::map<std::uint32_t, suspicion> mSuspects;
   std::int64_t mSlackMs = 0; // time left until it must start to be in time
+  bool mBeyondShare = false; // of its organisation; see organisation_order.h
+  bool mAtQuota = false; // its organisation can't start any of its tasks now
 };
 
 inline suspicion
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -7,6 +7,7 @@
 
 #include "oriolewalk/flow/open_steps.h"
 #include "oriolewalk/flow/placement.h"
+#include "oriolewalk/flow/quota_planner.h"
 #include "oriolewalk/flow/reservations.h"
 
 namespace oriolewalk::flow {
@@ -21,6 +22,7 @@
   explicit plan_maker(plan_input aInput)
     : mInput(std::move(aInput))
     , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
+    , mQuotas(*mInput.mState, *mInput.mProposed)
   {
     for (plan_worker& worker : mInput.mWorkers) {
       mByNumber[worker.mNumber] = &worker;
@@ -34,19 +36,29 @@
 
   plan_result Run()
   {
-    const std::vector<open_step> steps = CollectOpenSteps(*mInput.mState,
-                                                          *mInput.mProposed,
-                                                          mInput.mWallMs,
-                                                          mInput.mPolicy.mOrder,
-                                                          mInput.mScope,
-                                                          mInput.mSuspicions);
+    cell::resources capacity;
+    for (const plan_worker& worker : mInput.mWorkers) {
+      capacity += worker.mDescription->mCapacity;
+    }
+    std::vector<open_step> steps =
+      CollectOpenSteps(*mInput.mState,
+                       { .mProposed = mInput.mProposed,
+                         .mWallMs = mInput.mWallMs,
+                         .mOrder = mInput.mPolicy.mOrder,
+                         .mShares = mInput.mPolicy.mShares,
+                         .mScope = mInput.mScope,
+                         .mSuspicions = &mInput.mSuspicions,
+                         .mQuotas = &mQuotas,
+                         .mCapacity = capacity });
     mAdvisors.emplace(mInput.mAdvisors,
                       mInput.mPolicy.mSharesAdvisors ? steps
                                                      : std::vector<open_step>(),
                       *mInput.mAdvice,
                       *mInput.mOpenQueries);
-    for (const open_step& step : steps) {
-      Serve(step);
+    for (open_step& step : steps) {
+      if (LimitToQuota(step)) {
+        Serve(step);
+      }
     }
     for (const plan_worker& worker : mInput.mWorkers) {
       mResult.mFree += worker.mFree;
@@ -83,10 +95,44 @@
     return approved;
   }
 
+  // Removes the waiting tasks that the quota of their organisation doesn't
+  // allow to start. Returns false if none is left: the step then neither
+  // reserves or preempts capacity nor queries the policy service.
+  bool LimitToQuota(open_step& aStep)
+  {
+    const bool wasListed = !aStep.mAtQuota;
+    const std::size_t waiting = aStep.mWaiting.size();
+    const std::size_t startable =
+      wasListed ? mQuotas.Startable(*aStep.mJob, *aStep.mSpec, waiting) : 0;
+    if (wasListed && startable == waiting) {
+      return true;
+    }
+    const std::size_t tasks = aStep.mRecord->mTasks.size();
+    const std::size_t left =
+      wasListed ? waiting - startable : tasks - aStep.mRecord->mDoneTasks;
+    mResult.mWaiting += left;
+    mResult.mUrgentWaiting += aStep.mQueue->mPriority == 0 ? left : 0;
+    if (startable > 0) {
+      aStep.mWaiting.resize(startable);
+      return true;
+    }
+    if (aStep.mSpec->mGang || mQuotas.IsOversize(*aStep.mJob, *aStep.mSpec)) {
+      mQuotas.HoldForWhole(*aStep.mJob, *aStep.mSpec, tasks);
+    }
+    mResult.mWaits.push_back(
+      { aStep.mRef, aStep.mQueue->mName, wait_cause::Quota, left });
+    return false;
+  }
+
   void Serve(const open_step& aStep)
   {
     step_placement placement(aStep, *mInput.mProposed, mInput.mPolicy);
     const std::size_t placed = PlaceNow(aStep, placement);
+    // Users notice each second of a top-priority step's delay, so later steps
+    // of its organisation can't use the quota that it waits to use.
+    const bool holdsAll = IsTopPriority(*aStep.mQueue, *aStep.mSpec);
+    mQuotas.Hold(
+      *aStep.mJob, *aStep.mSpec, holdsAll ? aStep.mWaiting.size() : placed);
     const std::size_t left = aStep.mWaiting.size() - placed;
     mResult.mWaiting += left;
     mResult.mUrgentWaiting += aStep.mQueue->mPriority == 0 ? left : 0;
@@ -349,6 +395,7 @@
   std::unordered_map<worker_number, plan_worker*> mByNumber;
   std::map<service_id, worker_list> mByService;
   reservation_planner mReservations;
+  quota_planner mQuotas;
   std::optional<advisor_pool> mAdvisors;
   plan_result mResult;
 };
--- a/oriolewalk/flow/records.h
+++ b/oriolewalk/flow/records.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "oriolewalk/base/codec.h"
+#include "oriolewalk/base/id.h"
 #include "oriolewalk/flow/types.h"
 
 namespace oriolewalk::flow {
@@ -84,6 +85,9 @@
   bool mHasStarted = false;
   std::map<std::uint32_t, occurrence_record> mOccurrences;
   std::uint32_t mPlacedRuns = 0; // runs that may be in progress
+  // The organisation that submitted it; empty: it came through a public queue.
+  // A snapshot keeps the owners apart from the records.
+  organisation_id mOwner;
 
   [[nodiscard]] bool IsActive() const { return mState == job_state::Active; }
 
--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -20,6 +20,7 @@
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/id.h"
 #include "oriolewalk/cell/resources.h"
+#include "oriolewalk/organisations/organisation_row.h"
 
 namespace oriolewalk::flow {
 
@@ -132,6 +133,20 @@
 result<void>
 CheckTable(const queue_table& aTable);
 
+// The part of the table that says who may use the queues. A table without it
+// lets everybody use every queue.
+struct access_rules
+{
+  std::vector<organisations::organisation_row> mOrganisations;
+  std::vector<std::string> mPublicQueues; // names of queues that need no key
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mOrganisations, mPublicQueues);
+  }
+};
+
 struct step_spec
 {
   std::uint32_t mCount = 1;
--- a/oriolewalk/flow/waits.cc
+++ b/oriolewalk/flow/waits.cc
@@ -18,6 +18,8 @@
       return "gang";
     case wait_cause::Nowhere:
       return "nowhere";
+    case wait_cause::Quota:
+      return "quota";
   }
   return "unknown";
 }
--- a/oriolewalk/flow/waits.h
+++ b/oriolewalk/flow/waits.h
@@ -32,9 +32,10 @@
   Room,    // no approved worker has free capacity
   Gang,    // members of the last attempt haven't ended
   Nowhere, // no usable worker is approved for the step
+  Quota,   // its organisation has its maximum running
 };
 
-constexpr std::size_t kWaitCauses = 6;
+constexpr std::size_t kWaitCauses = 7;
 
 std::string_view
 ToString(wait_cause aCause);
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -205,13 +205,17 @@
     return;
   }
   found->second.mRuns[aStart.mRun] = {};
+  time_point sendBefore = SendStartsBefore(found->second);
+  if (!job->mOwner.Value().empty()) {
+    sendBefore = std::min(sendBefore, aNow + mOptions.mMaxQuotaAge);
+  }
   Send(
     aStart.mWorker,
     start_order{
       aStart.mRun, job->mSpec.mPayload, task->mCheckpoint, std::move(aTicket) },
     true,
     aNow,
-    SendStartsBefore(found->second));
+    sendBefore);
 }
 
 // A heartbeat that reported another capacity, which isn't committed yet, shows
--- a/oriolewalk/storage/posix_file_system.cc
+++ b/oriolewalk/storage/posix_file_system.cc
@@ -23,8 +23,9 @@
 namespace oriolewalk::storage {
 namespace {
 
-constexpr mode_t kFileMode = 0640;
-constexpr mode_t kFolderMode = 0750;
+// The data holds callers' keys.
+constexpr mode_t kFileMode = 0600;
+constexpr mode_t kFolderMode = 0700;
 constexpr std::size_t kReadChunk = 256UL * 1024UL;
 
 tl::unexpected<error>
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -505,10 +505,11 @@
 }
 
 std::string
-fake_group::StateOf(const std::string& aId)
+fake_group::StateOf(const std::string& aId, const std::string& aKey)
 {
-  const auto answer =
-    SendRequest(job_query{ { "jobs.example", "/fees/" + aId } });
+  const job_query query{ { "jobs.example", "/fees/" + aId } };
+  const auto answer = aKey.empty() ? SendRequest(query)
+                                   : SendRequest(keyed_request{ aKey, query });
   const auto* job = answer ? std::get_if<job_answer>(&*answer) : nullptr;
   return job == nullptr ? "" : job->mText;
 }
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -72,7 +72,8 @@
   // time.
   std::optional<flow_answer> SendRequest(const flow_request& aRequest);
   void Submit(const std::string& aId, std::vector<step_spec> aSteps);
-  std::string StateOf(const std::string& aId);
+  // aKey: of the organisation that owns the job; empty: nobody does.
+  std::string StateOf(const std::string& aId, const std::string& aKey = {});
   std::optional<std::size_t> Leader() const;
 
   [[nodiscard]] flow_core& Core(std::size_t aNode)
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -95,6 +95,12 @@
   }
 }
 
+void
+run_oracle::AddViolation(std::string aWhat)
+{
+  mViolations.push_back(std::move(aWhat));
+}
+
 void
 run_oracle::OnOverCapacity(const run_ref& aRun, const std::string& aWhere)
 {
@@ -193,6 +199,7 @@
   if (over != mFinishedAttempts.end() && aStart.mRun.mAttempt <= over->second) {
     return AnswerWith(order_result::StaleAttempt);
   }
+  mOracle.mIsLateOrder = mHandlesLateOrder;
   mOracle.OnStarted(aStart.mRun, mDescription.mId.Value());
   const bool crashes =
     mOracle.mCrashesWorker && mOracle.mCrashesWorker(aStart.mRun.mTask);
--- a/testing/flow/fake_worker.h
+++ b/testing/flow/fake_worker.h
@@ -31,6 +31,8 @@
   // Its worker's lease expired between the run's end and its acknowledgement,
   // so the task may start again.
   void ExcuseEnd(const run_ref& aRun) { mExcused.insert(aRun); }
+  // A guarantee that another oracle checks was violated.
+  void AddViolation(std::string aWhat);
   void OnOverCapacity(const run_ref& aRun, const std::string& aWhere);
   // The worker's process died while the run was there.
   void OnCrashed(const run_ref& aRun);
@@ -45,6 +47,8 @@
   // Whether a task crashes each worker that starts it. Such a task may not
   // start three more times after three workers have crashed under it.
   std::function<bool(const task_ref&)> mCrashesWorker;
+  // The run that starts was ordered long ago; see fake_worker.
+  bool mIsLateOrder = false;
   // Optional callbacks.
   std::function<void(const run_ref&)> mOnStart;
   std::function<void(const run_ref&, run_outcome)> mOnEnd;
--- a/testing/flow/fixtures.h
+++ b/testing/flow/fixtures.h
@@ -28,6 +28,17 @@
   return row;
 }
 
+inline organisations::organisation_row
+Organisation(const std::string& aName,
+             std::int64_t aMilliProcessors,
+             double aWeight = 1)
+{
+  return { organisation_id(aName),
+           { aName + "-key" },
+           aWeight,
+           { aMilliProcessors, 0, 0 } };
+}
+
 inline step_spec
 Step(std::uint32_t aCount, std::int64_t aMilliProcessors)
 {
@@ -86,6 +97,32 @@
     return job_id(aId);
   }
 
+  // Puts a further table, in which only the organisations' callers may use the
+  // queues that aPublicQueues doesn't name.
+  void PutOrganisations(
+    std::vector<organisations::organisation_row> aOrganisations,
+    std::vector<std::string> aPublicQueues = {})
+  {
+    queue_table table = mState.Table();
+    ++table.mVersion;
+    Apply(put_table_with_access{
+      { std::move(table), "source" },
+      { std::move(aOrganisations), std::move(aPublicQueues) } });
+  }
+
+  job_id AddOwnedJob(const std::string& aId,
+                     const std::string& aOwner,
+                     std::vector<step_spec> aSteps,
+                     const std::string& aQueue = "fees")
+  {
+    job_spec spec;
+    spec.mSteps = std::move(aSteps);
+    Apply(submit_owned_job{
+      { job_id(aId), *mState.Table().FindQueue(aQueue), spec },
+      organisation_id(aOwner) });
+    return job_id(aId);
+  }
+
   static run_ref Run(const job_id& aJob,
                      attempt_t aAttempt,
                      std::uint32_t aIndex = 0,
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -8,6 +8,7 @@
 #include "oriolewalk/base/random.h"
 #include "testing/flow/fake_group.h"
 #include "testing/flow/fixtures.h"
+#include "testing/flow/organisation_oracle.h"
 
 namespace oriolewalk::flow {
 
@@ -44,6 +45,9 @@
     if (mFaults.mCrashing) {
       EnableCrashes();
     }
+    if (mFaults.mOrganisations) {
+      EnableOrganisations();
+    }
     for (std::size_t worker = 0; worker < kWorkers; ++worker) {
       AddWorker();
     }
@@ -94,11 +98,99 @@
     };
   }
 
+  void EnableOrganisations()
+  {
+    mOrganisations.emplace(
+      mGroup.Oracle(),
+      [this](std::uint64_t aBound) { return Choose(aBound); },
+      [this]() { return mGroup.Now(); },
+      testing::Step(1, kTaskMilliProcessors).mSize);
+    mActions.insert(mActions.end(), 4, &player::PutTable);
+    mActions.insert(mActions.end(), 2, &player::Query);
+    const auto first = mOrganisations->NextTable();
+    while (!Put(first)) {
+      mGroup.Run(seconds(1));
+    }
+  }
+
+  // Returns whether it was acknowledged.
+  bool Put(const table_change_with_access& aChange)
+  {
+    const auto answer = mGroup.SendRequest(aChange);
+    const bool isDone =
+      answer && std::holds_alternative<acknowledgement>(*answer);
+    if (isDone) {
+      mOrganisations->OnAcknowledged(aChange.mChange.mTable.mVersion);
+    }
+    return isDone;
+  }
+
+  void PutTable() { Put(mOrganisations->NextTable()); }
+
+  static std::optional<job_reply> ReplyOf(
+    const std::optional<flow_answer>& aAnswer)
+  {
+    const auto* job = aAnswer ? std::get_if<job_answer>(&*aAnswer) : nullptr;
+    return job == nullptr ? std::nullopt : std::optional(job->mReply);
+  }
+
+  // Reads any job with any key.
+  void Query()
+  {
+    if (mJobs.empty()) {
+      return;
+    }
+    auto job = mJobs.begin();
+    std::advance(job, static_cast<long>(Choose(mJobs.size())));
+    const std::string key = mOrganisations->AnyKey();
+    const auto answer = mGroup.SendRequest(keyed_request{
+      key, job_query{ { "jobs.example", "/fees/" + job->first } } });
+    mOrganisations->OnQueried(job->first, key, ReplyOf(answer));
+  }
+
+  // Whether the job was accepted.
+  bool Send(const std::string& aId, job_submission aJob)
+  {
+    if (!mOrganisations) {
+      return mGroup.SendRequest(std::move(aJob)).has_value();
+    }
+    const std::string key = mOrganisations->AnyKey();
+    const auto reply =
+      ReplyOf(mGroup.SendRequest(keyed_request{ key, std::move(aJob) }));
+    mOrganisations->OnSubmitted(aId, key, reply);
+    return reply == job_reply::Accepted;
+  }
+
+  // Whether a cancellation may have been accepted.
+  bool SendCancellation(const std::string& aId)
+  {
+    const job_cancellation cancel{ { "jobs.example", "/fees/" + aId } };
+    if (!mOrganisations) {
+      mGroup.SendRequest(cancel);
+      return true;
+    }
+    const std::string key = mOrganisations->AnyKey();
+    const auto reply =
+      ReplyOf(mGroup.SendRequest(keyed_request{ key, cancel }));
+    mOrganisations->OnQueried(aId, key, reply);
+    return !reply || reply == job_reply::Cancelled;
+  }
+
+  std::string StateOf(const std::string& aId)
+  {
+    if (!mOrganisations) {
+      return mGroup.StateOf(aId);
+    }
+    const std::string& owner = mOrganisations->OwnerOf(aId);
+    return mGroup.StateOf(aId, organisation_oracle::FinalKeyOf(owner));
+  }
+
   void AddWorker()
   {
     const std::size_t made = mGroup.AddWorker(
       "w" + std::to_string(mWorkers.size()), Choose(2) == 0 ? 0 : 0.02);
-    mGroup.Worker(made).mTaskSize = testing::Step(1, 2'000).mSize;
+    mGroup.Worker(made).mTaskSize =
+      testing::Step(1, kTaskMilliProcessors).mSize;
     mGroup.Worker(made).mWorkTime = milliseconds(100 + 100 * Choose(20));
     mGroup.Worker(made).mFailsFirstAttempts = Choose(3) == 0;
     mWorkers.push_back(made);
@@ -120,8 +212,9 @@
     constexpr const char* kHex = "0123456789abcdef";
     // A job that reused the id of one without an answer would be the same job,
     // and crash as that one does.
-    const std::size_t number =
-      mFaults.mCrashing ? mSubmittedJobs++ : mJobs.size();
+    const std::size_t number = mFaults.mCrashing || mFaults.mOrganisations
+                                 ? mSubmittedJobs++
+                                 : mJobs.size();
     if (number >= 16) {
       return;
     }
@@ -136,9 +229,9 @@
       // The members of a gang end together, so all of them crash.
       mCrashing[id] = first.mGang || Choose(4) == 0;
     }
-    const auto answer = mGroup.SendRequest(job_submission{
-      { "jobs.example", "/fees/" + id }, { "", { first, second }, {} } });
-    if (answer) {
+    if (Send(id,
+             { { "jobs.example", "/fees/" + id },
+               { "", { first, second }, {} } })) {
       mJobs[id] = false;
     }
   }
@@ -150,9 +243,8 @@
     }
     auto job = mJobs.begin();
     std::advance(job, static_cast<long>(Choose(mJobs.size())));
-    job->second = true; // also if the answer is lost
-    mGroup.SendRequest(
-      job_cancellation{ { "jobs.example", "/fees/" + job->first } });
+    // Also if the answer is lost.
+    job->second = SendCancellation(job->first) || job->second;
   }
 
   void Kill() { mGroup.Kill(Choose(kNodes), Choose(2) == 0); }
@@ -240,7 +332,10 @@
 
   std::optional<std::string> CheckEnd(const std::string& aId, bool aCancelled)
   {
-    const auto state = [&]() { return mGroup.StateOf(aId); };
+    if (mOrganisations && mOrganisations->OwnerOf(aId).empty()) {
+      return std::nullopt; // it isn't certain whose key can read it
+    }
+    const auto state = [&]() { return StateOf(aId); };
     if (mCrashing.contains(aId)) {
       // The next start must wait until the worker has restarted.
       mGroup.RunUntil(
@@ -314,6 +409,11 @@
     for (int extra = 0; extra < 2; ++extra) {
       AddWorker();
     }
+    if (mOrganisations) {
+      mGroup.Run(seconds(5));
+      const auto last = mOrganisations->FinalTable();
+      mGroup.RunUntil([&]() { return Put(last); }, seconds(20));
+    }
     mGroup.Run(seconds(45));
     if (!mGroup.Oracle().Violations().empty()) {
       return mGroup.Oracle().Violations().front();
@@ -326,10 +426,13 @@
     return std::nullopt;
   }
 
+  static constexpr std::int64_t kTaskMilliProcessors = 2'000;
+
   const flow_choices& mChoose;
   history_faults mFaults;
   history_counts& mCounts;
   fake_group mGroup;
+  std::optional<organisation_oracle> mOrganisations;
   std::vector<std::size_t> mWorkers;
   std::map<std::string, bool> mJobs; // whether a cancel was sent
   // Jobs with tasks that crash their workers; true if all tasks of the step do.
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -31,6 +31,8 @@
   bool mCrashing = false;
   // Workers' capacities shrink and grow again.
   bool mShrinking = false;
+  // Jobs belong to organisations, whose keys and maxima change.
+  bool mOrganisations = false;
 };
 
 // Counts of what happened to the jobs of a history.
@@ -47,6 +49,10 @@
 // - No task runs twice at once, or starts after its end as done was
 //   acknowledged.
 // - No start brings a worker over its capacity and over its recent ones.
+// - With organisations: callers are accepted by their keys in the table in
+// force
+//   alone and see no other organisation's job, and no start brings an
+//   organisation above its maximum; see organisation_oracle.
 // - An accepted job that was not cancelled ends as done (its tasks fail once at
 //   most), or as failed if two workers have crashed under one of its tasks, and
 //   is never unknown to a leader that answers.
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -35,12 +35,14 @@
 constexpr const char* kUsage =
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
-  "                 [--crashing] [--shrinking]\n"
+  "                 [--crashing] [--shrinking] [--organisations]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
   "  --holds     orders stand still on their way for seconds\n"
   "  --crashing  some tasks crash each worker that starts them\n"
   "  --shrinking workers' capacities shrink and grow again\n"
+  "  --organisations jobs belong to organisations, whose keys and maxima\n"
+  "              change\n"
   "  --carried   other control processes carry the leader's orders\n";
 
 template<class Number>
@@ -66,6 +68,7 @@
     option{ "carried", no_argument, nullptr, 'c' },
     option{ "crashing", no_argument, nullptr, 'x' },
     option{ "shrinking", no_argument, nullptr, 's' },
+    option{ "organisations", no_argument, nullptr, 'o' },
     option{ nullptr, 0, nullptr, 0 },
   };
   run_options options;
@@ -104,6 +107,9 @@
       case 's':
         options.mFaults.mShrinking = true;
         break;
+      case 'o':
+        options.mFaults.mOrganisations = true;
+        break;
       default:
         isValid = false;
     }
--- a/testing/platform/calls_test.cc
+++ b/testing/platform/calls_test.cc
@@ -1,5 +1,6 @@
 #include <string>
 #include <variant>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -266,3 +267,122 @@
                  R"("routes":[{"name":"r0","host":"h",)"
                  R"("pathPrefix":"/p/","timeoutMs":1,"service":"s"},)")));
 }
+
+TEST_CASE("a caller's key comes with its request")
+{
+  const auto keyed = [](std::string aHeader) {
+    http::request call = Call("GET", "/p/00000000000000aa");
+    call.mHeaders.push_back({ "Authorization", std::move(aHeader) });
+    const auto read = platform::ReadClientCall(call);
+    REQUIRE(read);
+    const auto* request = std::get_if<flow::keyed_request>(&*read);
+    REQUIRE(request != nullptr);
+    CHECK(std::get<flow::job_query>(request->mRequest).mPath.mPath ==
+          "/p/00000000000000aa");
+    return request->mKey;
+  };
+  CHECK(keyed("Token abc") == "abc");
+  CHECK(keyed("token abc") == "abc");
+  CHECK(keyed("Token a b") == "a b");
+  // Whatever is no key is the key of nobody.
+  CHECK(keyed("Token ").empty());
+  CHECK(keyed("Basic abc").empty());
+  CHECK(keyed("").empty());
+  const auto plain = platform::ReadClientCall(Call("GET", "/p/"));
+  REQUIRE(plain);
+  CHECK(std::holds_alternative<flow::job_query>(*plain));
+}
+
+TEST_CASE("a caller without a valid key is told so at once")
+{
+  const auto answer = platform::WriteClientAnswer(
+    Job(flow::job_reply::Unauthorized), milliseconds(1'500));
+  CHECK(answer.mStatus == 401);
+  CHECK(answer.Find("WWW-Authenticate") == "Token");
+  CHECK(StatusOf(Job(flow::job_reply::Conflict)) == 409);
+}
+
+namespace {
+
+std::string
+ConfigWith(const std::string& aTenants)
+{
+  std::string text = kConfig;
+  text.insert(text.rfind('}'), ",\"tenants\":" + aTenants);
+  return text;
+}
+
+result<flow::flow_request>
+Put(const std::string& aBody)
+{
+  return platform::ReadOperatorCall(Call("POST", "/v1/config/put", aBody));
+}
+
+} // namespace
+
+TEST_CASE("a configuration's tenants are read as organisations")
+{
+  const auto read = Put(ConfigWith(
+    R"([{"name":"a","apiKeys":["k1","k2"],"priority":1,"weight":14,
+         "maxCount":{"cpu":2000,"memMb":3000,"gpu":1}},{"name":"b"}])"));
+  REQUIRE(read);
+  const auto* change = std::get_if<flow::table_change_with_access>(&*read);
+  REQUIRE(change != nullptr);
+  CHECK(change->mChange.mTable.mVersion == 7);
+  CHECK(change->mAccess.mPublicQueues.empty());
+  const auto& rows = change->mAccess.mOrganisations;
+  REQUIRE(rows.size() == 2);
+  CHECK(rows[0].mName.Value() == "a");
+  CHECK(rows[0].mKeys == std::vector<std::string>{ "k1", "k2" });
+  CHECK(rows[0].mWeight == 14);
+  CHECK(rows[0].mMaximum == oriolewalk::cell::resources{ 2'000, 3'000, 1 });
+  CHECK(rows[1].mWeight == 1);
+  CHECK(rows[1].mMaximum == oriolewalk::cell::resources{});
+  // An empty list lets nobody in; a missing one everybody.
+  const auto none = Put(ConfigWith("[]"));
+  REQUIRE(none);
+  CHECK(std::holds_alternative<flow::table_change_with_access>(*none));
+  const auto open = Put(kConfig);
+  REQUIRE(open);
+  CHECK(std::holds_alternative<flow::table_change>(*open));
+}
+
+TEST_CASE("a public route is a public queue")
+{
+  std::string text = ConfigWith("[]");
+  const std::string name = R"("name":"r1",)";
+  text.insert(text.find(name), R"("public":true,)");
+  const auto read = Put(text);
+  REQUIRE(read);
+  CHECK(std::get<flow::table_change_with_access>(*read).mAccess.mPublicQueues ==
+        std::vector<std::string>{ "r1" });
+}
+
+TEST_CASE("an invalid tenant is refused, and no key is told")
+{
+  for (
+    const char* tenants : {
+      R"([{"name":"a","apiKeys":["secret"]},{"name":"b","apiKeys":["secret"]}])",
+      R"([{"name":"a","apiKeys":["secret","secret"]}])",
+      R"([{"name":"a","apiKeys":[""]}])",
+      R"([{"name":"a","apiKeys":"secret"}])",
+      R"([{"name":"a","apiKeys":[7]}])",
+      R"([{"apiKeys":["secret"]}])",
+      R"([{"name":"a"},{"name":"a"}])",
+      R"([{"name":"a","weight":0}])",
+      R"([{"name":"a","weight":-3}])",
+      R"([{"name":"a","weight":"heavy"}])",
+      R"([{"name":"a","maxCount":{"cpu":-1}}])",
+      R"([{"name":"a","maxCount":{"memMb":"many"}}])",
+      R"([{"name":"a","maxCount":7}])",
+      R"({"name":"a"})",
+      R"([7])",
+      "null",
+    }) {
+    CAPTURE(tenants);
+    const auto read = Put(ConfigWith(tenants));
+    REQUIRE(!read);
+    CHECK(read.error().mCode == error_code::InvalidArgument);
+    CHECK(read.error().Describe().find("secret") == std::string::npos);
+  }
+}
