--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -34,6 +34,7 @@
   using flow::placement_rule;
   using flow::plan_order;
   using flow::plan_policy;
+  using flow::share_rule;
   std::vector<named_policy> all{ { "own", {} } };
   const auto add = [&](std::string_view aName, auto aChange) {
     plan_policy policy;
@@ -46,7 +47,8 @@
                 false,
                 false,
                 false,
-                false };
+                false,
+                share_rule::None };
   };
   add("no_packing",
       [](plan_policy& aOne) { aOne.mPlacement = placement_rule::Spreading; });
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -40,6 +40,7 @@
 #include "oriolewalk/flow/types.h"
 #include "oriolewalk/organisations/key_index.h"
 #include "oriolewalk/organisations/quota.h"
+#include "oriolewalk/organisations/usage_report.h"
 
 namespace oriolewalk::flow {
 
@@ -129,7 +130,10 @@
     const organisation_id& aName) const;
   // What the organisations' runs take that may be in progress. An organisation
   // without a row or a run has no account.
-  [[nodiscard]] const auto& Accounts() const { return mAccounts; }
+  [[nodiscard]] const organisations::quota_accounts& Accounts() const
+  {
+    return mAccounts;
+  }
   // The number of accepted jobs of the queue without a placed task so far.
   [[nodiscard]] std::uint64_t PendingJobs(std::string_view aQueue) const;
 
@@ -252,7 +256,7 @@
   organisations::key_index mKeys;
   std::unordered_map<organisation_id, std::size_t> mOrganisationIndexes;
   std::unordered_set<std::string> mPublicQueues;
-  std::unordered_map<organisation_id, organisations::quota_account> mAccounts;
+  organisations::quota_accounts mAccounts;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -196,6 +196,7 @@
                    const job_spec& aSpec,
                    const organisation_id& aOwner);
   void LogWaits(const plan_result& aPlan);
+  void LogQuotas(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void Start(std::vector<planned_start> aStarts);
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -1,12 +1,15 @@
 // The leader's decision log. Its volume is bounded: one line per event of a
 // job, a step or a run, and shortages are logged once a second.
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <numeric>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "oriolewalk/flow/leader_core.h"
 #include "oriolewalk/flow/open_steps.h"
@@ -87,8 +90,12 @@
         kMinLoggedWait) {
       continue;
     }
-    log_fields fields{ { "job", wait.mStep.mJob.Value() },
-                       { "step", std::to_string(wait.mStep.mStep) } };
+    const job_record* job = mState.FindJob(wait.mStep.mJob);
+    log_fields fields{
+      { "job", wait.mStep.mJob.Value() },
+      { "step", std::to_string(wait.mStep.mStep) },
+      { "organisation", job == nullptr ? "" : job->mOwner.Value() },
+    };
     for (std::size_t cause = 0; cause < times.size(); ++cause) {
       if (times.at(cause) >= milliseconds(1)) {
         fields.emplace_back(ToString(static_cast<wait_cause>(cause)),
@@ -133,6 +140,48 @@
     }
     mPort.mLogDecision({ "queue.short", std::move(fields) });
   }
+  LogQuotas(aPlan);
+}
+
+// Logs the organisations whose steps wait for their quota, with what they have
+// running against their maximum: those with the most waiting tasks.
+void
+leader_core::LogQuotas(const plan_result& aPlan)
+{
+  constexpr std::size_t kMaxLines = 10;
+  struct quota_wait
+  {
+    std::size_t mTasks = 0;
+    cell::resources mSize; // of a task that waits
+  };
+  std::map<organisation_id, quota_wait> waits;
+  for (const waiting_step& step : aPlan.mWaits) {
+    const job_record* job = mState.FindJob(step.mStep.mJob);
+    if (step.mCause == wait_cause::Quota && job != nullptr) {
+      quota_wait& wait = waits[job->mOwner];
+      wait.mTasks += step.mTasks;
+      wait.mSize = job->mSpec.mSteps[step.mStep.mStep].mSize;
+    }
+  }
+  std::vector<std::pair<std::size_t, organisation_id>> largest;
+  for (const auto& [name, wait] : waits) {
+    largest.emplace_back(wait.mTasks, name);
+  }
+  std::ranges::sort(largest, std::greater{});
+  largest.resize(std::min(largest.size(), kMaxLines));
+  for (const auto& [tasks, name] : largest) {
+    const organisations::quota_account& account = mState.Accounts().at(name);
+    const auto dimension =
+      account.Exceeded(waits.at(name).mSize).value_or(cell::dimension{});
+    const auto at = static_cast<std::size_t>(dimension);
+    mPort.mLogDecision(
+      { "organisation.at_maximum",
+        { { "organisation", name.Value() },
+          { "waiting", std::to_string(tasks) },
+          { "dimension", std::string(cell::ToString(dimension)) },
+          { "running", std::to_string(account.mRunning.Amounts().at(at)) },
+          { "maximum", std::to_string(account.mMaximum.Amounts().at(at)) } } });
+  }
 }
 
 // Logs one line for the starts of a step that were committed together and have
--- a/oriolewalk/flow/plan_policy.h
+++ b/oriolewalk/flow/plan_policy.h
@@ -47,13 +47,13 @@
 struct plan_policy
 {
   plan_order mOrder = plan_order::LeastSlack;
-  share_rule mShares = share_rule::WithinShare;
   placement_rule mPlacement = placement_rule::Packing;
   bool mQueriesAhead = true; // advice queries include workers that are full
   bool mReservesCapacity =
     true;                // reserves capacity for steps that can't start yet
   bool mPreempts = true; // preempts runs of lower-priority queues
   bool mSharesAdvisors = true; // guarantees each queue a share of the advisors
+  share_rule mShares = share_rule::WithinShare;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/quota_planner.h
+++ b/oriolewalk/flow/quota_planner.h
@@ -57,7 +57,7 @@
   organisations::quota_account* AccountOf(const job_record& aJob);
 
   const flow_state& mState;
-  std::unordered_map<organisation_id, organisations::quota_account> mAccounts;
+  organisations::quota_accounts mAccounts;
   // Organisations whose whole quota is held for one step.
   std::unordered_set<organisation_id> mHeld;
 };
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -113,6 +113,12 @@
   {
     return mCore ? mCore->State().LiveJobs().size() : 0;
   }
+  // What the organisations have running, by the replicated state.
+  [[nodiscard]] const organisations::quota_accounts& Accounts() const
+  {
+    static const organisations::quota_accounts sNone;
+    return mCore ? mCore->State().Accounts() : sNone;
+  }
   [[nodiscard]] bool Leads() const { return mCore && mCore->Raft().IsLeader(); }
 
 private:
--- a/oriolewalk/host/metrics_page.cc
+++ b/oriolewalk/host/metrics_page.cc
@@ -22,6 +22,9 @@
   }
 }
 
+// Organisations with a row of their own; each has six series.
+constexpr std::size_t kMaxOrganisations = 20;
+
 } // namespace
 
 metrics_page::metrics_page(boost::asio::io_context& aContext,
@@ -38,6 +41,7 @@
                               "jobs that have not ended, in this copy"))
   , mDropped(mRegistry.Counter("oriole_flow_log_dropped_total",
                                "log lines dropped for a slow reader"))
+  , mOrganisations(kMaxOrganisations)
   , mServer(
       aContext,
       std::move(aListen),
@@ -127,4 +131,41 @@
   mLiveJobs.Set(static_cast<double>(aLiveJobs));
 }
 
+void
+metrics_page::ShowOrganisations(const organisations::quota_accounts& aAccounts)
+{
+  if (aAccounts.empty()) {
+    return;
+  }
+  const auto set = [this](const char* aName,
+                          const char* aHelp,
+                          const std::string& aOrganisation,
+                          const cell::resources& aAmounts) {
+    const auto amounts = aAmounts.Amounts();
+    for (std::size_t at = 0; at < amounts.size(); ++at) {
+      const auto dimension = static_cast<cell::dimension>(at);
+      mRegistry
+        .Gauge(aName,
+               aHelp,
+               { { "organisation", aOrganisation },
+                 { "dimension", std::string(cell::ToString(dimension)) } })
+        .Set(static_cast<double>(amounts.at(at)));
+    }
+  };
+  for (const auto& use : mOrganisations.Update(aAccounts)) {
+    const bool isRest = use.mName.Value().empty();
+    const std::string name = isRest ? "(rest)" : use.mName.Value();
+    set("oriole_organisation_running",
+        "what its tasks take that may be running",
+        name,
+        use.mRunning);
+    if (!isRest) {
+      set("oriole_organisation_maximum",
+          "what its tasks may take together; 0: no limit",
+          name,
+          use.mMaximum);
+    }
+  }
+}
+
 } // namespace oriolewalk::host
--- a/oriolewalk/host/metrics_page.h
+++ b/oriolewalk/host/metrics_page.h
@@ -20,6 +20,7 @@
 #include "oriolewalk/http/server.h"
 #include "oriolewalk/observe/decision_log.h"
 #include "oriolewalk/observe/metrics.h"
+#include "oriolewalk/organisations/usage_report.h"
 #include "oriolewalk/settings/address.h"
 
 namespace oriolewalk::host {
@@ -48,6 +49,8 @@
   // True: the share is full, or was.
   bool ShowConnections(const std::string& aDirection, connection_use aUse);
   void ShowControl(bool aLeads, std::uint64_t aTerm, std::size_t aLiveJobs);
+  // Running and maximum of the largest organisations, and of the rest together.
+  void ShowOrganisations(const organisations::quota_accounts& aAccounts);
 
 private:
   observe::metric_registry mRegistry;
@@ -57,6 +60,7 @@
   observe::gauge& mTerm;
   observe::gauge& mLiveJobs;
   observe::counter& mDropped;
+  organisations::usage_report mOrganisations;
   std::map<std::string, observe::counter*> mCalls;
   std::map<std::string, observe::counter*, std::less<>> mDecisions;
   http::server mServer;
--- a/testing/flow/access_test.cc
+++ b/testing/flow/access_test.cc
@@ -131,6 +131,24 @@
   CHECK(fixture.Read("a-key") == job_reply::Unauthorized);
 }
 
+TEST_CASE("no key stands in the log or in an error")
+{
+  access_fixture fixture;
+  fixture.Put({ Organisation("a", 1'000) });
+  REQUIRE(fixture.Submit("a-key") == job_reply::Accepted);
+  fixture.Submit("a-key", "00000000000000bb");
+  fixture.Submit("wrong-key");
+  fixture.Read("wrong-key");
+  fixture.Cancel("a-key");
+  fixture.mGroup.Run(seconds(3));
+  fixture.mGroup.Kill(*fixture.mGroup.Leader());
+  fixture.mGroup.Run(seconds(5));
+  fixture.Read("a-key");
+  const std::string& log = fixture.mGroup.Log();
+  CHECK(log.find("organisation=a") != std::string::npos);
+  CHECK(log.find("-key") == std::string::npos);
+}
+
 TEST_CASE("a leader that was replaced accepts no key by an old table")
 {
   // Guards against a leader that is cut off and doesn't know that another one
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -154,6 +154,16 @@
     }
     for (const decision& note : out.mDecisions) {
       ++mCounts[std::string(note.mEvent)];
+      mLog.append(note.mEvent);
+      for (const auto& [name, value] : note.mFields) {
+        mLog.append(" ").append(name).append("=").append(value);
+      }
+      mLog.append("\n");
+    }
+    for (const flow_reply& reply : out.mReplies) {
+      if (!reply.mAnswer) {
+        mLog.append(reply.mAnswer.error().Describe()).append("\n");
+      }
     }
     std::ranges::move(out.mReplies, std::back_inserter(one.mReplies));
     if (out.mRaft.mCommitted.empty()) {
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -91,6 +91,8 @@
   }
   [[nodiscard]] run_oracle& Oracle() { return mOracle; }
   [[nodiscard]] time_point Now() const { return mNow; }
+  // Everything that was logged, and the errors of answers.
+  [[nodiscard]] const std::string& Log() const { return mLog; }
   // How many decisions with this event were logged since the beginning.
   [[nodiscard]] std::size_t Count(const std::string& aEvent) const;
 
@@ -151,6 +153,7 @@
   milliseconds mSyncTime{ 9 };
   call_number mLastCall = 0;
   std::map<std::string, std::size_t> mCounts;
+  std::string mLog;
 };
 
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -103,6 +103,19 @@
   PlaySeeds(75, {}, { .mRestarts = true, .mHolds = true, .mShrinking = true });
 }
 
+TEST_CASE("random histories violate no guarantee while organisations change")
+{
+  // Guards against starts above a maximum, keys that work too long or not yet,
+  // and jobs that are shown to others, amid all other faults.
+  flow_options carried;
+  carried.mMaxWorkersWithoutRelays = 0;
+  PlaySeeds(100, {}, { .mOrganisations = true });
+  PlaySeeds(
+    75, {}, { .mRestarts = true, .mHolds = true, .mOrganisations = true });
+  PlaySeeds(75, carried, { .mBusy = true, .mOrganisations = true });
+  PlaySeeds(50, carried, { .mCrashing = true, .mOrganisations = true });
+}
+
 TEST_CASE("no start exceeds a capacity that shrank while no leader noticed")
 {
   // Guards against a start for a capacity that has shrunk unnoticed: with a
--- a/testing/organisations/organisations_test.cc
+++ b/testing/organisations/organisations_test.cc
@@ -6,6 +6,7 @@
 #include "oriolewalk/organisations/key_index.h"
 #include "oriolewalk/organisations/organisation_row.h"
 #include "oriolewalk/organisations/quota.h"
+#include "oriolewalk/organisations/usage_report.h"
 
 namespace oriolewalk::organisations {
 
@@ -136,4 +137,33 @@
   CHECK(account.StartableTasks(size, 5) == 1);
 }
 
+TEST_CASE("a report has a bounded number of rows and keeps them")
+{
+  const auto account = [](std::int64_t aRunning) {
+    quota_account made{ .mMaximum = { 9'000, 0, 0 } };
+    made.Add({ aRunning, 1, 0 });
+    return made;
+  };
+  quota_accounts accounts;
+  accounts[organisation_id("small")] = account(1);
+  accounts[organisation_id("large")] = account(50);
+  accounts[organisation_id("middle")] = account(20);
+  usage_report report(2);
+  auto uses = report.Update(accounts);
+  REQUIRE(uses.size() == 3);
+  CHECK(uses[0].mName.Value() == "large");
+  CHECK(uses[0].mRunning.mMilliProcessors == 50);
+  CHECK(uses[0].mMaximum.mMilliProcessors == 9'000);
+  CHECK(uses[1].mName.Value() == "middle");
+  CHECK(uses[2].mName.Value().empty());
+  CHECK(uses[2].mRunning.mMilliProcessors == 1);
+  accounts.erase(organisation_id("large"));
+  accounts[organisation_id("small")] = account(100);
+  uses = report.Update(accounts);
+  REQUIRE(uses.size() == 3);
+  CHECK(uses[0].mName.Value() == "large");
+  CHECK(uses[0].mRunning == cell::resources{});
+  CHECK(uses[2].mRunning.mMilliProcessors == 100);
+}
+
 } // namespace oriolewalk::organisations
--- a/testing/soak/caller_crowd.cc
+++ b/testing/soak/caller_crowd.cc
@@ -13,6 +13,7 @@
 
 #include "platform/json.h"
 #include "testing/soak/run_after.h"
+#include "testing/soak/soak_keys.h"
 
 namespace oriolewalk::soak {
 
@@ -25,6 +26,10 @@
 constexpr int kMostTries = 8;
 constexpr milliseconds kAskEvery{ 400 };
 constexpr milliseconds kCancelAfter{ 300 };
+// One intruder beside so many jobs, and one such question beside so many.
+constexpr std::uint64_t kIntruderEach = 4;
+constexpr std::uint64_t kSpyEach = 6;
+constexpr unsigned kUnauthorized = 401;
 // Of the jobs, in hundredths.
 constexpr std::uint64_t kCancelShare = 8;
 constexpr std::uint64_t kMostSteps = 3;
@@ -104,6 +109,9 @@
     return;
   }
   Make();
+  if (mRandom.Below(kIntruderEach) == 0) {
+    Intrude();
+  }
   constexpr double kMsPerSecond = 1'000;
   mTimer.expires_after(milliseconds(static_cast<std::int64_t>(
     kMsPerSecond / mOptions.mJobsPerSecond * 2 * mRandom.Fraction())));
@@ -140,6 +148,7 @@
   auto made = std::make_shared<job>();
   made->mId = DrawId(mRandom);
   made->mQueue = mRandom.Below(mOptions.mQueues.size());
+  made->mOrganisation = mRandom.Below(kOrganisations);
   job_shape shape;
   for (std::uint64_t step = mRandom.Below(kMostSteps) + 1; step > 0; --step) {
     shape.push_back(static_cast<std::uint32_t>(mRandom.Below(kMostTasks) + 1));
@@ -152,11 +161,70 @@
   HandIn(made);
 }
 
+void
+caller_crowd::Intrude()
+{
+  job intruder;
+  intruder.mId = DrawId(mRandom);
+  // A table that is acknowledged takes away what an earlier one gave.
+  const std::int64_t newest = mBook.NewestTable();
+  const std::string key =
+    newest > 1 ? PassingKey(1 + static_cast<std::int64_t>(mRandom.Below(
+                                  static_cast<std::uint64_t>(newest - 1))))
+               : std::string(kKeyMark) + "-unknown";
+  SendWithKey(intruder,
+              "POST",
+              WriteJob({ 1 }),
+              key,
+              [this](const http::send_outcome& aOutcome) {
+                if (StatusOf(aOutcome) == 200) {
+                  mBook.Note("a job was accepted with a key that was taken "
+                             "away");
+                }
+              });
+}
+
+void
+caller_crowd::Spy(const std::shared_ptr<job>& aJob)
+{
+  SendWithKey(*aJob,
+              "GET",
+              {},
+              StableKey((aJob->mOrganisation + 1) % kOrganisations),
+              [this, aJob](const http::send_outcome& aOutcome) {
+                if (StatusOf(aOutcome) == 200) {
+                  mBook.Note("a job was shown to another's key: " +
+                             aJob->mId.Value());
+                }
+              });
+}
+
 void
 caller_crowd::Send(const job& aJob,
                    const std::string& aMethod,
                    const bytes& aBody,
                    const http::send_callback& aDone)
+{
+  const std::string key =
+    aJob.mQueue == 0 ? StableKey(aJob.mOrganisation) : std::string();
+  SendWithKey(aJob,
+              aMethod,
+              aBody,
+              key,
+              [this, aDone](const http::send_outcome& aOutcome) {
+                if (StatusOf(aOutcome) == kUnauthorized) {
+                  mBook.Note("a caller with a valid key was refused");
+                }
+                aDone(aOutcome);
+              });
+}
+
+void
+caller_crowd::SendWithKey(const job& aJob,
+                          const std::string& aMethod,
+                          const bytes& aBody,
+                          const std::string& aKey,
+                          const http::send_callback& aDone)
 {
   const std::size_t entry = mRandom.Below(mOptions.mEntries.size());
   const queue_place& queue = mOptions.mQueues[aJob.mQueue];
@@ -167,6 +235,9 @@
                                        { "X-Oriolewalk-Deadline-Ms",
                                          std::to_string(kDeadline.count()) } },
                          .mBody = aBody };
+  if (!aKey.empty()) {
+    request.mHeaders.push_back({ "Authorization", "Token " + aKey });
+  }
   mClient.Send(mOptions.mEntries[entry],
                std::move(request),
                { .mConnectTimeout = kConnectBound, .mTotalTimeout = kDeadline },
@@ -261,6 +332,9 @@
 void
 caller_crowd::AskState(const std::shared_ptr<job>& aJob)
 {
+  if (aJob->mQueue == 0 && mRandom.Below(kSpyEach) == 0) {
+    Spy(aJob);
+  }
   Send(*aJob, "GET", {}, [this, aJob](const http::send_outcome& aOutcome) {
     constexpr unsigned kGone = 410;
     const unsigned status = StatusOf(aOutcome);
--- a/testing/soak/caller_crowd.h
+++ b/testing/soak/caller_crowd.h
@@ -1,7 +1,10 @@
 #pragma once
 
 // The callers of a soak: they hand in jobs at any entry, come back after a
-// refusal, send again what got no answer, ask for states, cancel some.
+// refusal, send again what got no answer, ask for states, cancel some. The
+// callers of the first queue have keys of organisations, the second one is
+// public. Intruders use keys that were taken away or never existed, or ask with
+// another organisation's key.
 //
 //   caller_crowd crowd(context, options, client, book);
 //   crowd.Start();      // hands in jobs until Close()
@@ -62,6 +65,7 @@
   {
     job_id mId;
     std::size_t mQueue = 0;
+    std::size_t mOrganisation = 0; // whose key it is sent with
     bytes mBody;
     int mTries = 0;
     bool mAllRefused = true; // so far
@@ -87,6 +91,15 @@
             const std::string& aMethod,
             const bytes& aBody,
             const http::send_callback& aDone);
+  void SendWithKey(const job& aJob,
+                   const std::string& aMethod,
+                   const bytes& aBody,
+                   const std::string& aKey,
+                   const http::send_callback& aDone);
+  // Hands in a job with a key that no table in force has.
+  void Intrude();
+  // Asks for the job with another organisation's key.
+  void Spy(const std::shared_ptr<job>& aJob);
   void Judge(std::size_t aEntry,
              time_point aSentAt,
              const http::send_outcome& aOutcome);
--- a/testing/soak/table_operator.cc
+++ b/testing/soak/table_operator.cc
@@ -10,6 +10,7 @@
 
 #include "platform/json.h"
 #include "testing/soak/run_after.h"
+#include "testing/soak/soak_keys.h"
 
 namespace oriolewalk::soak {
 
@@ -67,7 +68,8 @@
                         { "priority", number },
                         { "service", "pay" },
                         { "maxAttempts", 4 },
-                        { "stretch", 2.0 } };
+                        { "stretch", 2.0 },
+                        { "public", number == 1 } };
     if (number == 1) {
       route["advice"] = json::object{ { "decideMs", 5.0 },
                                       { "periodMs", 0.2 },
@@ -84,8 +86,30 @@
                                       { "tls", false },
                                       { "admissionControl", false },
                                       { "standby", false } });
+  json::array tenants;
+  for (std::size_t organisation = 0; organisation < kOrganisations;
+       ++organisation) {
+    json::array keys{ StableKey(organisation) };
+    if (organisation == 0) {
+      keys.emplace_back(PassingKey(aVersion));
+    }
+    // The maximum changes with each version, from two tasks to seven.
+    constexpr std::int64_t kLeastTasks = 2;
+    constexpr std::int64_t kSpan = 6;
+    const std::int64_t tasks =
+      kLeastTasks +
+      (aVersion + static_cast<std::int64_t>(organisation)) % kSpan;
+    tenants.emplace_back(json::object{
+      { "name", "org" + std::to_string(organisation) },
+      { "apiKeys", std::move(keys) },
+      { "weight", organisation + 1 },
+      { "maxCount",
+        json::object{
+          { "cpu", 1'000 * tasks }, { "memMb", 0 }, { "gpu", 0 } } } });
+  }
   return json::serialize(
     json::object{ { "version", aVersion },
+                  { "tenants", std::move(tenants) },
                   { "routes", std::move(routes) },
                   { "services", std::move(services) },
                   { "limits", json::object{ { "maxBodyBytes", 262'144 } } } });
