--- a/programs/oriole_soak.cc
+++ b/programs/oriole_soak.cc
@@ -41,6 +41,7 @@
   std::uint64_t mSeconds = 15;
   std::uint64_t mJobsPerSecond = 6;
   bool mFaults = true;
+  bool mOrganisations = true;
   std::string mScenario; // empty: faults drawn by the seed
 };
 
@@ -71,10 +72,11 @@
     , mClient(mContext, {})
     , mHouse(mContext, HouseOptions(), mClient, mBook)
     , mCrowd(mContext, CrowdOptions(), mClient, mBook)
-    , mDesk(mContext,
-            { ControlCalls(), Queues(), mOptions.mSeed },
-            mClient,
-            mBook)
+    , mDesk(
+        mContext,
+        { ControlCalls(), Queues(), mOptions.mSeed, mOptions.mOrganisations },
+        mClient,
+        mBook)
   {
   }
 
@@ -140,7 +142,8 @@
     return { Addresses(kEntryNet, mOptions.mPlaces.mEntries, kCallersPort),
              Queues(),
              static_cast<double>(mOptions.mJobsPerSecond),
-             mOptions.mSeed };
+             mOptions.mSeed,
+             mOptions.mOrganisations };
   }
 
   result<void> StartLinks()
@@ -386,7 +389,7 @@
 constexpr const char* kHelp =
   "oriole-soak [--seed N] [--net N] [--controls N] [--entries N]\n"
   "            [--workers N] [--seconds N] [--jobs-per-second N] "
-  "[--no-faults]\n"
+  "[--no-faults] [--no-organisations]\n"
   "            [--scenario lost-seeds]\n"
   "Started by scripts/soak, which starts the processes at 127.NET.x.y.\n";
 
@@ -422,6 +425,7 @@
       { "seconds", required_argument, nullptr, 't' },
       { "jobs-per-second", required_argument, nullptr, 'j' },
       { "no-faults", no_argument, nullptr, 'x' },
+      { "no-organisations", no_argument, nullptr, 'o' },
       { "scenario", required_argument, nullptr, 'p' },
       { nullptr, 0, nullptr, 0 } });
   for (;;) {
@@ -434,6 +438,10 @@
       aOptions.mFaults = false;
       continue;
     }
+    if (chosen == 'o') {
+      aOptions.mOrganisations = false;
+      continue;
+    }
     if (chosen == 'p') {
       aOptions.mScenario = optarg;
       continue;
--- a/testing/soak/caller_crowd.cc
+++ b/testing/soak/caller_crowd.cc
@@ -109,7 +109,7 @@
     return;
   }
   Make();
-  if (mRandom.Below(kIntruderEach) == 0) {
+  if (mOptions.mOrganisations && mRandom.Below(kIntruderEach) == 0) {
     Intrude();
   }
   constexpr double kMsPerSecond = 1'000;
@@ -205,8 +205,9 @@
                    const bytes& aBody,
                    const http::send_callback& aDone)
 {
-  const std::string key =
-    aJob.mQueue == 0 ? StableKey(aJob.mOrganisation) : std::string();
+  const std::string key = mOptions.mOrganisations && aJob.mQueue == 0
+                            ? StableKey(aJob.mOrganisation)
+                            : std::string();
   SendWithKey(aJob,
               aMethod,
               aBody,
@@ -332,7 +333,8 @@
 void
 caller_crowd::AskState(const std::shared_ptr<job>& aJob)
 {
-  if (aJob->mQueue == 0 && mRandom.Below(kSpyEach) == 0) {
+  if (mOptions.mOrganisations && aJob->mQueue == 0 &&
+      mRandom.Below(kSpyEach) == 0) {
     Spy(aJob);
   }
   Send(*aJob, "GET", {}, [this, aJob](const http::send_outcome& aOutcome) {
--- a/testing/soak/caller_crowd.h
+++ b/testing/soak/caller_crowd.h
@@ -41,6 +41,7 @@
   std::vector<queue_place> mQueues;
   double mJobsPerSecond = 6;
   std::uint64_t mSeed = 1;
+  bool mOrganisations = true; // callers have keys
 };
 
 class caller_crowd
--- a/testing/soak/table_operator.cc
+++ b/testing/soak/table_operator.cc
@@ -26,6 +26,34 @@
 constexpr std::uint64_t kRaceEach = 3;
 constexpr std::uint64_t kMostSkipped = 4; // versions rise by uneven steps
 
+// The maxima change with each version, and each takes a key away.
+json::array
+WriteTenants(std::int64_t aVersion)
+{
+  json::array tenants;
+  for (std::size_t organisation = 0; organisation < kOrganisations;
+       ++organisation) {
+    json::array keys{ StableKey(organisation) };
+    if (organisation == 0) {
+      keys.emplace_back(PassingKey(aVersion));
+    }
+    // The maximum changes with each version, from two tasks to seven.
+    constexpr std::int64_t kLeastTasks = 2;
+    constexpr std::int64_t kSpan = 6;
+    const std::int64_t tasks =
+      kLeastTasks +
+      (aVersion + static_cast<std::int64_t>(organisation)) % kSpan;
+    tenants.emplace_back(json::object{
+      { "name", "org" + std::to_string(organisation) },
+      { "apiKeys", std::move(keys) },
+      { "weight", organisation + 1 },
+      { "maxCount",
+        json::object{
+          { "cpu", 1'000 * tasks }, { "memMb", 0 }, { "gpu", 0 } } } });
+  }
+  return tenants;
+}
+
 } // namespace
 
 table_operator::table_operator(boost::asio::io_context& aContext,
@@ -86,33 +114,15 @@
                                       { "tls", false },
                                       { "admissionControl", false },
                                       { "standby", false } });
-  json::array tenants;
-  for (std::size_t organisation = 0; organisation < kOrganisations;
-       ++organisation) {
-    json::array keys{ StableKey(organisation) };
-    if (organisation == 0) {
-      keys.emplace_back(PassingKey(aVersion));
-    }
-    // The maximum changes with each version, from two tasks to seven.
-    constexpr std::int64_t kLeastTasks = 2;
-    constexpr std::int64_t kSpan = 6;
-    const std::int64_t tasks =
-      kLeastTasks +
-      (aVersion + static_cast<std::int64_t>(organisation)) % kSpan;
-    tenants.emplace_back(json::object{
-      { "name", "org" + std::to_string(organisation) },
-      { "apiKeys", std::move(keys) },
-      { "weight", organisation + 1 },
-      { "maxCount",
-        json::object{
-          { "cpu", 1'000 * tasks }, { "memMb", 0 }, { "gpu", 0 } } } });
+  json::object table{ { "version", aVersion },
+                      { "routes", std::move(routes) },
+                      { "services", std::move(services) },
+                      { "limits",
+                        json::object{ { "maxBodyBytes", 262'144 } } } };
+  if (mOptions.mOrganisations) {
+    table["tenants"] = WriteTenants(aVersion);
   }
-  return json::serialize(
-    json::object{ { "version", aVersion },
-                  { "tenants", std::move(tenants) },
-                  { "routes", std::move(routes) },
-                  { "services", std::move(services) },
-                  { "limits", json::object{ { "maxBodyBytes", 262'144 } } } });
+  return json::serialize(table);
 }
 
 void
--- a/testing/soak/table_operator.h
+++ b/testing/soak/table_operator.h
@@ -31,6 +31,7 @@
   std::vector<settings::address> mControls;
   std::vector<queue_place> mQueues; // the second one asks the policy service
   std::uint64_t mSeed = 1;
+  bool mOrganisations = true; // without them every queue is public
 };
 
 class table_operator
