--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -1,5 +1,5 @@
-// The table, the lookups, the snapshots and the indexes of the replicated state.
-// The commands are in flow_state_jobs.cc, flow_state_runs.cc,
+// The table, the lookups, the snapshots and the indexes of the replicated
+// state. The commands are in flow_state_jobs.cc, flow_state_runs.cc,
 // flow_state_workers.cc and flow_state_organisations.cc.
 
 #include "oriolewalk/flow/flow_state.h"
@@ -121,7 +121,8 @@
 flow_state::FindTask(const task_ref& aTask) const
 {
   const auto found = mJobs.find(aTask.mJob);
-  // The const_cast avoids a second copy of the lookup; FindTaskRecord() changes nothing.
+  // The const_cast avoids a second copy of the lookup; FindTaskRecord() changes
+  // nothing.
   return found == mJobs.end()
            ? nullptr
            : FindTaskRecord(const_cast<job_record&>(found->second), aTask);
