--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -201,8 +201,8 @@
 
 TEST_CASE("a new leader knows no capacity that its predecessor didn't hear of")
 {
-  // Guards against a start for a capacity that shrank while the worker, on which
-  // nothing ran, was silent to the earlier leader.
+  // Guards against a start for a capacity that shrank while the worker, on
+  // which nothing ran, was silent to the earlier leader.
   flow_options carried;
   carried.mMaxWorkersWithoutRelays = 0;
   PlaySeed(3'327'201'113,
