--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -164,6 +164,7 @@
     }
   }
   std::vector<std::pair<std::size_t, organisation_id>> largest;
+  largest.reserve(waits.size());
   for (const auto& [name, wait] : waits) {
     largest.emplace_back(wait.mTasks, name);
   }
--- a/oriolewalk/organisations/usage_report.cc
+++ b/oriolewalk/organisations/usage_report.cc
@@ -24,6 +24,7 @@
     }
   }
   std::vector<organisation_use> uses;
+  uses.reserve(mNames.size() + 1);
   for (const organisation_id& name : mNames) {
     const auto found = aAccounts.find(name);
     const quota_account account =
--- a/testing/flow/access_test.cc
+++ b/testing/flow/access_test.cc
@@ -37,8 +37,9 @@
     table.mVersion = ++mVersion;
     table.mQueues = { Queue("fees", 0), Queue("open", 1) };
     table.mServices = { { service_id("pay"), false, false } };
-    REQUIRE(mGroup.SendRequest(table_change_with_access{
-      { table, "source" }, { std::move(aRows), { "open" } } }));
+    const table_change_with_access change{ { table, "source" },
+                                           { std::move(aRows), { "open" } } };
+    REQUIRE(mGroup.SendRequest(change));
   }
 
   std::optional<job_reply> Reply(const flow_request& aRequest)
--- a/testing/flow/organisation_oracle.cc
+++ b/testing/flow/organisation_oracle.cc
@@ -84,6 +84,7 @@
 {
   if (mTables.empty()) {
     std::vector<organisations::organisation_row> rows;
+    rows.reserve(kOrganisations);
     for (int number = 0; number < kOrganisations; ++number) {
       rows.push_back(testing::Organisation(Name(number), 0));
       rows.back().mKeys = { "key" + std::to_string(++mLastKey) };
@@ -115,6 +116,7 @@
 organisation_oracle::FinalTable()
 {
   std::vector<organisations::organisation_row> rows;
+  rows.reserve(kOrganisations);
   for (int number = 0; number < kOrganisations; ++number) {
     rows.push_back(testing::Organisation(Name(number), 0));
     rows.back().mKeys = { FinalKeyOf(Name(number)) };
@@ -152,6 +154,7 @@
              *aTable.mAcknowledgedAt + aGrace <= mNow();
     });
   std::vector<const put_table_record*> maybe;
+  maybe.reserve(mTables.size());
   const auto from = last == mTables.rend() ? mTables.begin() : last.base() - 1;
   for (auto table = from; table != mTables.end(); ++table) {
     maybe.push_back(&*table);
--- a/testing/flow/organisation_order_test.cc
+++ b/testing/flow/organisation_order_test.cc
@@ -15,7 +15,6 @@
 
 using testing::Organisation;
 using testing::plan_fixture;
-using testing::state_builder;
 using testing::Step;
 using testing::Worker;
 
