--- a/oriolewalk/organisations/organisation_row.cc
+++ b/oriolewalk/organisations/organisation_row.cc
@@ -18,6 +18,34 @@
   return Fail(error_code::InvalidArgument, "check", std::move(message));
 }
 
+// aKnown: the keys of the rows before; gets those of this one.
+result<void>
+CheckKeys(const organisation_row& aRow, std::set<std::string_view>& aKnown)
+{
+  for (const std::string& key : aRow.mKeys) {
+    if (key.empty()) {
+      return Invalid(aRow, "has an empty key");
+    }
+    if (!aKnown.insert(key).second) {
+      return Invalid(aRow, "has a key that is used twice");
+    }
+  }
+  return {};
+}
+
+result<void>
+CheckAmounts(const organisation_row& aRow)
+{
+  if (!std::isfinite(aRow.mWeight) || aRow.mWeight <= 0) {
+    return Invalid(aRow, "has a weight that isn't above 0");
+  }
+  const auto maximum = aRow.mMaximum.Amounts();
+  if (std::ranges::any_of(maximum, [](auto aOne) { return aOne < 0; })) {
+    return Invalid(aRow, "has a negative maximum");
+  }
+  return {};
+}
+
 } // namespace
 
 result<void>
@@ -32,20 +60,11 @@
     if (!names.insert(row.mName.Value()).second) {
       return Invalid(row, "stands twice");
     }
-    for (const std::string& key : row.mKeys) {
-      if (key.empty()) {
-        return Invalid(row, "has an empty key");
-      }
-      if (!keys.insert(key).second) {
-        return Invalid(row, "has a key that is used twice");
-      }
-    }
-    if (!std::isfinite(row.mWeight) || row.mWeight <= 0) {
-      return Invalid(row, "has a weight that isn't above 0");
+    if (auto sound = CheckKeys(row, keys); !sound) {
+      return sound;
     }
-    const auto maximum = row.mMaximum.Amounts();
-    if (std::ranges::any_of(maximum, [](auto aOne) { return aOne < 0; })) {
-      return Invalid(row, "has a negative maximum");
+    if (auto sound = CheckAmounts(row); !sound) {
+      return sound;
     }
   }
   return {};
