A leader knows only the capacities that a leader has heard

Cause: a new leader took all workers without lost runs for heard by the last leader, which had heard nothing of one that was silent since it shrank.

Change: members ask the leader every 0.5 s which workers it has heard, and how long ago; the age counts from when they asked, so a late answer makes nothing younger. A leader begins with these. The guess from the time of the last leader's term goes, with what followed the time of terms for it (flow_core::UpdateLedUntil, raft_node::HeardLeaderAt, flow_options::mHeartbeatInterval).

Ruled out: to wait for heartbeats in the own term alone. To commit who is silent: needs a bound on the commit's own delay. To spread heartbeats to followers: a message that was long on its way would make them younger.

--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -187,7 +187,7 @@
     };
     port.mMembers = [this]() { return Advisors(); };
     mLeader = std::make_unique<flow::leader_core>(
-      mState, mOptions, std::move(port), mTerm, Instant(), mNow);
+      mState, mOptions, std::move(port), mTerm, Instant());
   }
 
   [[nodiscard]] std::vector<std::string> Advisors() const
--- a/oriolewalk/consensus/raft_node.cc
+++ b/oriolewalk/consensus/raft_node.cc
@@ -286,7 +286,6 @@
   }
   mLeader = aLeader;
   mHeardLeaderAt = mNow;
-  mHasHeardLeader = true;
   mAskedInRow = 0;
   ResetElectionDeadline();
 }
--- a/oriolewalk/consensus/raft_node.h
+++ b/oriolewalk/consensus/raft_node.h
@@ -149,11 +149,6 @@
   [[nodiscard]] node_role Role() const { return mRole; }
   [[nodiscard]] bool IsLeader() const { return mRole == node_role::Leader; }
   [[nodiscard]] std::optional<node_id> Leader() const { return mLeader; }
-  // When another node was last heard as the leader; none since the start.
-  [[nodiscard]] std::optional<time_point> HeardLeaderAt() const
-  {
-    return mHasHeardLeader ? std::optional(mHeardLeaderAt) : std::nullopt;
-  }
   [[nodiscard]] term_t Term() const { return mHardState.mTerm; }
   [[nodiscard]] log_index CommitIndex() const { return mCommit; }
   [[nodiscard]] log_index LastIndex() const { return mLog.Last().mIndex; }
@@ -274,7 +269,6 @@
   node_role mRole = node_role::Follower;
   std::optional<node_id> mLeader;
   time_point mHeardLeaderAt;
-  bool mHasHeardLeader = false;
   int mAskedInRow = 0; // pre-votes, since a leader was heard
   time_point mElectionDeadline;
   std::set<node_id> mVotes;
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -23,6 +23,9 @@
 // elections have failed, or it was removed.
 constexpr milliseconds kJoinAfter{ 2'000 };
 
+// A third of a heartbeat interval: what the next leader knows is as much older.
+constexpr milliseconds kContactQueryInterval{ 500 };
+
 } // namespace
 
 std::size_t
@@ -68,7 +71,6 @@
                                                        aConfig.mInitialMembers,
                                                        aSeed,
                                                        aNow);
-  core->mLastTickAt = aNow;
   return core;
 }
 
@@ -188,6 +190,15 @@
   }
 }
 
+void
+flow_core::OnContacts(const worker_contacts& aContacts, time_point aQueriedAt)
+{
+  mHeard.clear();
+  for (const worker_contact& contact : aContacts.mWorkers) {
+    mHeard[contact.mWorker] = aQueriedAt - milliseconds(contact.mAgeMs);
+  }
+}
+
 void
 flow_core::OnRelayFailure(const std::string& aAddress, instant aAt)
 {
@@ -228,7 +239,6 @@
   if (mRaft->Leader()) {
     mLeaderHeardAt = aAt.mNow;
   }
-  UpdateLedUntil();
   UpdateLeader();
   if (!mLeader) {
     return;
@@ -329,43 +339,12 @@
     mLeaderTerm = mRaft->Term();
     mLeaderSince = mAt.mNow;
     mLeader = std::make_unique<leader_core>(
-      mState, mConfig.mFlow, Port(), mLeaderTerm, mAt, mLedUntil);
+      mState, mConfig.mFlow, Port(), mLeaderTerm, mAt, mHeard);
     mDecisions.push_back(
       { "leading", { { "term", std::to_string(mLeaderTerm) } } });
   }
 }
 
-// Updates mLedUntil: the last time, as far as this process knows, at which a
-// leader had heard from all reachable workers, which takes a term of at least
-// one heartbeat interval. After this process was suspended it receives messages
-// that were sent long ago and would take them for new, so these don't count.
-void
-flow_core::UpdateLedUntil()
-{
-  constexpr milliseconds kMaxTickGap{ 1'000 };
-  if (mAt.mNow >= mLastTickAt + kMaxTickGap) {
-    mIgnoreContactUntil = mAt.mNow + kMaxTickGap;
-  }
-  mLastTickAt = mAt.mNow;
-  const std::optional<time_point> heard = mRaft->HeardLeaderAt();
-  std::optional<time_point> led;
-  if (mLeader && mRaft->MayServe(mAt.mNow)) {
-    led = mAt.mNow;
-  } else if (heard && *heard > mIgnoreContactUntil) {
-    led = heard;
-  }
-  if (!led || *led <= mLedAt) {
-    return;
-  }
-  mLedAt = *led;
-  if (std::exchange(mLedTerm, mRaft->Term()) != mRaft->Term()) {
-    mLedSince = *led;
-  }
-  if (*led >= mLedSince + mConfig.mFlow.mHeartbeatInterval) {
-    mLedUntil = *led;
-  }
-}
-
 // Proposed commands may still be committed. Open requests therefore fail with
 // an unknown outcome (Timeout), and the callers retry at the next leader.
 void
@@ -411,6 +390,11 @@
     out.mOrders = mLeader->TakeOrders();
     out.mAdviceCalls = mLeader->TakeAdviceCalls();
   }
+  if (mRaft->Leader() && !mRaft->IsLeader() &&
+      aAt.mNow >= mContactsQueriedAt + kContactQueryInterval) {
+    mContactsQueriedAt = aAt.mNow;
+    out.mQueriesContacts = true;
+  }
   out.mSnapshot = std::exchange(mSnapshotToStore, nullptr);
   out.mReplies = std::exchange(mReplies, {});
   out.mDecisions = std::exchange(mDecisions, {});
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -71,6 +71,8 @@
   std::vector<flow_reply> mReplies;
   std::vector<worker_order> mOrders;
   std::vector<advice_call> mAdviceCalls;
+  // A contact query for the leader; its answer goes to OnContacts.
+  bool mQueriesContacts = false;
   std::vector<decision> mDecisions;
   std::optional<error> mFatalError; // the process must stop
 };
@@ -95,6 +97,8 @@
   void OnAdviceAnswer(std::uint64_t aOrder,
                       const result<approvals>& aAnswer,
                       instant aAt);
+  // aQueriedAt: when the query was sent, on this process's clock.
+  void OnContacts(const worker_contacts& aContacts, time_point aQueriedAt);
   // Orders could not be forwarded to this control process.
   void OnRelayFailure(const std::string& aAddress, instant aAt);
   void Tick(instant aAt);
@@ -119,7 +123,6 @@
   bool Propose(command_body aBody, leader_port::on_applied aThen);
   void Answer(call_number aCall, result<flow_answer> aAnswer);
   void UpdateLeader();
-  void UpdateLedUntil();
   void StepDown();
   void ApplyEntry(const consensus::log_entry& aEntry);
   void StartSnapshot();
@@ -136,13 +139,11 @@
   std::unique_ptr<leader_core> mLeader;
   consensus::term_t mLeaderTerm = 0;
   time_point mLeaderSince{};
-  time_point mLedUntil = time_point::min(); // min(): unknown
-  // The last contact with a leader, and the first one in that leader's term.
-  time_point mLedAt{};
-  time_point mLedSince{};
-  std::uint64_t mLedTerm = 0;
-  time_point mLastTickAt{};
-  time_point mIgnoreContactUntil = time_point::min();
+  // For the case that this process leads next. By the answers of leaders, which
+  // tell ages: whoever takes a message for new that was long on its way would
+  // overrate what it says.
+  heard_workers mHeard;
+  time_point mContactsQueriedAt{};
   consensus::log_index mAppliedIndex = 0;
   consensus::log_index mSnapshotIndex = 0;
   bool mIsSnapshotInProgress = false;
--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -495,4 +495,10 @@
   mPort.mAnswer(aCall, acknowledgement{});
 }
 
+void
+leader_core::Handle(call_number aCall, const contact_query& /*aQuery*/)
+{
+  mPort.mAnswer(aCall, mSupervisor.Contacts(mAt.mNow));
+}
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -42,12 +42,12 @@
                          leader_port aPort,
                          std::uint64_t aTerm,
                          instant aAt,
-                         time_point aLedUntil)
+                         const heard_workers& aHeard)
   : mState(aState)
   , mOptions(aOptions)
   , mPort(std::move(aPort))
   , mAt(aAt)
-  , mSupervisor(aState, aOptions, aTerm, aAt.mNow, aLedUntil)
+  , mSupervisor(aState, aOptions, aTerm, aAt.mNow, aHeard)
   , mRelays(aOptions.mMaxWorkersWithoutRelays)
   , mLastQuery(OrderIdBase(aTerm))
 {
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -87,13 +87,12 @@
 class leader_core
 {
 public:
-  // aLedUntil: see worker_supervisor.
   leader_core(const flow_state& aState,
               flow_options aOptions,
               leader_port aPort,
               std::uint64_t aTerm,
               instant aAt,
-              time_point aLedUntil);
+              const heard_workers& aHeard = {});
 
   void SetTime(instant aAt) { mAt = aAt; }
   void HandleRequest(call_number aCall, const flow_request& aRequest);
@@ -135,6 +134,7 @@
   void Handle(call_number aCall, const table_read& aRead);
   void Handle(call_number aCall, const join_request& aJoin);
   void Handle(call_number aCall, const leader_probe& aProbe);
+  void Handle(call_number aCall, const contact_query& aQuery);
 
   void Propose(command_body aBody, leader_port::on_applied aThen = {});
   void FailBusy(call_number aCall);
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -57,6 +57,16 @@
   }
 };
 
+// Asks the leader which workers it has heard recently. Control processes ask
+// regularly, for the case that they lead next.
+struct contact_query
+{
+  template<class Archive>
+  void serialize(Archive& /*aArchive*/) // NOLINT(readability-identifier-naming)
+  {
+  }
+};
+
 // The host and the path of a caller's request. They select a queue; the rest of
 // the path may name a job.
 struct caller_path
@@ -234,7 +244,8 @@
                                   leader_probe,
                                   heartbeat_summary,
                                   keyed_request,
-                                  table_change_with_access>;
+                                  table_change_with_access,
+                                  contact_query>;
 
 struct entry_heartbeat_answer
 {
@@ -315,11 +326,37 @@
   }
 };
 
+struct worker_contact
+{
+  worker_number mWorker = 0;
+  // Since the last heartbeat that reported the capacity in the state.
+  std::int64_t mAgeMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWorker, mAgeMs);
+  }
+};
+
+// The answer to a contact query.
+struct worker_contacts
+{
+  std::vector<worker_contact> mWorkers;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWorkers);
+  }
+};
+
 using flow_answer = std::variant<entry_heartbeat_answer,
                                  job_answer,
                                  acknowledgement,
                                  table_source,
-                                 unknown_workers>;
+                                 unknown_workers,
+                                 worker_contacts>;
 
 // A query to the policy service, which the receiver relays.
 struct advice_request
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -52,8 +52,6 @@
   // commit of the start: a table that lowers its maximum may be in force
   // everywhere soon afterwards.
   milliseconds mMaxQuotaAge{ 2'000 };
-  // Interval between a worker's heartbeats.
-  milliseconds mHeartbeatInterval{ 1'500 };
   // A silent worker is removed after this time, if nothing can still run there.
   milliseconds mWorkerRemovalDelay{ 20'000 };
   // How long ended jobs stay visible.
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -42,7 +42,7 @@
                                      flow_options aOptions,
                                      std::uint64_t aTerm,
                                      time_point aNow,
-                                     time_point aLedUntil)
+                                     const heard_workers& aHeard)
   : mState(aState)
   , mOptions(aOptions)
   , mTerm(aTerm)
@@ -50,13 +50,10 @@
   , mLastTickAt(aNow)
 {
   for (const auto& [number, worker] : mState.Workers()) {
-    worker_view& view = mViews[number] = MakeInheritedView(number, aNow);
-    // If runs are lost, the earlier leader could not reach the worker and
-    // received no heartbeats.
-    if (aLedUntil != time_point::min() &&
-        !mState.Crashes().HasLostRuns(number)) {
-      // The earlier leader may have missed the last heartbeat.
-      view.mHeartbeatAt = aLedUntil - mOptions.mHeartbeatInterval;
+    worker_view& view =
+      mViews.emplace(number, MakeInheritedView(number, aNow)).first->second;
+    if (const auto heard = aHeard.find(number); heard != aHeard.end()) {
+      view.mHeartbeatAt = heard->second;
     }
   }
 }
@@ -223,9 +220,27 @@
 time_point
 worker_supervisor::SendStartsBefore(const worker_view& aView) const
 {
-  return (aView.mHasUncommittedUpdate ? aView.mConfirmedAt
-                                      : aView.mHeartbeatAt) +
-         mOptions.mMaxCapacityAge + mOptions.mMaxStartDelay;
+  return CapacityKnownAt(aView) + mOptions.mMaxCapacityAge +
+         mOptions.mMaxStartDelay;
+}
+
+time_point
+worker_supervisor::CapacityKnownAt(const worker_view& aView)
+{
+  return aView.mHasUncommittedUpdate ? aView.mConfirmedAt : aView.mHeartbeatAt;
+}
+
+worker_contacts
+worker_supervisor::Contacts(time_point aNow) const
+{
+  worker_contacts contacts;
+  for (const auto& [number, view] : mViews) {
+    const time_point knownAt = CapacityKnownAt(view);
+    if (aNow < knownAt + mOptions.mMaxCapacityAge) {
+      contacts.mWorkers.push_back({ number, ToMs(aNow - knownAt) + 1 });
+    }
+  }
+  return contacts;
 }
 
 void
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -3,7 +3,7 @@
 // Manages the leader's communication with workers: leases, polls, starts and
 // stops, and the conclusions from answers that are late, lost or out of order.
 //
-//   worker_supervisor supervisor(state, options, term, now, ledUntil);
+//   worker_supervisor supervisor(state, options, term, now, heard);
 //   supervisor.OnStartCommitted(start, ticket, now); // orders the start
 //   for (auto& order : supervisor.TakeOrders()) { /* send it */ }
 //   supervisor.OnAnswer(order.mId, answer, now);
@@ -46,6 +46,7 @@
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
 #include "oriolewalk/flow/flow_state.h"
+#include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
 #include "oriolewalk/flow/worker_order.h"
 
@@ -88,12 +89,12 @@
   time_point mLastContactAt{};
   time_point mUnhealthyUntil{};
   std::int64_t mHeartbeatNumber = -1; // of the newest heartbeat; -1: none
-  // When the last heartbeat arrived; a conservative estimate if it arrived at
-  // an earlier leader.
-  time_point mHeartbeatAt{};
+  // When the last heartbeat arrived, here or at the earlier leader that told
+  // so. Nothing starts there before: the capacity may have shrunk unheard.
+  time_point mHeartbeatAt = time_point::min();
   // The same for the heartbeat before the one that reported a change which
   // isn't committed yet.
-  time_point mConfirmedAt{};
+  time_point mConfirmedAt = time_point::min();
   bool mHasUncommittedUpdate =
     false; // it reported a change that isn't committed yet
   bool mHasUncommittedEnds = false;
@@ -115,16 +116,18 @@
   bool mEndLogged = false; // its incarnation ended; every late answer says so
 };
 
+// When a leader received the last heartbeat of a worker, by the clock of this
+// process; at that time or later.
+using heard_workers = std::map<worker_number, time_point>;
+
 class worker_supervisor
 {
 public:
-  // aLedUntil: when this process last knew of an earlier leader, which may have
-  // received the workers' heartbeats; min(): unknown.
   worker_supervisor(const flow_state& aState,
                     flow_options aOptions,
                     std::uint64_t aTerm,
                     time_point aNow,
-                    time_point aLedUntil);
+                    const heard_workers& aHeard = {});
 
   // A known incarnation of a worker sent a heartbeat.
   void OnHeartbeat(worker_number aWorker,
@@ -136,6 +139,8 @@
   void OnUpdateProposed(worker_number aWorker);
   // The number of its newest heartbeat in this term; -1: none arrived.
   [[nodiscard]] std::int64_t LatestHeartbeatNumber(worker_number aWorker) const;
+  // The workers whose capacity is known well enough for starts.
+  [[nodiscard]] worker_contacts Contacts(time_point aNow) const;
   // The worker was added to the state or changed in it.
   void OnRegistered(worker_number aWorker, time_point aNow);
   void OnRemoved(worker_number aWorker);
@@ -283,6 +288,8 @@
     const worker_view::run_view& aRun);
   [[nodiscard]] bool IsIdle(const worker_view& aView, time_point aNow) const;
   [[nodiscard]] static bool NeedsLongPoll(const worker_view& aView);
+  // When the capacity in the state was reported at last.
+  [[nodiscard]] static time_point CapacityKnownAt(const worker_view& aView);
   // Until when a start may be sent to the worker, by the age of its capacity.
   [[nodiscard]] time_point SendStartsBefore(const worker_view& aView) const;
 
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t kAppendsUnderWay = 1;
 // A planned stop waits so long at most for another voter to lead.
 constexpr seconds kHandOverBound{ 2 };
+// The next contact query follows by then.
+constexpr milliseconds kContactQueryBound{ 500 };
 constexpr milliseconds kJoinEvery{ 500 };
 // How often a leader tells the seeds outside its group; as often as spares ask.
 constexpr milliseconds kTellEvery{ 500 };
@@ -352,6 +354,9 @@
   for (const flow::advice_call& order : aEffects.mAdviceCalls) {
     SendQuestion(order);
   }
+  if (aEffects.mQueriesContacts) {
+    QueryContacts();
+  }
   if (raft.mLeadership) {
     mLog.Write("leader.changed",
                { { "leader", mCore->LeaderAddress() },
@@ -411,6 +416,31 @@
             });
 }
 
+void
+control_host::QueryContacts()
+{
+  const time_point now = runtime_clock::now();
+  mRpc.Call(mCore->LeaderAddress(),
+            flow::kFlowCall,
+            Encode(flow::flow_request(flow::contact_query{})),
+            kContactQueryBound,
+            [this, now, life = mLife](const result<bytes>& aReply) {
+              auto answer = aReply
+                              ? Decode<flow::flow_answer>(*aReply, "contacts")
+                              : Fail(aReply.error());
+              const auto* contacts =
+                answer ? std::get_if<flow::worker_contacts>(&*answer) : nullptr;
+              if (contacts == nullptr) {
+                return; // the next query follows
+              }
+              boost::asio::post(mContext, [this, now, life, got = *contacts]() {
+                if (mCore && life == mLife) {
+                  mCore->OnContacts(got, now);
+                }
+              });
+            });
+}
+
 void
 control_host::ArmTick()
 {
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -147,6 +147,7 @@
   void SendToPeer(const consensus::message& aMessage);
   void SendOrder(const flow::worker_order& aOrder);
   void SendQuestion(const flow::advice_call& aOrder);
+  void QueryContacts();
   void ArmTick();
   void AskToJoin();
   void TellBeats();
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -165,13 +165,59 @@
         mLog.append(reply.mAnswer.error().Describe()).append("\n");
       }
     }
-    std::ranges::move(out.mReplies, std::back_inserter(one.mReplies));
+    if (out.mQueriesContacts) {
+      QueryContacts(aNode);
+    }
+    for (flow_reply& reply : out.mReplies) {
+      if (!PassContacts(aNode, reply)) {
+        one.mReplies.push_back(std::move(reply));
+      }
+    }
     if (out.mRaft.mCommitted.empty()) {
       return;
     }
   }
 }
 
+void
+fake_group::QueryContacts(std::size_t aNode)
+{
+  const std::string leader = mNodes[aNode].mCore->LeaderAddress();
+  if (leader.empty() || mNodes[aNode].mCut) {
+    return;
+  }
+  const std::size_t to = std::stoul(leader.substr(1));
+  const contact_call asked{ aNode, mNodes[aNode].mIncarnation, mNow };
+  At(kTransitTime, [this, to, asked]() {
+    process& one = mNodes[to];
+    if (one.mCore != nullptr && !one.mPaused && !one.mCut) {
+      mContactCalls[++mLastCall] = asked;
+      one.mCore->HandleRequest(mLastCall, contact_query{}, At());
+    }
+  });
+}
+
+bool
+fake_group::PassContacts(std::size_t aLeader, const flow_reply& aReply)
+{
+  const auto call = mContactCalls.extract(aReply.mCall);
+  if (call.empty()) {
+    return false;
+  }
+  const auto* contacts =
+    aReply.mAnswer ? std::get_if<worker_contacts>(&*aReply.mAnswer) : nullptr;
+  if (contacts != nullptr && !mNodes[aLeader].mCut) {
+    At(kTransitTime, [this, asked = call.mapped(), told = *contacts]() {
+      process& one = mNodes[asked.mNode];
+      if (one.mCore != nullptr && one.mIncarnation == asked.mIncarnation &&
+          !one.mCut) {
+        one.mCore->OnContacts(told, asked.mQueriedAt);
+      }
+    });
+  }
+  return true;
+}
+
 void
 fake_group::Deliver(std::size_t aFrom, const consensus::message& aMessage)
 {
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -117,6 +117,13 @@
     int mIncarnations = 1;
   };
 
+  struct contact_call
+  {
+    std::size_t mNode = 0;
+    std::uint64_t mIncarnation = 0;
+    time_point mQueriedAt{};
+  };
+
   [[nodiscard]] instant At() const;
   void Make(std::size_t aNode);
   void Step();
@@ -131,6 +138,9 @@
   void SendHeartbeats();
   void RestartDueWorkers();
   void SendJoinRequests();
+  void QueryContacts(std::size_t aNode);
+  // Returns whether the reply answers a contact query.
+  bool PassContacts(std::size_t aLeader, const flow_reply& aReply);
   void At(duration aAfter, std::function<void()> aDo);
   static consensus::node_id Id(std::size_t aNode);
 
@@ -152,6 +162,7 @@
   milliseconds mOrderDelay{ 0 };
   milliseconds mSyncTime{ 9 };
   call_number mLastCall = 0;
+  std::map<call_number, contact_call> mContactCalls;
   std::map<std::string, std::size_t> mCounts;
   std::string mLog;
 };
--- a/testing/flow/worker_supervisor_test.cc
+++ b/testing/flow/worker_supervisor_test.cc
@@ -28,7 +28,7 @@
   job_id mJob = mBuilder.AddJob("00", { Step(4, 1'000) });
   flow_options mOptions;
   time_point mNow{ seconds(100) };
-  worker_supervisor mSupervisor{ mBuilder.mState, mOptions, 7, mNow, mNow };
+  worker_supervisor mSupervisor{ mBuilder.mState, mOptions, 7, mNow };
   std::vector<worker_order> mOrders;
   std::vector<command_body> mCommands;
 
@@ -91,9 +91,10 @@
     return answer;
   }
 
-  // Answers the first poll under this fence.
+  // Answers the first poll under this fence, after a heartbeat.
   void Sync()
   {
+    mSupervisor.OnHeartbeat(mWorker, 0, 0, mNow);
     Advance(milliseconds(10));
     Answer(*Next<poll_order>(), Showing({}));
     mCommands.clear();
@@ -193,7 +194,7 @@
   const run_ref run = state_builder::Run(fixture.mJob, 1);
   fixture.mBuilder.Start(run, fixture.mWorker);
   worker_supervisor next(
-    fixture.mBuilder.mState, fixture.mOptions, 9, fixture.mNow, fixture.mNow);
+    fixture.mBuilder.mState, fixture.mOptions, 9, fixture.mNow);
   next.Tick(fixture.mNow);
   REQUIRE(next.TakeOrders().size() == 1);
   next.OnAnswer(earlier.mId, supervisor_fixture::Showing({}), fixture.mNow);
@@ -370,7 +371,7 @@
   fixture.mBuilder.Start(running, fixture.mWorker);
   fixture.mBuilder.Start(notStarted, fixture.mWorker);
   worker_supervisor next(
-    fixture.mBuilder.mState, fixture.mOptions, 8, fixture.mNow, fixture.mNow);
+    fixture.mBuilder.mState, fixture.mOptions, 8, fixture.mNow);
   next.Tick(fixture.mNow);
   const auto orders = next.TakeOrders();
   REQUIRE(orders.size() == 1);
@@ -388,7 +389,7 @@
   supervisor_fixture fixture;
   fixture.mBuilder.Start(state_builder::Run(fixture.mJob, 1), fixture.mWorker);
   worker_supervisor next(
-    fixture.mBuilder.mState, fixture.mOptions, 8, fixture.mNow, fixture.mNow);
+    fixture.mBuilder.mState, fixture.mOptions, 8, fixture.mNow);
   const time_point begun = fixture.mNow;
   const auto dropped = [&]() { return !next.TakeCommands().empty(); };
   for (time_point now = begun; now < begun + fixture.mOptions.mMaxLease * 1.02;
