Ticks and registrations look only at workers of which something is due

Cause: each registration looked at all known workers for one at the same address (the square of the fleet while it starts), and each tick at all workers but those with a poll in flight.

Change: workers are indexed by address; a tick visits those that an answer, a commit or a request woke, or whose time has come (polls that failed, leases that end, removal of silent ones).

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -273,6 +273,7 @@
   mLive.clear();
   mNumbers.clear();
   mPlaced.clear();
+  mBestEffort.clear();
   mAccounts.clear();
   IndexQueues();
   IndexAccess();
@@ -313,8 +314,9 @@
       if (aAccount != nullptr) {
         aAccount->Add(aJob.mSpec.mSteps[aFirst.mStep].mSize);
       }
-      mPlaced[task.mWorker].Add({ aFirst, task.mAttempt },
-                                aJob.mSpec.mSteps[aFirst.mStep]);
+      AddPlaced(task.mWorker,
+                { aFirst, task.mAttempt },
+                aJob.mSpec.mSteps[aFirst.mStep]);
     }
     ++aFirst.mIndex;
   }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -102,6 +102,11 @@
   // The capacity that those runs book, and how many of them are of each kind.
   // It takes one lookup, since plans need it for every worker.
   [[nodiscard]] placed_totals TotalsAt(worker_number aWorker) const;
+  // The workers with runs that use what the others leave.
+  [[nodiscard]] const std::set<worker_number>& WorkersWithBestEffort() const
+  {
+    return mBestEffort;
+  }
   // Whether every step that aStep depends on is done.
   [[nodiscard]] static bool AreDependenciesDone(
     const job_record& aJob,
@@ -216,6 +221,10 @@
                          apply_outcome& aOutcome);
   // Moves the runs of a worker's incarnation aFrom to its next one, aTo.
   void MoveRuns(worker_number aFrom, worker_number aTo);
+  // Indexes the placed run of a step with this specification.
+  void AddPlaced(worker_number aWorker,
+                 const run_ref& aRun,
+                 const step_spec& aStep);
   // Frees the capacity that an ended run books; its task waits again.
   void Release(const run_ref& aRun, worker_number aWorker);
   void FinishIfDone(const job_id& aId,
@@ -253,6 +262,7 @@
   std::map<worker_id, worker_number> mNumbers;
   std::unordered_map<std::string, std::size_t> mQueueIndexes; // index by name
   std::unordered_map<worker_number, placed_runs> mPlaced;
+  std::set<worker_number> mBestEffort;
   organisations::key_index mKeys;
   std::unordered_map<organisation_id, std::size_t> mOrganisationIndexes;
   std::unordered_set<std::string> mPublicQueues;
--- a/oriolewalk/flow/flow_state_runs.cc
+++ b/oriolewalk/flow/flow_state_runs.cc
@@ -85,10 +85,21 @@
   occurrence.mHasStarted = true;
   job.mHasStarted = true;
   ++job.mPlacedRuns;
-  mPlaced[aStart.mWorker].Add(aStart.mRun, step);
+  AddPlaced(aStart.mWorker, aStart.mRun, step);
   return true;
 }
 
+void
+flow_state::AddPlaced(worker_number aWorker,
+                      const run_ref& aRun,
+                      const step_spec& aStep)
+{
+  mPlaced[aWorker].Add(aRun, aStep);
+  if (aStep.mBestEffort) {
+    mBestEffort.insert(aWorker);
+  }
+}
+
 void
 flow_state::Release(const run_ref& aRun, worker_number aWorker)
 {
@@ -101,6 +112,9 @@
   --job.mPlacedRuns;
   const auto placed = mPlaced.find(aWorker);
   placed->second.Remove(aRun, job.mSpec.mSteps[aRun.mTask.mStep]);
+  if (placed->second.mAmounts.mBestEffort == 0) {
+    mBestEffort.erase(aWorker);
+  }
   if (placed->second.mRuns.empty()) {
     mPlaced.erase(placed);
   }
--- a/oriolewalk/flow/flow_state_workers.cc
+++ b/oriolewalk/flow/flow_state_workers.cc
@@ -71,6 +71,9 @@
   for (const run_ref& run : placed.mapped().mRuns) {
     FindTaskRecord(mJobs.at(run.mTask.mJob), run.mTask)->mWorker = aTo;
   }
+  if (mBestEffort.erase(aFrom) != 0) {
+    mBestEffort.insert(aTo);
+  }
   placed.key() = aTo;
   mPlaced.insert(std::move(placed));
 }
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -55,6 +55,8 @@
     if (const auto heard = aHeard.find(number); heard != aHeard.end()) {
       view.mHeartbeatAt = heard->second;
     }
+    IndexAddress(number, view);
+    Wake(number);
   }
 }
 
@@ -91,6 +93,7 @@
   if (found == mViews.end() || aNumber <= found->second.mHeartbeatNumber) {
     return;
   }
+  mChanged.insert(aWorker);
   worker_view& view = found->second;
   view.mHeartbeatNumber = aNumber;
   if (!view.mHasUncommittedUpdate) {
@@ -125,14 +128,21 @@
     view.mHeartbeatAt = aNow;
     mViews.emplace(aWorker, std::move(view));
   }
-  mViews[aWorker].mHasUncommittedUpdate = false;
+  mChanged.insert(aWorker);
+  worker_view& known = mViews.at(aWorker);
+  known.mHasUncommittedUpdate = false;
+  if (known.mAddress != record->mDescription.mAddress) {
+    ForgetAddress(aWorker, known);
+    IndexAddress(aWorker, known);
+  }
+  Wake(aWorker);
   // Another incarnation at the same address is over; a short poll there
   // confirms it.
-  for (auto& [number, view] : mViews) {
-    const worker_record* other = mState.FindWorker(number);
-    if (number != aWorker && other != nullptr &&
-        other->mDescription.mAddress == record->mDescription.mAddress) {
-      view.mShortPollRequested = true;
+  const auto [first, last] = mByAddress.equal_range(known.mAddress);
+  for (auto at = first; at != last; ++at) {
+    if (at->second != aWorker) {
+      mViews.at(at->second).mShortPollRequested = true;
+      Wake(at->second);
     }
   }
 }
@@ -140,7 +150,33 @@
 void
 worker_supervisor::OnRemoved(worker_number aWorker)
 {
-  mViews.erase(aWorker);
+  const auto found = mViews.find(aWorker);
+  if (found == mViews.end()) {
+    return;
+  }
+  mChanged.insert(aWorker);
+  ForgetAddress(aWorker, found->second);
+  mDue.erase(aWorker);
+  mViews.erase(found);
+}
+
+void
+worker_supervisor::IndexAddress(worker_number aWorker, worker_view& aView)
+{
+  aView.mAddress = mState.FindWorker(aWorker)->mDescription.mAddress;
+  mByAddress.emplace(aView.mAddress, aWorker);
+}
+
+void
+worker_supervisor::ForgetAddress(worker_number aWorker,
+                                 const worker_view& aView)
+{
+  const auto [first, last] = mByAddress.equal_range(aView.mAddress);
+  const auto found = std::find_if(
+    first, last, [&](const auto& aEntry) { return aEntry.second == aWorker; });
+  if (found != last) {
+    mByAddress.erase(found);
+  }
 }
 
 void
@@ -202,6 +238,7 @@
     return;
   }
   found->second.mRuns[aStart.mRun] = {};
+  Wake(aStart.mWorker);
   time_point sendBefore = SendStartsBefore(found->second);
   if (!job->mOwner.Value().empty()) {
     sendBefore = std::min(sendBefore, aNow + mOptions.mMaxQuotaAge);
@@ -257,6 +294,7 @@
     run->second.mStopRequested = true;
     run->second.mStopRetryAt = aNow;
     found->second.mHasRunsToResolve = true;
+    Wake(aWorker);
   }
 }
 
@@ -287,6 +325,7 @@
   found->second.mHasUncommittedEnds = false;
   found->second.mNextPollAt = aNow;
   SyncRuns(aWorker, found->second);
+  Wake(aWorker);
 }
 
 // Without this, a task that ran for minutes on a worker that crashed would
@@ -317,6 +356,7 @@
 {
   if (const auto found = mViews.find(aWorker); found != mViews.end()) {
     SyncRuns(aWorker, found->second);
+    Wake(aWorker);
   }
 }
 
@@ -376,8 +416,7 @@
   if (aNow < aView.mNextPollAt) {
     return;
   }
-  const bool isShort = aView.mShortPollRequested || !aView.mSynced ||
-                       aView.mFailedPolls > 0 || aView.mHasNewerIncarnation;
+  const bool isShort = NeedsShortPoll(aView);
   if (isShort && aView.mShortPoll == 0) {
     aView.mShortPollRequested = false;
     aView.mShortPoll = SendPoll(aWorker, aView, milliseconds(0), aNow);
@@ -419,15 +458,11 @@
   }
 }
 
-// Whether its long poll is in flight and nothing else is due, as for nearly all
-// workers at nearly all ticks.
 bool
-worker_supervisor::IsIdle(const worker_view& aView, time_point aNow) const
+worker_supervisor::NeedsShortPoll(const worker_view& aView)
 {
-  return aView.mLongPoll != 0 && aView.mSynced && aView.mFailedPolls == 0 &&
-         !aView.mShortPollRequested && !aView.mHasRunsToResolve &&
-         !aView.mRuns.empty() &&
-         aNow < aView.mLastContactAt + mOptions.mWorkerRemovalDelay;
+  return aView.mShortPollRequested || !aView.mSynced ||
+         aView.mFailedPolls > 0 || aView.mHasNewerIncarnation;
 }
 
 void
@@ -460,38 +495,111 @@
 worker_supervisor::Tick(time_point aNow)
 {
   DetectLateTick(aNow);
-  for (auto& [number, view] : mViews) {
-    if (IsIdle(view, aNow)) {
-      continue;
-    }
-    if (mState.FindWorker(number) == nullptr) {
+  WakeScheduled(aNow);
+  for (const worker_number number : std::exchange(mDue, {})) {
+    const auto found = mViews.find(number);
+    if (found == mViews.end() || mState.FindWorker(number) == nullptr) {
       continue; // its removal is being applied
     }
-    ResolveRuns(number, view, aNow);
-    DropExpiredRuns(number, view, aNow);
-    SendDuePolls(number, view, aNow);
-    if (view.mRuns.empty() && aNow >= view.mLeasesExpireAt &&
-        aNow >= view.mLastContactAt + mOptions.mWorkerRemovalDelay) {
-      mCommands.emplace_back(remove_worker{ number });
-      view.mLastContactAt =
-        aNow; // proposes it again after this delay until it is applied
+    ++mVisits;
+    Visit(number, found->second, aNow);
+    Schedule(number, found->second, aNow);
+  }
+}
+
+void
+worker_supervisor::WakeScheduled(time_point aNow)
+{
+  while (!mScheduled.empty() && mScheduled.top().first <= aNow) {
+    const auto [at, number] = mScheduled.top();
+    mScheduled.pop();
+    const auto found = mViews.find(number);
+    if (found != mViews.end() && found->second.mVisitAt == at) {
+      found->second.mVisitAt = time_point::max();
+      Wake(number);
     }
   }
 }
 
-bool
-worker_supervisor::IsUsable(worker_number aWorker, time_point aNow) const
+void
+worker_supervisor::Schedule(worker_number aWorker,
+                            worker_view& aView,
+                            time_point aNow)
+{
+  const time_point next = NextVisitAt(aView);
+  if (next <= aNow) {
+    Wake(aWorker);
+  } else if (next < aView.mVisitAt) {
+    aView.mVisitAt = next;
+    mScheduled.emplace(next, aWorker);
+  }
+}
+
+time_point
+worker_supervisor::NextVisitAt(const worker_view& aView) const
+{
+  if (aView.mHasRunsToResolve) {
+    return time_point::min();
+  }
+  time_point next = std::max(
+    aView.mLeasesExpireAt, aView.mLastContactAt + mOptions.mWorkerRemovalDelay);
+  const bool pollIsDue = NeedsShortPoll(aView)
+                           ? aView.mShortPoll == 0
+                           : NeedsLongPoll(aView) && aView.mLongPoll == 0 &&
+                               !aView.mHasUncommittedEnds;
+  if (pollIsDue) {
+    next = std::min(next, aView.mNextPollAt);
+  }
+  if (aView.mFailedPolls > 0 && !aView.mRuns.empty()) {
+    next =
+      std::min(next, std::max(aView.mLeasesExpireAt, aView.mNextExpiryCheckAt));
+  }
+  return next;
+}
+
+void
+worker_supervisor::Visit(worker_number aWorker,
+                         worker_view& aView,
+                         time_point aNow)
+{
+  ResolveRuns(aWorker, aView, aNow);
+  DropExpiredRuns(aWorker, aView, aNow);
+  SendDuePolls(aWorker, aView, aNow);
+  const time_point removeAt = std::max(
+    aView.mLeasesExpireAt, aView.mLastContactAt + mOptions.mWorkerRemovalDelay);
+  if (aView.mRuns.empty() && aNow >= removeAt) {
+    mCommands.emplace_back(remove_worker{ aWorker });
+    aView.mLastContactAt =
+      aNow; // proposes it again after this delay until it is applied
+  }
+}
+
+worker_usability
+worker_supervisor::Usability(worker_number aWorker, time_point aNow) const
 {
   const auto found = mViews.find(aWorker);
   if (found == mViews.end()) {
-    return false;
+    return {};
   }
   const worker_view& view = found->second;
-  return view.mSynced && view.mHasClock && view.mFailedPolls == 0 &&
-         !view.mHasNewerIncarnation && !view.mHasUncommittedUpdate &&
-         aNow >= view.mUnhealthyUntil &&
-         aNow < view.mLastContactAt + mOptions.mHeartbeatTimeout &&
-         aNow < view.mHeartbeatAt + mOptions.mMaxCapacityAge;
+  if (!view.mSynced || !view.mHasClock || view.mFailedPolls > 0 ||
+      view.mHasNewerIncarnation || view.mHasUncommittedUpdate) {
+    return {};
+  }
+  if (aNow < view.mUnhealthyUntil) {
+    return { false, view.mUnhealthyUntil };
+  }
+  const time_point silentAt =
+    std::min(view.mLastContactAt + mOptions.mHeartbeatTimeout,
+             view.mHeartbeatAt + mOptions.mMaxCapacityAge);
+  return aNow < silentAt ? worker_usability{ true, silentAt }
+                         : worker_usability{};
+}
+
+std::set<worker_number>
+worker_supervisor::TakeChangedWorkers()
+{
+  return std::exchange(mChanged, {});
 }
 
 void
@@ -499,6 +607,7 @@
 {
   if (const auto found = mViews.find(aWorker); found != mViews.end()) {
     found->second.mHasUncommittedUpdate = true;
+    mChanged.insert(aWorker);
   }
 }
 
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -30,16 +30,23 @@
 //   expired, and the worker is unreachable. While this process is delayed, a
 //   worker that still makes contact counts as reachable.
 //
+// The cost of a tick grows with the workers of which something is due, not with
+// all workers: nearly all have a poll in flight or nothing to wait for.
+//
 // Owned by leader_core, which creates a new one for each term. Does no I/O.
 // Order ids keep rising from term to term: the answer to an order that this
 // process sent in an earlier term may arrive now, and is ignored.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <queue>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
@@ -73,6 +80,7 @@
     std::string mCheckpoint; // from the latest poll
   };
 
+  std::string mAddress; // by which it is indexed
   bool mSynced = false; // it has answered under this term's fence
   bool mHasClock = false;
   std::int64_t mClockMs = 0;
@@ -114,12 +122,21 @@
   // expired.
   std::map<run_ref, duration> mLostRunAges;
   bool mEndLogged = false; // its incarnation ended; every late answer says so
+  time_point mVisitAt = time_point::max(); // the next scheduled visit
 };
 
 // When a leader received the last heartbeat of a worker, by the clock of this
 // process; at that time or later.
 using heard_workers = std::map<worker_number, time_point>;
 
+// Whether new runs may be placed on a worker now.
+struct worker_usability
+{
+  bool mIsUsable = false;
+  // When time alone changes it, if nothing else happens before.
+  time_point mUntil = time_point::max();
+};
+
 class worker_supervisor
 {
 public:
@@ -185,12 +202,21 @@
   // worker.
   [[nodiscard]] bool IsNewlyStarted(worker_number aWorker,
                                     const run_ref& aRun) const;
-  // Whether new runs may be placed there now.
-  [[nodiscard]] bool IsUsable(worker_number aWorker, time_point aNow) const;
+  [[nodiscard]] worker_usability Usability(worker_number aWorker,
+                                           time_point aNow) const;
+  [[nodiscard]] bool IsUsable(worker_number aWorker, time_point aNow) const
+  {
+    return Usability(aWorker, aNow).mIsUsable;
+  }
+  // The workers whose usability may have changed since the last call, except
+  // by time.
+  std::set<worker_number> TakeChangedWorkers();
   [[nodiscard]] const std::map<worker_number, worker_view>& Views() const
   {
     return mViews;
   }
+  // How many workers the ticks have visited so far, each counted once a tick.
+  [[nodiscard]] std::uint64_t Visits() const { return mVisits; }
 
 private:
   struct pending_order
@@ -265,6 +291,16 @@
   void ResolveRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
   void DetectLateTick(time_point aNow);
+  // The next tick visits the worker.
+  void Wake(worker_number aWorker) { mDue.insert(aWorker); }
+  void WakeScheduled(time_point aNow);
+  void Visit(worker_number aWorker, worker_view& aView, time_point aNow);
+  void Schedule(worker_number aWorker, worker_view& aView, time_point aNow);
+  // When something is due there, unless an answer, a commit or a request
+  // changes it before.
+  [[nodiscard]] time_point NextVisitAt(const worker_view& aView) const;
+  void IndexAddress(worker_number aWorker, worker_view& aView);
+  void ForgetAddress(worker_number aWorker, const worker_view& aView);
   // Whether its last poll may have failed only because this process was
   // delayed: the worker made contact after the poll was sent.
   [[nodiscard]] bool IsOwnDelay(const worker_view& aView) const;
@@ -286,7 +322,7 @@
   [[nodiscard]] static std::optional<duration> MinRunTime(
     const worker_view& aView,
     const worker_view::run_view& aRun);
-  [[nodiscard]] bool IsIdle(const worker_view& aView, time_point aNow) const;
+  [[nodiscard]] static bool NeedsShortPoll(const worker_view& aView);
   [[nodiscard]] static bool NeedsLongPoll(const worker_view& aView);
   // When the capacity in the state was reported at last.
   [[nodiscard]] static time_point CapacityKnownAt(const worker_view& aView);
@@ -300,6 +336,17 @@
   time_point mLastTickAt;
   time_point mLastLateTickAt{}; // when the last late tick came
   std::map<worker_number, worker_view> mViews;
+  // Usually one worker at each address; another incarnation or a worker that
+  // took over an address makes it two.
+  std::unordered_multimap<std::string, worker_number> mByAddress;
+  std::set<worker_number> mDue; // workers that the next tick visits
+  // Later visits. An entry counts if it is the worker's mVisitAt.
+  std::priority_queue<std::pair<time_point, worker_number>,
+                      std::vector<std::pair<time_point, worker_number>>,
+                      std::greater<>>
+    mScheduled;
+  std::uint64_t mVisits = 0;
+  std::set<worker_number> mChanged; // see TakeChangedWorkers
   std::map<std::uint64_t, pending_order> mPendingOrders;
   std::vector<worker_order> mOrders;
   std::vector<command_body> mCommands;
--- a/oriolewalk/flow/worker_supervisor_answers.cc
+++ b/oriolewalk/flow/worker_supervisor_answers.cc
@@ -33,6 +33,8 @@
   if (found == mViews.end()) {
     return;
   }
+  Wake(order.mWorker);
+  mChanged.insert(order.mWorker);
   worker_view& view = found->second;
   // If the lists of a later incarnation were applied to this one, runs would be
   // dropped whose start may still arrive, and its ends would be compared with a
