A plan costs what changed, and the pauses between plans follow the live jobs

Cause: the pause between urgent plans was 8 us a worker (51 ms at 6,000), since a plan copied all workers, indexed them and, for each query, scored each of them: 5 ms a plan and 2 ms a query. At 12,000 both double.

Change: the planner's view of the workers is kept between plans and refreshed where something changed (plan_worker_cache); it ranks the workers of each service and capacity by the part of the score that doesn't depend on the task (plan_workers), so a query looks at the best hundred of each capacity and not at all. A plan keeps what it books in copies of its own. The pauses follow what a plan still walks through, the live jobs: 90 us and 18 us each instead of 40 us and 8 us a worker. Pace is adjusted where best-effort runs are. decision_counts says what the decisions looked at.

A pause by visited workers: they come from arrivals, so it feeds on itself (plans that query more wait longer and query more).

--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -177,5 +177,38 @@
   }
 });
 
+void
+AddCounts(bench_report& aReport,
+          const std::string& aName,
+          const flow::decision_counts& aCounts)
+{
+  const auto add = [&](const char* aWhat, std::uint64_t aCount) {
+    aReport.Add(aName + "." + aWhat, static_cast<double>(aCount), "count");
+  };
+  add("plans", aCounts.mPlans);
+  add("planned_workers", aCounts.mPlannedWorkers);
+  add("evaluated_workers", aCounts.mEvaluatedWorkers);
+  add("ticked_workers", aCounts.mTickedWorkers);
+}
+
+// The cost of one load in cells of growing size.
+const registered_bench kFleet("fleet", [](bench_report& aReport) {
+  for (const flow_scenario& scenario : FleetScenarios()) {
+    const flow_outcome one =
+      SimulateLoad(MakeLoad(scenario, kSeeds.front()), {});
+    const std::string name = "workers_" + scenario.mName;
+    for (const auto& [activity, ms] : one.mActivityMs) {
+      aReport.Add(name + "." + activity, ms, "processor ms");
+    }
+    aReport.Add(name + ".plan", one.mDecisionMs, "processor ms");
+    AddCounts(aReport, name, one.mCounts);
+    for (const auto& [queue, outcome] : one.mQueues) {
+      std::string figure = name + ".";
+      figure += queue;
+      AddQueue(aReport, figure, outcome);
+    }
+  }
+});
+
 } // namespace
 } // namespace oriolewalk::bench
--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -70,6 +70,9 @@
       Decide();
     }
     Evaluate();
+    if (mLeader) {
+      mOutcome.mCounts = mLeader->Counts();
+    }
     return std::move(mOutcome);
   }
 
@@ -113,18 +116,28 @@
   void Apply(const flow::command_body& aBody,
              const flow::leader_port::on_applied& aThen)
   {
-    const auto outcome = mState.Apply({ Instant().mWallMs, aBody });
+    flow::apply_outcome outcome;
+    Measure("apply", [&]() {
+      outcome = mState.Apply({ Instant().mWallMs, aBody });
+    });
     for (const job_id& id : outcome.mEndedJobs) {
       mEndedAt[id] = mNow;
     }
     if (mLeader) {
-      mLeader->OnApplied(aBody, outcome);
+      Measure("applied", [&]() { mLeader->OnApplied(aBody, outcome); });
     }
     if (aThen) {
       aThen(outcome);
     }
   }
 
+  void Measure(const std::string& aActivity, const std::function<void()>& aDo)
+  {
+    const double before = ProcessorMs();
+    aDo();
+    mOutcome.mActivityMs[aActivity] += ProcessorMs() - before;
+  }
+
   void SetUp()
   {
     flow::queue_table table;
@@ -217,7 +230,8 @@
   {
     if (mLeader) {
       mLeader->SetTime(Instant());
-      mLeader->HandleRequest(++mLastCall, aRequest);
+      Measure("request",
+              [&]() { mLeader->HandleRequest(++mLastCall, aRequest); });
       return;
     }
     constexpr milliseconds kAgain{ 300 };
@@ -253,7 +267,7 @@
   {
     if (mLeader) {
       mLeader->SetTime(Instant());
-      mLeader->Tick();
+      Measure("tick", [this]() { mLeader->Tick(); });
     }
     At(mNow + kTickInterval, [this]() { Tick(); });
   }
@@ -311,7 +325,7 @@
        [this, term = mTerm, aOrder, answer = std::move(aAnswer)]() {
          if (mLeader && term == mTerm) {
            mLeader->SetTime(Instant());
-           mLeader->OnOrderAnswer(aOrder, answer);
+           Measure("answer", [&]() { mLeader->OnOrderAnswer(aOrder, answer); });
          }
        });
   }
--- a/bench/flow_driver.h
+++ b/bench/flow_driver.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "bench/flow_scenario.h"
+#include "oriolewalk/flow/leader_core.h"
 #include "oriolewalk/flow/plan_policy.h"
 
 namespace oriolewalk::bench {
@@ -41,7 +42,10 @@
   double mAdviceMs = 0; // the policy service's work
   std::size_t mQueriedWorkers = 0;
   std::size_t mOverCapacity = 0; // starts beyond a worker's capacity
-  double mDecisionMs = 0;        // processor time of all decisions, measured
+  double mDecisionMs = 0;        // processor time of the plans, measured
+  // Processor time of the leader's other work, measured, by activity.
+  std::map<std::string, double> mActivityMs;
+  flow::decision_counts mCounts; // of the last leader
   std::size_t mStarts = 0;
 };
 
--- a/bench/flow_scenario.cc
+++ b/bench/flow_scenario.cc
@@ -1,7 +1,9 @@
 #include "bench/flow_scenario.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <string>
 #include <utility>
 
 #include <xxhash.h>
@@ -341,6 +343,25 @@
   return { small, large, LargestScenario() };
 }
 
+std::vector<flow_scenario>
+FleetScenarios()
+{
+  constexpr std::array<std::size_t, 4> kSizes{ 350, 1'100, 6'000, 12'000 };
+  std::vector<flow_scenario> scenarios;
+  for (const std::size_t size : kSizes) {
+    flow_scenario scenario = LargestScenario();
+    scenario.mName = std::to_string(size);
+    scenario.mKinds[0].mPerSecond = 20;
+    scenario.mKinds[1].mPerSecond = 2;
+    scenario.mKinds[2].mPerSecond = 0.2;
+    scenario.mWorkers = { { "plain", size / 2, 32'000, 131'072, 0, 8 },
+                          { "plain", size / 4, 16'000, 65'536, 0, 8 },
+                          { "plain", size / 4, 64'000, 262'144, 0, 8 } };
+    scenarios.push_back(std::move(scenario));
+  }
+  return scenarios;
+}
+
 flow_load
 MakeLoad(const flow_scenario& aScenario, std::uint64_t aSeed)
 {
--- a/bench/flow_scenario.h
+++ b/bench/flow_scenario.h
@@ -91,6 +91,11 @@
 std::vector<flow_scenario>
 FlowScenarios();
 
+// The same arrivals on cells of growing size, the smallest one first: what
+// costs more in a larger one grows with the cell and not with its work.
+std::vector<flow_scenario>
+FleetScenarios();
+
 flow_load
 MakeLoad(const flow_scenario& aScenario, std::uint64_t aSeed);
 
--- a/oriolewalk/flow/advice_cache.cc
+++ b/oriolewalk/flow/advice_cache.cc
@@ -1,6 +1,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 
 #include <algorithm>
+#include <ranges>
 #include <string_view>
 
 #include "oriolewalk/flow/erase_while.h"
@@ -96,6 +97,17 @@
   return approved;
 }
 
+std::vector<worker_number>
+advice_cache::QueriedWorkers(const step_ref& aStep) const
+{
+  const auto found = mTickets.find(aStep);
+  if (found == mTickets.end()) {
+    return {};
+  }
+  const auto numbers = found->second | std::views::keys;
+  return { numbers.begin(), numbers.end() };
+}
+
 std::string
 advice_cache::TicketFor(const step_ref& aStep,
                         worker_number aWorker,
--- a/oriolewalk/flow/advice_cache.h
+++ b/oriolewalk/flow/advice_cache.h
@@ -87,6 +87,9 @@
   [[nodiscard]] std::vector<worker_number> ApprovedWorkers(
     const step_ref& aStep,
     time_point aNow) const;
+  // All workers that have a verdict for the step. Linear in them.
+  [[nodiscard]] std::vector<worker_number> QueriedWorkers(
+    const step_ref& aStep) const;
   // Empty if there is no valid ticket.
   [[nodiscard]] std::string TicketFor(const step_ref& aStep,
                                       worker_number aWorker,
--- a/oriolewalk/flow/advice_queries.cc
+++ b/oriolewalk/flow/advice_queries.cc
@@ -12,10 +12,6 @@
 
 namespace {
 
-// The policy service accepts at most this many workers in a query. A wide step
-// of a queue whose policy approves a third of the workers needs 60 for its 20
-// tasks. With a limit of 40 it queried repeatedly until all advisors were busy.
-constexpr std::size_t kMaxQueried = 100;
 // A query includes more workers than are expected to suffice, so that a second
 // one isn't needed: capacity that is free now may be taken when the answer
 // arrives.
@@ -86,7 +82,7 @@
 public:
   worker_selection(const open_step& aStep,
                    const query_need& aNeed,
-                   std::span<plan_worker* const> aWorkers,
+                   std::span<const plan_worker* const> aWorkers,
                    const advice_cache& aAdvice,
                    const plan_policy& aPolicy,
                    time_point aNow)
@@ -107,7 +103,7 @@
   {
     std::vector<worker_number> selected;
     // Few of many candidates are selected, so a heap is cheaper than a sort.
-    while (!mCandidates.empty() && selected.size() < kMaxQueried &&
+    while (!mCandidates.empty() && selected.size() < kMaxQueriedWorkers &&
            !HasEnough(selected.size())) {
       std::ranges::pop_heap(mCandidates, IsAfter);
       const candidate next = mCandidates.back();
@@ -269,7 +265,7 @@
 std::vector<worker_number>
 WorkersToQuery(const open_step& aStep,
                const query_need& aNeed,
-               std::span<plan_worker* const> aWorkers,
+               std::span<const plan_worker* const> aWorkers,
                const advice_cache& aAdvice,
                const plan_policy& aPolicy,
                time_point aNow)
--- a/oriolewalk/flow/advice_queries.h
+++ b/oriolewalk/flow/advice_queries.h
@@ -11,7 +11,7 @@
 // workers once only renews tickets afterwards. When each query included a
 // single worker with free capacity, a step took 16 queries and 48 s to start.
 //
-// Pure. The cost is linear in the service's workers.
+// Pure. The cost is linear in the workers that are considered.
 
 #include <set>
 #include <span>
@@ -39,11 +39,16 @@
   bool mHasSurplusAdvisors = false;  // no other step needs the advisors
 };
 
+// The policy service accepts at most this many workers in a query. A wide step
+// of a queue whose policy approves a third of the workers needs 60 for its 20
+// tasks.
+inline constexpr std::size_t kMaxQueriedWorkers = 100;
+
 // Empty if no query is worthwhile.
 std::vector<worker_number>
 WorkersToQuery(const open_step& aStep,
                const query_need& aNeed,
-               std::span<plan_worker* const> aWorkers,
+               std::span<const plan_worker* const> aWorkers,
                const advice_cache& aAdvice,
                const plan_policy& aPolicy,
                time_point aNow);
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -48,6 +48,7 @@
   , mPort(std::move(aPort))
   , mAt(aAt)
   , mSupervisor(aState, aOptions, aTerm, aAt.mNow, aHeard)
+  , mPlanWorkers(aOptions.mPlan.mPlacement)
   , mRelays(aOptions.mMaxWorkersWithoutRelays)
   , mLastQuery(OrderIdBase(aTerm))
 {
@@ -58,6 +59,7 @@
                        const apply_outcome& aOutcome)
 {
   mPlanTimer.OnChange(AffectsTopPriority(aCommand));
+  InvalidateWorkers(aCommand, aOutcome);
   if (const auto* worker = std::get_if<register_worker>(&aCommand)) {
     ForgetWorker(aOutcome.mPreviousIncarnation);
     mSupervisor.OnRegistered(mState.NumberOf(worker->mDescription.mId),
@@ -98,6 +100,7 @@
 {
   mSupervisor.OnRemoved(aWorker);
   mHealth.Forget(aWorker);
+  mPlanWorkers.Invalidate(aWorker);
   mInterference.Forget(aWorker);
 }
 
@@ -143,8 +146,11 @@
       ForgetOldJobs();
       StopAllStragglers();
     }
-    for (const auto& [number, view] : mSupervisor.Views()) {
-      AdjustPace(number, view);
+    for (const worker_number number : mState.WorkersWithBestEffort()) {
+      const auto view = mSupervisor.Views().find(number);
+      if (view != mSupervisor.Views().end()) {
+        AdjustPace(number, view->second);
+      }
     }
   }
 }
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -39,6 +39,7 @@
 #include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
 #include "oriolewalk/flow/plan_timer.h"
+#include "oriolewalk/flow/plan_worker_cache.h"
 #include "oriolewalk/flow/planner.h"
 #include "oriolewalk/flow/relay_assignment.h"
 #include "oriolewalk/flow/straggler_detector.h"
@@ -84,6 +85,16 @@
 std::string_view
 StateName(const job_record& aJob);
 
+// How much work the decisions were, in workers that they looked at. Each grows
+// with what happens in the cell and not with its size.
+struct decision_counts
+{
+  std::uint64_t mPlans = 0;
+  std::uint64_t mPlannedWorkers = 0;   // that plans looked at
+  std::uint64_t mEvaluatedWorkers = 0; // whose free capacity was determined
+  std::uint64_t mTickedWorkers = 0;    // that ticks visited
+};
+
 class leader_core
 {
 public:
@@ -109,6 +120,9 @@
   std::vector<worker_order> TakeOrders();
   std::vector<advice_call> TakeAdviceCalls();
 
+  // What this leader's decisions have looked at since it leads.
+  [[nodiscard]] decision_counts Counts() const;
+
 private:
   struct open_query
   {
@@ -187,8 +201,14 @@
   void DrainSupervisor();
   // The worker's known incarnation has ended.
   void ForgetWorker(worker_number aWorker);
-  [[nodiscard]] std::vector<plan_worker> UsableWorkers() const;
-  [[nodiscard]] plan_input MakeInput(plan_scope aScope);
+  // What a plan may start on the worker now.
+  [[nodiscard]] worker_evaluation EvaluateWorker(worker_number aWorker) const;
+  const plan_workers& RefreshPlanWorkers();
+  [[nodiscard]] std::map<worker_number, pending_capacity> PendingCapacity()
+    const;
+  void InvalidateWorkers(const command_body& aCommand,
+                         const apply_outcome& aOutcome);
+  plan_input MakeInput(plan_scope aScope);
   // Whether the applied command may allow a top-priority step to proceed.
   [[nodiscard]] bool AffectsTopPriority(const command_body& aCommand) const;
   void LogAccepted(const std::string& aId,
@@ -235,6 +255,7 @@
   leader_port mPort;
   instant mAt;
   worker_supervisor mSupervisor;
+  plan_worker_cache mPlanWorkers;
   advice_cache mAdvice;
   worker_health mHealth;
   straggler_detector mStragglers;
@@ -242,6 +263,8 @@
   interference_control mInterference;
   plan_timer mPlanTimer;
   std::size_t mTopPriorityWaiting = 0; // tasks, in the last plan
+  std::uint64_t mPlans = 0;
+  std::uint64_t mPlannedWorkers = 0;
   time_point mShortageLoggedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -16,66 +16,58 @@
 // service, and hundreds of steps wait.
 constexpr milliseconds kRecheckInterval{ 100 };
 
-// aWorkers: sorted by number.
-plan_worker*
-Find(std::vector<plan_worker>& aWorkers, worker_number aNumber)
+} // namespace
+
+worker_evaluation
+leader_core::EvaluateWorker(worker_number aWorker) const
 {
-  const auto found =
-    std::ranges::lower_bound(aWorkers, aNumber, {}, &plan_worker::mNumber);
-  return found != aWorkers.end() && found->mNumber == aNumber ? &*found
-                                                              : nullptr;
+  const worker_record* worker = mState.FindWorker(aWorker);
+  if (worker == nullptr || worker->mDraining) {
+    return {};
+  }
+  const worker_usability usability = mSupervisor.Usability(aWorker, mAt.mNow);
+  if (!usability.mIsUsable) {
+    return { std::nullopt, usability.mUntil };
+  }
+  const placed_totals placed = mState.TotalsAt(aWorker);
+  const worker_standing standing = mHealth.Standing(aWorker, mAt.mNow);
+  plan_worker planned;
+  planned.mNumber = aWorker;
+  planned.mDescription = &worker->mDescription;
+  planned.mFree = worker->mDescription.mCapacity - placed.mBooked;
+  planned.mSpeed = standing.mSpeed;
+  planned.mAvoided = standing.mAvoided;
+  planned.mRunsLatencySensitive = placed.mLatencySensitive > 0;
+  planned.mRunsBestEffort = placed.mBestEffort > 0;
+  planned.mRunsGangOrLongRunning = placed.mLongRunning > 0;
+  return { planned,
+           standing.mAvoided
+             ? std::min(usability.mUntil, standing.mAvoidedUntil)
+             : usability.mUntil };
 }
 
-void
-ClearAvoidedIfMany(std::vector<plan_worker>& aWorkers)
+const plan_workers&
+leader_core::RefreshPlanWorkers()
 {
-  // If more than a third of the workers seem bad the cause lies elsewhere, and
-  // no worker is avoided.
-  constexpr std::ptrdiff_t kMinWorkersPerAvoided = 3;
-  if (std::ranges::count(aWorkers, true, &plan_worker::mAvoided) *
-        kMinWorkersPerAvoided >
-      std::ssize(aWorkers)) {
-    for (plan_worker& worker : aWorkers) {
-      worker.mAvoided = false;
-    }
+  for (const worker_number number : mSupervisor.TakeChangedWorkers()) {
+    mPlanWorkers.Invalidate(number);
   }
+  return mPlanWorkers.Refresh(mAt.mNow, [this](worker_number aWorker) {
+    return EvaluateWorker(aWorker);
+  });
 }
 
-} // namespace
-
-std::vector<plan_worker>
-leader_core::UsableWorkers() const
+std::map<worker_number, pending_capacity>
+leader_core::PendingCapacity() const
 {
-  std::vector<plan_worker> workers;
-  workers.reserve(mState.Workers().size());
-  for (const auto& [number, worker] : mState.Workers()) {
-    if (worker.mDraining || !mSupervisor.IsUsable(number, mAt.mNow)) {
-      continue;
-    }
-    const placed_totals placed = mState.TotalsAt(number);
-    plan_worker& planned = workers.emplace_back();
-    planned.mNumber = number;
-    planned.mDescription = &worker.mDescription;
-    planned.mFree = worker.mDescription.mCapacity - placed.mBooked;
-    const worker_standing standing = mHealth.Standing(number, mAt.mNow);
-    planned.mSpeed = standing.mSpeed;
-    planned.mAvoided = standing.mAvoided;
-    planned.mRunsLatencySensitive = placed.mLatencySensitive > 0;
-    planned.mRunsBestEffort = placed.mBestEffort > 0;
-    planned.mRunsGangOrLongRunning = placed.mLongRunning > 0;
-  }
+  std::map<worker_number, pending_capacity> pending;
   for (const auto& [number, capacity] : mProposedCapacity) {
-    if (plan_worker* worker = Find(workers, number)) {
-      worker->mFree -= capacity;
-    }
+    pending[number].mProposed = capacity;
   }
   for (const auto& [run, number] : mPreemptedRuns) {
-    if (plan_worker* worker = Find(workers, number)) {
-      worker->mBeingFreed += mState.FindStep(run.mTask)->Booked();
-    }
+    pending[number].mBeingFreed += mState.FindStep(run.mTask)->Booked();
   }
-  ClearAvoidedIfMany(workers);
-  return workers;
+  return pending;
 }
 
 plan_input
@@ -84,7 +76,8 @@
   plan_input input;
   input.mState = &mState;
   input.mAdvice = &mAdvice;
-  input.mWorkers = UsableWorkers();
+  input.mWorkers = &RefreshPlanWorkers();
+  input.mPending = PendingCapacity();
   input.mProposed = &mProposed;
   input.mOpenQueries = &mQueriedSteps;
   input.mQueriedWorkers = &mQueriedWorkers;
@@ -112,15 +105,17 @@
 void
 leader_core::PlanIfDue()
 {
-  const auto scope = mPlanTimer.DueScope(mState.Workers().size(), mAt.mNow);
+  const auto scope = mPlanTimer.DueScope(mState.LiveJobs().size(), mAt.mNow);
   if (!scope) {
     return;
   }
   ForgetEndedPreemptions();
   plan_input input = MakeInput(*scope);
-  const std::size_t usable = input.mWorkers.size();
+  const std::size_t usable = input.mWorkers->Size();
   plan_result plan = MakePlan(std::move(input));
   mTopPriorityWaiting = plan.mUrgentWaiting;
+  ++mPlans;
+  mPlannedWorkers += plan.mVisitedWorkers;
   if (*scope == plan_scope::All) {
     LogWaits(plan);
     LogShortage(plan, usable);
@@ -137,6 +132,40 @@
   }
 }
 
+decision_counts
+leader_core::Counts() const
+{
+  return {
+    mPlans, mPlannedWorkers, mPlanWorkers.Evaluations(), mSupervisor.Visits()
+  };
+}
+
+// The workers whose free capacity the applied command may have changed.
+void
+leader_core::InvalidateWorkers(const command_body& aCommand,
+                               const apply_outcome& aOutcome)
+{
+  const auto invalidateOne = [this](const auto& aChange) {
+    mPlanWorkers.Invalidate(aChange.mWorker);
+  };
+  std::visit(overloaded{
+               [&](const start_runs& aStarts) {
+                 std::ranges::for_each(aStarts.mRuns, invalidateOne);
+               },
+               [&](const end_runs& aEnds) { invalidateOne(aEnds); },
+               [&](const drop_runs& aDrop) { invalidateOne(aDrop); },
+               [&](const mark_runs_lost& aLost) { invalidateOne(aLost); },
+               [&](const remove_worker& aRemoved) { invalidateOne(aRemoved); },
+               [&](const register_worker& aWorker) {
+                 mPlanWorkers.Invalidate(
+                   mState.NumberOf(aWorker.mDescription.mId));
+                 mPlanWorkers.Invalidate(aOutcome.mPreviousIncarnation);
+               },
+               [](const auto&) {},
+             },
+             aCommand);
+}
+
 bool
 leader_core::AffectsTopPriority(const command_body& aCommand) const
 {
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -113,6 +113,7 @@
                                { "step", std::to_string(step) },
                                { "task", std::to_string(index) } } });
         mHealth.OnStall(tasks[index].mWorker, mAt.mNow);
+        mPlanWorkers.Invalidate(tasks[index].mWorker);
         mSupervisor.RequestStop(tasks[index].mWorker, run, mAt.mNow);
       }
     }
@@ -138,9 +139,6 @@
 void
 leader_core::AdjustPace(worker_number aWorker, const worker_view& aView)
 {
-  if (mState.TotalsAt(aWorker).mBestEffort == 0) {
-    return;
-  }
   std::vector<colocated_run> runs;
   for (const auto& [run, seen] : aView.mRuns) {
     const step_spec* step = mState.FindStep(run.mTask);
--- a/oriolewalk/flow/placement.cc
+++ b/oriolewalk/flow/placement.cc
@@ -39,34 +39,47 @@
 } // namespace
 
 double
-PlacementScore(const open_step& aStep,
-               const plan_worker& aWorker,
-               const plan_policy& aPolicy)
+BaseScore(const plan_worker& aWorker, placement_rule aPlacement)
 {
-  const std::string& rack = aStep.mSpec->mDataRack;
-  const bool isNear =
-    rack.empty() || aWorker.mDescription->mRack.Value() == rack;
+  if (aPlacement == placement_rule::FirstFit) {
+    return -static_cast<double>(aWorker.mNumber);
+  }
   const cell::resources& capacity = aWorker.mDescription->mCapacity;
   const cell::resources left = aWorker.mFree - aWorker.mReserved;
   const double processors =
     ShareOf(left.mMilliProcessors, capacity.mMilliProcessors);
   const double accelerators =
     ShareOf(left.mAccelerators, capacity.mAccelerators);
-  const bool interferes =
-    (aStep.mSpec->mBestEffort && aWorker.mRunsLatencySensitive) ||
-    (aStep.mSpec->mTailLatencyTargetMs > 0 && aWorker.mRunsBestEffort);
-  if (aPolicy.mPlacement == placement_rule::FirstFit) {
-    return -static_cast<double>(aWorker.mNumber);
-  }
   const bool packs =
-    aPolicy.mPlacement == placement_rule::Packing && capacity.mAccelerators > 0;
-  return (isNear ? kNearDataBonus : 0) -
-         (interferes ? kInterferencePenalty : 0) +
-         (packs ? -kPackWeight * accelerators : processors) +
+    aPlacement == placement_rule::Packing && capacity.mAccelerators > 0;
+  return (packs ? -kPackWeight * accelerators : processors) +
          kSpeedWeight * aWorker.mSpeed -
          (aWorker.mAvoided ? kAvoidedPenalty : 0);
 }
 
+bool
+Interferes(const open_step& aStep, const plan_worker& aWorker)
+{
+  return (aStep.mSpec->mBestEffort && aWorker.mRunsLatencySensitive) ||
+         (aStep.mSpec->mTailLatencyTargetMs > 0 && aWorker.mRunsBestEffort);
+}
+
+double
+PlacementScore(const open_step& aStep,
+               const plan_worker& aWorker,
+               const plan_policy& aPolicy)
+{
+  const double base = BaseScore(aWorker, aPolicy.mPlacement);
+  if (aPolicy.mPlacement == placement_rule::FirstFit) {
+    return base;
+  }
+  const std::string& rack = aStep.mSpec->mDataRack;
+  const bool isNear =
+    rack.empty() || aWorker.mDescription->mRack.Value() == rack;
+  return base + (isNear ? kNearDataBonus : 0) -
+         (Interferes(aStep, aWorker) ? kInterferencePenalty : 0);
+}
+
 step_placement::step_placement(
   const open_step& aStep,
   const std::map<task_ref, worker_number>& aProposed,
--- a/oriolewalk/flow/placement.h
+++ b/oriolewalk/flow/placement.h
@@ -24,6 +24,10 @@
 
 namespace oriolewalk::flow {
 
+// The part of the score that doesn't depend on the task.
+double
+BaseScore(const plan_worker& aWorker, placement_rule aPlacement);
+
 // Higher is better. Prefers workers that are near the step's data, fast, and
 // whose use fragments scarce accelerators the least.
 double
@@ -31,6 +35,10 @@
                const plan_worker& aWorker,
                const plan_policy& aPolicy);
 
+// Whether the task would disturb what runs there, or be disturbed by it.
+bool
+Interferes(const open_step& aStep, const plan_worker& aWorker);
+
 class step_placement
 {
 public:
--- a/oriolewalk/flow/plan_timer.cc
+++ b/oriolewalk/flow/plan_timer.cc
@@ -7,23 +7,18 @@
 
 namespace {
 
-// Pause between two plans, so that events in between are planned together. A
-// commit takes five times as long.
+// Pause between two plans, so that events in between are planned together; a
+// fifth of a commit.
 constexpr milliseconds kPlanPause{ 3 };
-// The cost of a plan grows with the workers and the waiting tasks, and so does
-// the pause: at 350 workers it is 17 ms while little waits, and 47 ms with
-// 2,000 tasks waiting. A backlog makes plans expensive when the leader has most
-// other work: with a pause of 17 ms its processor was saturated in bursts and
-// all answers were delayed.
-constexpr microseconds kPlanPausePerWorker{ 40 };
+// A plan looks at each live job and waiting task, so the pause grows with them.
+// Without it, a backlog makes plans expensive when the leader has most other
+// work, and delays all answers.
+constexpr microseconds kPlanPausePerJob{ 90 };
 constexpr microseconds kPlanPausePerWaiting{ 15 };
 // Pause between two plans of only the top-priority steps, regardless of the
 // backlog behind them. Each such step waits for two plans, one to query and one
-// to start. With the pause for all steps, at 1,100 workers half of the
-// top-priority first starts took 150 ms of the 250 ms that callers allow beside
-// the work, and 0.81 of a burst's urgent jobs were in time; with this one 90 ms
-// and 0.89. Such a plan takes a millisecond of a core.
-constexpr microseconds kTopPriorityPausePerWorker{ 8 };
+// to start.
+constexpr microseconds kTopPriorityPausePerJob{ 18 };
 // The pauses assume a process that keeps up with its work. If its ticks come at
 // twice their interval or later, the pauses are multiplied by that factor.
 // Otherwise plans, which can wait, delay workers' answers and commits, which
@@ -47,20 +42,19 @@
 }
 
 std::optional<plan_scope>
-plan_timer::DueScope(std::size_t aWorkers, time_point aNow) const
+plan_timer::DueScope(std::size_t aLiveJobs, time_point aNow) const
 {
-  const auto workers = static_cast<std::int64_t>(aWorkers);
+  const auto jobs = static_cast<std::int64_t>(aLiveJobs);
   const auto lateness = std::clamp<std::int64_t>(
     mMeanTickInterval / kTickInterval, 1, kMaxLateness);
   const duration since = aNow - mPlannedAt;
-  const duration pause =
-    lateness * (kPlanPause + kPlanPausePerWorker * workers +
-                kPlanPausePerWaiting * mWaitingTasks);
+  const duration pause = lateness * (kPlanPause + kPlanPausePerJob * jobs +
+                                     kPlanPausePerWaiting * mWaitingTasks);
   if (since >= pause && (mChanged || since >= kMaxPlanInterval)) {
     return plan_scope::All;
   }
   const duration topPriorityPause =
-    lateness * (kPlanPause + kTopPriorityPausePerWorker * workers);
+    lateness * (kPlanPause + kTopPriorityPausePerJob * jobs);
   if (mTopPriorityChanged &&
       aNow - std::max(mPlannedAt, mTopPriorityPlannedAt) >= topPriorityPause) {
     return plan_scope::TopPriority;
--- a/oriolewalk/flow/plan_timer.h
+++ b/oriolewalk/flow/plan_timer.h
@@ -6,14 +6,14 @@
 //   plan_timer timer;
 //   timer.OnTick(now);                   // on each tick of the process
 //   timer.OnChange(affectsTopPriority);  // when an input of the plan changes
-//   if (const auto scope = timer.DueScope(workers, now)) {
+//   if (const auto scope = timer.DueScope(liveJobs, now)) {
 //     timer.OnPlanned(*scope, waiting, now);
 //   }
 //
-// The cost of a plan grows with the cell and its backlog, while callers of
+// A plan looks at all live jobs and at the tasks that wait, while callers of
 // urgent work wait for two plans. Pauses between plans bound that cost, and
-// shorter ones for top-priority steps keep their delay low. Pure; owned by
-// leader_core.
+// shorter ones for top-priority steps keep their delay low. They don't grow
+// with the workers. Pure; owned by leader_core.
 
 #include <cstddef>
 #include <cstdint>
@@ -36,7 +36,7 @@
     mTopPriorityChanged = mTopPriorityChanged || aTopPriority;
   }
   // Returns nullopt if no plan is due yet.
-  [[nodiscard]] std::optional<plan_scope> DueScope(std::size_t aWorkers,
+  [[nodiscard]] std::optional<plan_scope> DueScope(std::size_t aLiveJobs,
                                                    time_point aNow) const;
   // aWaiting: tasks that could not be placed.
   void OnPlanned(plan_scope aScope, std::size_t aWaiting, time_point aNow);
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -24,22 +24,21 @@
     , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
     , mQuotas(*mInput.mState, *mInput.mProposed)
   {
-    for (plan_worker& worker : mInput.mWorkers) {
-      mByNumber[worker.mNumber] = &worker;
-      mByService[worker.mDescription->mService].push_back(&worker);
-      const auto suspects = mInput.mSuspicions.mByWorker.find(worker.mNumber);
-      if (suspects != mInput.mSuspicions.mByWorker.end()) {
-        worker.mSuspects = suspects->second;
+    for (const auto& [number, pending] : mInput.mPending) {
+      if (plan_worker* worker = Find(number)) {
+        worker->mFree -= pending.mProposed;
+        worker->mBeingFreed += pending.mBeingFreed;
+      }
+    }
+    for (const auto& [number, suspects] : mInput.mSuspicions.mByWorker) {
+      if (plan_worker* worker = Find(number)) {
+        worker->mSuspects = suspects;
       }
     }
   }
 
   plan_result Run()
   {
-    cell::resources capacity;
-    for (const plan_worker& worker : mInput.mWorkers) {
-      capacity += worker.mDescription->mCapacity;
-    }
     std::vector<open_step> steps =
       CollectOpenSteps(*mInput.mState,
                        { .mProposed = mInput.mProposed,
@@ -49,7 +48,7 @@
                          .mScope = mInput.mScope,
                          .mSuspicions = &mInput.mSuspicions,
                          .mQuotas = &mQuotas,
-                         .mCapacity = capacity });
+                         .mCapacity = mInput.mWorkers->Capacity() });
     mAdvisors.emplace(mInput.mAdvisors,
                       mInput.mPolicy.mSharesAdvisors ? steps
                                                      : std::vector<open_step>(),
@@ -63,14 +62,36 @@
           { step.mRef, step.mQueue->mName, wait_cause::Quota, beyondQuota });
       }
     }
-    for (const plan_worker& worker : mInput.mWorkers) {
-      mResult.mFree += worker.mFree;
+    mResult.mFree = mInput.mWorkers->Free();
+    for (const auto& [number, worker] : mChanged) {
+      mResult.mFree += worker.mFree - mInput.mWorkers->Find(number)->mFree;
       mResult.mReserved += worker.mReserved;
     }
+    mResult.mVisitedWorkers += mChanged.size();
     return std::move(mResult);
   }
 
 private:
+  // The plan's own copy of the worker, which it may change; null if nothing may
+  // start there.
+  plan_worker* Find(worker_number aWorker)
+  {
+    if (const auto found = mChanged.find(aWorker); found != mChanged.end()) {
+      return &found->second;
+    }
+    const plan_worker* shared = mInput.mWorkers->Find(aWorker);
+    return shared == nullptr
+             ? nullptr
+             : &mChanged.emplace(aWorker, *shared).first->second;
+  }
+
+  // The worker as this plan left it.
+  [[nodiscard]] const plan_worker& Current(const plan_worker& aShared) const
+  {
+    const auto found = mChanged.find(aShared.mNumber);
+    return found == mChanged.end() ? aShared : found->second;
+  }
+
   // The workers on which the policy service allows the step, with a valid
   // ticket or, if aExpiredToo, also with an expired one. All workers of the
   // service if the queue has no policy service. Doesn't visit workers without a
@@ -81,18 +102,23 @@
   {
     worker_list approved;
     if (!aStep.mQueue->mAdvice) {
-      std::ranges::copy_if(mByService[aStep.mQueue->mService],
-                           std::back_inserter(approved),
-                           [&](const plan_worker* aWorker) {
-                             return FitsWhenEmpty(aStep, *aWorker);
-                           });
+      for (const auto& [capacity, ranked] :
+           mInput.mWorkers->Ranked(aStep.mQueue->mService)) {
+        for (const auto& [rank, worker] : ranked) {
+          if (!FitsWhenEmpty(aStep, *worker)) {
+            continue;
+          }
+          approved.push_back(Find(worker->mNumber));
+        }
+      }
+      std::ranges::sort(approved, {}, &plan_worker::mNumber);
       return approved;
     }
     for (const worker_number number : mInput.mAdvice->ApprovedWorkers(
            aStep.mRef, aExpiredToo ? time_point::min() : mInput.mNow)) {
-      const auto found = mByNumber.find(number);
-      if (found != mByNumber.end() && FitsWhenEmpty(aStep, *found->second)) {
-        approved.push_back(found->second);
+      plan_worker* worker = Find(number);
+      if (worker != nullptr && FitsWhenEmpty(aStep, *worker)) {
+        approved.push_back(worker);
       }
     }
     return approved;
@@ -166,7 +192,7 @@
       return PlaceSome(aStep, {}, candidates, aPlacement);
     }
     const std::size_t all = aStep.mWaiting.size();
-    for (const rack_id& rack : RacksFor(aStep)) {
+    for (const rack_id& rack : RacksFor(aStep, candidates)) {
       const std::size_t before = mResult.mStarts.size();
       if (PlaceSome(aStep, rack, candidates, aPlacement) == all) {
         return all;
@@ -176,16 +202,19 @@
     return 0;
   }
 
-  // The racks to try for the whole step, in order. An empty rack name stands
-  // for any rack, which is the only one if the step isn't bound to a rack.
-  [[nodiscard]] std::vector<rack_id> RacksFor(const open_step& aStep) const
+  // The candidates' racks to try for the whole step, in order. An empty rack
+  // name stands for any rack, which is the only one if the step isn't bound to
+  // a rack.
+  [[nodiscard]] static std::vector<rack_id> RacksFor(
+    const open_step& aStep,
+    const worker_list& aCandidates)
   {
     if (!aStep.mSpec->mSameRack) {
       return { rack_id() };
     }
     std::set<rack_id> racks;
-    for (const plan_worker& worker : mInput.mWorkers) {
-      racks.insert(worker.mDescription->mRack);
+    for (const plan_worker* worker : aCandidates) {
+      racks.insert(worker->mDescription->mRack);
     }
     std::vector<rack_id> order(racks.begin(), racks.end());
     std::ranges::stable_partition(order, [&](const rack_id& aRack) {
@@ -221,8 +250,7 @@
                   step_placement& aPlacement)
   {
     for (std::size_t index = aFrom; index < mResult.mStarts.size(); ++index) {
-      plan_worker& worker =
-        *mByNumber.at(mResult.mStarts[index].mStart.mWorker);
+      plan_worker& worker = *Find(mResult.mStarts[index].mStart.mWorker);
       worker.mFree += aStep.mSpec->Booked();
       aPlacement.RemoveTask(worker);
       const std::uint32_t task =
@@ -295,8 +323,8 @@
     }
     worker_list workers;
     for (const worker_number number : queried->second) {
-      if (const auto found = mByNumber.find(number); found != mByNumber.end()) {
-        workers.push_back(found->second);
+      if (plan_worker* worker = Find(number)) {
+        workers.push_back(worker);
       }
     }
     for (const std::uint32_t task : aTasks) {
@@ -375,13 +403,14 @@
         need.mReserved.insert(worker->mNumber);
       }
     }
-    advice_query query{ aStep.mRef,
-                        WorkersToQuery(aStep,
-                                       need,
-                                       mByService[aStep.mQueue->mService],
-                                       *mInput.mAdvice,
-                                       mInput.mPolicy,
-                                       mInput.mNow) };
+    const std::vector<const plan_worker*> candidates =
+      QueryCandidates(aStep, need);
+    mResult.mVisitedWorkers += candidates.size();
+    advice_query query{
+      aStep.mRef,
+      WorkersToQuery(
+        aStep, need, candidates, *mInput.mAdvice, mInput.mPolicy, mInput.mNow)
+    };
     if (!query.mWorkers.empty()) {
       mAdvisors->OnQuery(aStep);
       mResult.mQueries.push_back(std::move(query));
@@ -391,9 +420,65 @@
     return true;
   }
 
+  // The workers that a query for the step may include: those with a verdict or
+  // a reservation, those near its data, and the best of the others. As many of
+  // the others have free capacity as a query takes, if there are so many.
+  [[nodiscard]] std::vector<const plan_worker*> QueryCandidates(
+    const open_step& aStep,
+    const query_need& aNeed) const
+  {
+    const plan_workers& workers = *mInput.mWorkers;
+    std::set<worker_number> numbers = aNeed.mReserved;
+    for (const worker_number number :
+         mInput.mAdvice->QueriedWorkers(aStep.mRef)) {
+      numbers.insert(number);
+    }
+    const std::set<worker_number>& near =
+      workers.InRack(rack_id(aStep.mSpec->mDataRack));
+    numbers.insert(near.begin(), near.end());
+    for (const auto& [capacity, ranked] :
+         workers.Ranked(aStep.mQueue->mService)) {
+      AddBest(aStep, ranked, numbers);
+    }
+    std::vector<const plan_worker*> candidates;
+    for (const worker_number number : numbers) {
+      if (const plan_worker* shared = workers.Find(number)) {
+        candidates.push_back(&Current(*shared));
+      }
+    }
+    return candidates;
+  }
+
+  // aRanked: workers of one capacity.
+  void AddBest(const open_step& aStep,
+               const plan_workers::ranking& aRanked,
+               std::set<worker_number>& aNumbers) const
+  {
+    if (!aStep.mSpec->Booked().FitsIn(
+          aRanked.begin()->second->mDescription->mCapacity)) {
+      return;
+    }
+    std::size_t usable = 0;
+    for (const auto& [rank, worker] : aRanked) {
+      if (usable >= kMaxQueriedWorkers) {
+        break;
+      }
+      if (!FitsWhenEmpty(aStep, *worker) ||
+          !aNumbers.insert(worker->mNumber).second) {
+        continue;
+      }
+      // One that this plan has changed may rank lower now.
+      usable += FitsNow(aStep, *worker) && !worker->mAvoided &&
+                    !Interferes(aStep, *worker) &&
+                    !mChanged.contains(worker->mNumber)
+                  ? 1
+                  : 0;
+    }
+  }
+
   plan_input mInput;
-  std::unordered_map<worker_number, plan_worker*> mByNumber;
-  std::map<service_id, worker_list> mByService;
+  // Workers that this plan has looked at, with what it booked there.
+  std::unordered_map<worker_number, plan_worker> mChanged;
   reservation_planner mReservations;
   quota_planner mQuotas;
   std::optional<advisor_pool> mAdvisors;
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -15,7 +15,9 @@
 //   advice_queries   the workers that an advice query includes
 //
 // Pure: no clock, threads or I/O. The cost is the open steps times the workers
-// approved for each, plus the service's workers for each query.
+// approved for each, plus for each query the workers that it may include. It
+// doesn't depend on how many workers there are, but where nearly all are full
+// or a queue has no policy service.
 
 #include <cstdint>
 #include <map>
@@ -30,17 +32,26 @@
 #include "oriolewalk/flow/advisors.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
+#include "oriolewalk/flow/plan_workers.h"
 #include "oriolewalk/flow/preemption.h"
 #include "oriolewalk/flow/types.h"
 #include "oriolewalk/flow/waits.h"
 
 namespace oriolewalk::flow {
 
+// What is under way at a worker and isn't in its free capacity yet.
+struct pending_capacity
+{
+  cell::resources mProposed;   // of starts that aren't applied yet
+  cell::resources mBeingFreed; // of runs that are being stopped
+};
+
 struct plan_input
 {
   const flow_state* mState = nullptr;
   const advice_cache* mAdvice = nullptr;
-  std::vector<plan_worker> mWorkers; // those that may get tasks now
+  const plan_workers* mWorkers = nullptr; // those that may get tasks now
+  std::map<worker_number, pending_capacity> mPending;
   // Starts that are proposed and not yet applied, with their workers.
   const std::map<task_ref, worker_number>* mProposed = nullptr;
   // Steps that have a query in flight.
@@ -80,10 +91,11 @@
   // Waiting steps of queues below priority 0.
   std::vector<step_ref> mNothingToQuery;
   std::vector<waiting_step> mWaits;
-  std::size_t mWaiting = 0;       // open tasks that don't start now
-  std::size_t mUrgentWaiting = 0; // those of them in queues of priority 0
-  cell::resources mFree;          // of all workers, after the starts
-  cell::resources mReserved;      // reserved on all workers, out of mFree
+  std::size_t mWaiting = 0;        // open tasks that don't start now
+  std::size_t mUrgentWaiting = 0;  // those of them in queues of priority 0
+  cell::resources mFree;           // of all workers, after the starts
+  cell::resources mReserved;       // reserved on all workers, out of mFree
+  std::size_t mVisitedWorkers = 0; // that the plan looked at
 };
 
 plan_result
--- a/oriolewalk/flow/worker_health.cc
+++ b/oriolewalk/flow/worker_health.cc
@@ -69,7 +69,8 @@
   if (found == mWorkers.end()) {
     return {};
   }
-  return { found->second.mSpeed, aNow < found->second.mAvoidedUntil };
+  const record& worker = found->second;
+  return { worker.mSpeed, aNow < worker.mAvoidedUntil, worker.mAvoidedUntil };
 }
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/worker_health.h
+++ b/oriolewalk/flow/worker_health.h
@@ -29,6 +29,7 @@
 {
   double mSpeed = 1; // relative to its peers, above 1 is faster; in [0.2, 2]
   bool mAvoided = false;
+  time_point mAvoidedUntil{};
 };
 
 class worker_health
--- a/testing/flow/plan_fixture.h
+++ b/testing/flow/plan_fixture.h
@@ -30,6 +30,7 @@
   preemption_records mPreemptionRecords;
   std::set<step_ref> mNothingToQuery;
   plan_policy mPolicy;
+  plan_workers mWorkers{ placement_rule::Packing }; // of the last input
 
   explicit plan_fixture(std::vector<queue_row> aQueues = { Queue("fees", 0),
                                                            Queue("runs", 2) })
@@ -44,13 +45,16 @@
     plan_input input;
     input.mState = &mBuilder.mState;
     input.mAdvice = &mAdvice;
+    mWorkers = plan_workers(mPolicy.mPlacement);
     for (const auto& [number, worker] : mBuilder.mState.Workers()) {
-      plan_worker& planned = input.mWorkers.emplace_back();
+      plan_worker planned;
       planned.mNumber = number;
       planned.mDescription = &worker.mDescription;
       planned.mFree = worker.mDescription.mCapacity -
                       mBuilder.mState.TotalsAt(number).mBooked;
+      mWorkers.Put(planned);
     }
+    input.mWorkers = &mWorkers;
     input.mNothingToQuery = &mNothingToQuery;
     input.mPreemptionRecords = mPreemptionRecords;
     input.mPolicy = mPolicy;
--- a/testing/flow/plan_timer_test.cc
+++ b/testing/flow/plan_timer_test.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kWorkers = 1'100;
+constexpr std::size_t kLiveJobs = 488;
 constexpr time_point kStart{ seconds(100) };
 
 void
@@ -26,15 +26,17 @@
   TickEvery(timer, milliseconds(10), kStart);
   timer.OnPlanned(plan_scope::All, 0, kStart);
   timer.OnChange(false);
-  CHECK_FALSE(timer.DueScope(kWorkers, kStart + milliseconds(40)));
-  CHECK(timer.DueScope(kWorkers, kStart + milliseconds(47)) == plan_scope::All);
+  CHECK_FALSE(timer.DueScope(kLiveJobs, kStart + milliseconds(40)));
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(47)) ==
+        plan_scope::All);
   timer.OnChange(true);
-  CHECK_FALSE(timer.DueScope(kWorkers, kStart + milliseconds(11)));
-  CHECK(timer.DueScope(kWorkers, kStart + milliseconds(12)) ==
+  CHECK_FALSE(timer.DueScope(kLiveJobs, kStart + milliseconds(11)));
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(12)) ==
         plan_scope::TopPriority);
   timer.OnPlanned(plan_scope::TopPriority, 0, kStart + milliseconds(12));
-  CHECK_FALSE(timer.DueScope(kWorkers, kStart + milliseconds(40)));
-  CHECK(timer.DueScope(kWorkers, kStart + milliseconds(47)) == plan_scope::All);
+  CHECK_FALSE(timer.DueScope(kLiveJobs, kStart + milliseconds(40)));
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(47)) ==
+        plan_scope::All);
 }
 
 TEST_CASE("a process whose ticks are late plans less often")
@@ -46,10 +48,10 @@
   TickEvery(timer, milliseconds(35), kStart);
   timer.OnPlanned(plan_scope::All, 0, kStart);
   timer.OnChange(true);
-  CHECK_FALSE(timer.DueScope(kWorkers, kStart + milliseconds(30)));
-  CHECK(timer.DueScope(kWorkers, kStart + milliseconds(40)) ==
+  CHECK_FALSE(timer.DueScope(kLiveJobs, kStart + milliseconds(30)));
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(40)) ==
         plan_scope::TopPriority);
-  CHECK(timer.DueScope(kWorkers, kStart + milliseconds(145)) ==
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(145)) ==
         plan_scope::All);
 }
 
