A new leader polls busy workers first, and few idle ones at a time

The next leader leads at 26.9 s, and the first step starts at 27.8 s: in between it polls all 5,880 workers at once, accepts 15 jobs in 0.6 s (one of 30 that callers send) and has no worker to start anything on.

Change: first polls of workers without runs are limited to 32 in flight; those whose heartbeat a leader heard come first, since the others can't get work. Workers with runs are polled at once, as before.

Ruled out: no poll of idle workers at all: a run that this leader doesn't know may be there, and the worker must see the new fence before the next start.

--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -18,6 +18,10 @@
 // Ticks normally come every 10 ms. When they are this far apart, answers stay
 // unread for as long as a poll may take.
 constexpr milliseconds kLateTick{ 200 };
+// First polls of idle workers in flight at a time. A new leader that polled
+// thousands of workers at once would answer nothing else for a second, while
+// urgent work needs a few of them.
+constexpr std::size_t kMaxFirstPolls = 32;
 
 // Whether the order renews no lease and acknowledges no ends, so that any
 // process that receives it only reports its state.
@@ -95,6 +99,9 @@
   }
   mChanged.insert(aWorker);
   worker_view& view = found->second;
+  if (mSilentUnpolled.erase(aWorker) != 0) {
+    mHeardUnpolled.insert(aWorker);
+  }
   view.mHeartbeatNumber = aNumber;
   if (!view.mHasUncommittedUpdate) {
     view.mConfirmedAt = view.mHeartbeatAt;
@@ -156,6 +163,9 @@
   }
   mChanged.insert(aWorker);
   ForgetAddress(aWorker, found->second);
+  OnFirstPollEnded(found->second);
+  mHeardUnpolled.erase(aWorker);
+  mSilentUnpolled.erase(aWorker);
   mDue.erase(aWorker);
   mViews.erase(found);
 }
@@ -416,6 +426,10 @@
   if (aNow < aView.mNextPollAt) {
     return;
   }
+  if (IsFirstPoll(aView)) {
+    QueueFirstPoll(aWorker, aView);
+    return;
+  }
   const bool isShort = NeedsShortPoll(aView);
   if (isShort && aView.mShortPoll == 0) {
     aView.mShortPollRequested = false;
@@ -505,6 +519,51 @@
     Visit(number, found->second, aNow);
     Schedule(number, found->second, aNow);
   }
+  SendFirstPolls(aNow);
+}
+
+bool
+worker_supervisor::IsFirstPoll(const worker_view& aView)
+{
+  return !aView.mSynced && aView.mFailedPolls == 0 && aView.mRuns.empty() &&
+         !aView.mHasNewerIncarnation;
+}
+
+void
+worker_supervisor::QueueFirstPoll(worker_number aWorker,
+                                  const worker_view& aView)
+{
+  if (!aView.mIsFirstPollInFlight) {
+    (aView.mHeartbeatAt == time_point::min() ? mSilentUnpolled : mHeardUnpolled)
+      .insert(aWorker);
+  }
+}
+
+void
+worker_supervisor::SendFirstPolls(time_point aNow)
+{
+  for (std::set<worker_number>* unpolled :
+       { &mHeardUnpolled, &mSilentUnpolled }) {
+    while (mFirstPollsInFlight < kMaxFirstPolls && !unpolled->empty()) {
+      const worker_number number = unpolled->extract(unpolled->begin()).value();
+      worker_view& view = mViews.at(number);
+      if (mState.FindWorker(number) == nullptr) {
+        continue; // its removal is being applied
+      }
+      view.mShortPollRequested = false;
+      view.mIsFirstPollInFlight = true;
+      ++mFirstPollsInFlight;
+      view.mShortPoll = SendPoll(number, view, milliseconds(0), aNow);
+    }
+  }
+}
+
+void
+worker_supervisor::OnFirstPollEnded(worker_view& aView)
+{
+  if (std::exchange(aView.mIsFirstPollInFlight, false)) {
+    --mFirstPollsInFlight;
+  }
 }
 
 void
@@ -547,7 +606,7 @@
                            ? aView.mShortPoll == 0
                            : NeedsLongPoll(aView) && aView.mLongPoll == 0 &&
                                !aView.mHasUncommittedEnds;
-  if (pollIsDue) {
+  if (pollIsDue && !IsFirstPoll(aView)) {
     next = std::min(next, aView.mNextPollAt);
   }
   if (aView.mFailedPolls > 0 && !aView.mRuns.empty()) {
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -90,6 +90,7 @@
   time_point mNextPollAt{};
   bool mShortPollRequested = false; // a poll that doesn't wait is due
   std::uint64_t mShortPoll = 0;
+  bool mIsFirstPollInFlight = false; // of an idle worker; see IsFirstPoll
   time_point mNextExpiryCheckAt{};
   int mFailedPolls = 0;           // consecutive polls without an answer
   time_point mFailedPollSentAt{}; // when the last of them was sent
@@ -291,6 +292,12 @@
   void ResolveRuns(worker_number aWorker, worker_view& aView, time_point aNow);
   void SyncRuns(worker_number aWorker, worker_view& aView);
   void DetectLateTick(time_point aNow);
+  // Whether the worker awaits its first poll in this term and nothing runs
+  // there, so that the poll may wait for those of other workers.
+  [[nodiscard]] static bool IsFirstPoll(const worker_view& aView);
+  void QueueFirstPoll(worker_number aWorker, const worker_view& aView);
+  void SendFirstPolls(time_point aNow);
+  void OnFirstPollEnded(worker_view& aView);
   // The next tick visits the worker.
   void Wake(worker_number aWorker) { mDue.insert(aWorker); }
   void WakeScheduled(time_point aNow);
@@ -345,6 +352,11 @@
                       std::vector<std::pair<time_point, worker_number>>,
                       std::greater<>>
     mScheduled;
+  // Idle workers that await their first poll: those whose heartbeat a leader
+  // heard come first, since the others can't get work yet.
+  std::set<worker_number> mHeardUnpolled;
+  std::set<worker_number> mSilentUnpolled;
+  std::size_t mFirstPollsInFlight = 0;
   std::uint64_t mVisits = 0;
   std::set<worker_number> mChanged; // see TakeChangedWorkers
   std::map<std::uint64_t, pending_order> mPendingOrders;
--- a/oriolewalk/flow/worker_supervisor_answers.cc
+++ b/oriolewalk/flow/worker_supervisor_answers.cc
@@ -54,6 +54,9 @@
       },
       [&](const stop_order& aStop) { OnStopAnswer(view, aStop, answer, aNow); },
       [&](const poll_order&) {
+        if (aOrder == view.mShortPoll) {
+          OnFirstPollEnded(view);
+        }
         (aOrder == view.mShortPoll ? view.mShortPoll : view.mLongPoll) = 0;
         OnPollAnswer(order.mWorker, view, order.mSentAt, answer, aNow);
       },
