--- a/oriolewalk/flow/advice_queries.cc
+++ b/oriolewalk/flow/advice_queries.cc
@@ -22,10 +22,7 @@
 constexpr double kExtraMs = 8;
 // Each worker in a query delays the answer. A step of a queue of priority 0 is
 // the most sensitive to that delay: beyond its need it includes only this
-// fraction of the extra workers that other steps include. At 1,100 workers this
-// reduces the median time to the first start from 90 ms to 72 ms, and raises
-// the fraction of a burst's urgent jobs that are in time from 0.89 and 0.88 to
-// 0.90.
+// fraction of the extra workers that other steps include.
 constexpr double kUrgentFraction = 1.0 / 3;
 // For each waiting task, the number of tasks that the workers with a verdict
 // should be able to hold when empty. Below this a step includes full workers
--- a/oriolewalk/flow/advice_queries.h
+++ b/oriolewalk/flow/advice_queries.h
@@ -8,8 +8,8 @@
 //
 // The policy service takes 0.03 to 1.5 s to answer, and each advisor relays one
 // query at a time. A verdict is final, so a step that has queried enough
-// workers once only renews tickets afterwards. When each query included a
-// single worker with free capacity, a step took 16 queries and 48 s to start.
+// workers once only renews tickets afterwards; queries of single workers would
+// delay its start by many answers.
 //
 // Pure. The cost is linear in the workers that are considered.
 
@@ -40,8 +40,7 @@
 };
 
 // The policy service accepts at most this many workers in a query. A wide step
-// of a queue whose policy approves a third of the workers needs 60 for its 20
-// tasks.
+// of a queue whose policy approves few workers needs most of them.
 inline constexpr std::size_t kMaxQueriedWorkers = 100;
 
 // Empty if no query is worthwhile.
--- a/oriolewalk/flow/advisors.cc
+++ b/oriolewalk/flow/advisors.cc
@@ -8,17 +8,13 @@
 namespace {
 
 // At most one in kMaxReservedDivisor advisors is reserved for the top-priority
-// queues, and no more than their recent peak plus kReservedBeyondPeak. Without
-// a reserve, 31 of 36 advisors relayed other queues' queries in a burst at 350
-// workers, and an urgent query waited 0.55 s. A fixed reserve of a third stayed
-// idle for most of a day while other queues waited for an advisor.
+// queues, and no more than their recent peak plus kReservedBeyondPeak: a fixed
+// reserve would be idle most of the time while other queues wait.
 constexpr std::size_t kMaxReservedDivisor = 3;
 constexpr std::size_t kReservedBeyondPeak = 2;
 // A waiting queue is guaranteed an equal share divided by
-// kGuaranteedDivisor, and at least one advisor. Full equal shares starved the
-// queue of gangs, whose queries are the most expensive: each occupies an
-// advisor for half a second, yet the queue got as many advisors as one whose
-// queries take 20 ms.
+// kGuaranteedDivisor, and at least one advisor. Full equal shares would starve
+// queues whose queries take long, such as those of gangs.
 constexpr std::size_t kGuaranteedDivisor = 4;
 // Queries are sent ahead of need while at least one in kSurplusDivisor advisors
 // is free.
--- a/oriolewalk/flow/advisors.h
+++ b/oriolewalk/flow/advisors.h
@@ -9,9 +9,9 @@
 //
 // Queries take 0.03 to 1.5 s, several queues issue them, and there are fewer
 // advisors than pending queries. Without a share of its own, a lower-priority
-// queue never gets an advisor: 1,500 of its tasks waited for one while 14,000
-// processors were free. Without advisors reserved for the top-priority queue,
-// its 0.05 s query waits for other queues' queries of 0.7 s.
+// queue never gets an advisor, however much capacity is free. Without advisors
+// reserved for the top-priority queue, its short query waits for other queues'
+// long ones.
 //
 // Pure; one object per plan. The constructor is linear in the steps.
 
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -38,10 +38,7 @@
 // whole data centre may be lost (aMayLoseDataCentre) or aLostInstances is 0,
 // which means that it isn't configured, all control processes vote, up to 9,
 // since the group doesn't know which of them share a data centre. Fewer voters
-// mean fewer messages of the leader, which limit the scheduler: with 350
-// workers, nine control processes and two losses to tolerate, five voters
-// reduce the processor time of a day without faults from 39.7 s to 32.6 s and
-// raise the score of a day with faults from 0.70 to 0.79.
+// mean fewer messages of the leader, which limit the scheduler.
 std::size_t
 MaxVoters(std::uint32_t aLostInstances, bool aMayLoseDataCentre);
 
--- a/oriolewalk/flow/heartbeat_aggregator.h
+++ b/oriolewalk/flow/heartbeat_aggregator.h
@@ -10,10 +10,10 @@
 //   if (auto summary = aggregator.TakeSummary(now)) { /* send it; then */
 //     aggregator.OnSummaryAccepted(unknown, now); }
 //
-// Without it, the heartbeats of 1,100 workers are 733 calls a second to the
-// leader, each with its own connection, and nearly all of them repeat the
-// previous one. Summaries every quarter second reduce them to 32 messages a
-// second.
+// Without it, each heartbeat is a call to the leader with a connection of its
+// own, and nearly all of them repeat the previous one. A summary every quarter
+// second is four messages a second and control process, however many workers
+// there are.
 //
 // A heartbeat with an incarnation, an address or a state that the leader hasn't
 // acknowledged to this process is sent to the leader individually, and is
--- a/oriolewalk/flow/leader_advice.cc
+++ b/oriolewalk/flow/leader_advice.cc
@@ -15,16 +15,15 @@
 namespace {
 
 // An advisor whose last query failed is skipped for two heartbeats. It fails at
-// once and would therefore be chosen for the next query again; during planned
-// stops one query in nine was lost this way.
+// once and would therefore be chosen for the next query again, as during
+// planned stops.
 constexpr milliseconds kAdvisorRetryDelay{ 1'000 };
 // Subtracted from a ticket's validity for the commit and the delivery of the
 // start to the worker.
 constexpr milliseconds kTicketMargin{ 200 };
 // Added to 1.5 times the expected duration of a query, for the round trip over
-// a busy entry. After this time another advisor is asked. With 1,500 ms, a job
-// whose advisor was cut off lost 2.9 s, more than an urgent job's whole
-// objective.
+// a busy entry. After this time another advisor is asked; an urgent job whose
+// advisor was cut off has no more time than that.
 constexpr std::int64_t kAdviceMarginMs = 400;
 
 } // namespace
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -16,7 +16,7 @@
 constexpr milliseconds kSweepInterval{ 100 };
 // A run that stalls for less than two seconds isn't stopped as a straggler, and
 // ended jobs are kept for minutes. Checking every task ten times a second would
-// cost a leader of 350 workers more than its plans.
+// cost more than the plans.
 constexpr milliseconds kSlowSweepInterval{ 500 };
 
 } // namespace
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -12,10 +12,9 @@
 namespace {
 
 // A plan considers at most this many waiting tasks, in the order of their
-// steps. At 600 starts per second and a plan every few milliseconds the others
-// can wait for the next plan. The limit applies after the steps are ordered:
-// applied before, it hid urgent jobs behind a backlog of 4,000 tasks, however
-// much capacity was free.
+// steps; the others can wait for the next plan, some milliseconds later. The
+// limit applies after the steps are ordered, since it would otherwise hide
+// urgent jobs behind a backlog.
 constexpr std::size_t kMaxConsidered = 4'000;
 
 // The sum of the estimates along the longest dependency chain that starts with
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -10,8 +10,7 @@
 // Steps are ordered by priority, then by least slack. Without the order by
 // slack, large jobs that have time left take the capacity of jobs that must
 // start now. Late steps stay in front, because otherwise the largest jobs of a
-// queue starve: the fraction of a queue's jobs in time fell from 0.99 to 0.95
-// on one day and from 0.87 to 0.72 on another.
+// queue starve.
 //
 // Of an organisation that is at its maximum the tasks aren't listed, however
 // many wait.
--- a/oriolewalk/flow/relay_assignment.h
+++ b/oriolewalk/flow/relay_assignment.h
@@ -10,8 +10,7 @@
 //
 // Each busy worker holds a long poll open and takes a start or lists an end
 // every second, so connections, HTTP and JSON grow with the workers, all at one
-// process. At 1,100 workers a leader without relays held 5,900 descriptors and
-// answered 1 worker call in 3 too late. A relay makes no decisions: each order
+// process, which runs out of descriptors and answers too late. A relay makes no decisions: each order
 // has the leader's fence and an absolute lease, so an order that is late, lost
 // or from an earlier leader does no harm.
 //
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -371,8 +371,8 @@
 }
 
 // Forgets runs that are no longer in the state. This is done when the placed
-// runs change and not on each tick: a look-up of every run a hundred times a
-// second cost a leader of 350 workers a tenth of its processor.
+// runs change and not on each tick, which would look up every run a hundred
+// times a second.
 void
 worker_supervisor::SyncRuns(worker_number aWorker, worker_view& aView)
 {
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -114,9 +114,8 @@
   // A poll was answered by a later incarnation, whose heartbeat hasn't arrived
   // yet.
   bool mHasNewerIncarnation = false;
-  // A run must be stopped, or its start is unconfirmed. Otherwise the runs are
-  // skipped on a tick: a leader of 1,100 workers would visit 6,000 runs a
-  // hundred times a second.
+  // A run must be stopped, or its start is unconfirmed. Otherwise a visit skips
+  // the runs.
   bool mHasRunsToResolve = false;
   std::map<run_ref, run_view> mRuns;
   // How long runs had run at least that were marked as lost when their lease
