The wording of wire: terms of the field, names with units

mailbox is task_queue, Take is TakeAll; rpc_options have mMinBackoff, mMaxBackoff, mSilenceTimeout and mMaxUndelivered; peer_link says OnTimeout, MakeError and what its times and counters count; comments say what is done and why. The folder is whole, with its tests and callers; no behaviour, message or setting changed.

--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -83,8 +83,8 @@
   , mLog(aLog)
   , mTimer(aContext)
   , mAddresses(mOptions.mFounders)
-  , mRpc({ .mMostBackoff = kMostBackoff,
-           .mSilence = kPeerSilence,
+  , mRpc({ .mMaxBackoff = kMostBackoff,
+           .mSilenceTimeout = kPeerSilence,
            .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, Addresses(mOptions), std::random_device{}())
   , mOrders(aContext,
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -28,8 +28,8 @@
   , mPolicy(std::move(aPolicy))
   , mLog(aLog)
   , mTimer(aContext)
-  , mRpc({ .mMostBackoff = kMostBackoff,
-           .mSilence = kPeerSilence,
+  , mRpc({ .mMaxBackoff = kMostBackoff,
+           .mSilenceTimeout = kPeerSilence,
            .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, mOptions.mControls, std::random_device{}())
 {
--- a/oriolewalk/wire/leader_choice.cc
+++ b/oriolewalk/wire/leader_choice.cc
@@ -22,7 +22,7 @@
   }
   const auto found = std::ranges::find(mPeers, aLeader);
   if (found == mPeers.end()) {
-    // A control process that joined since this entry was set up.
+    // It has joined since the peers were configured.
     mPeers.emplace_back(aLeader);
     mCurrent = mPeers.size() - 1;
     return;
--- a/oriolewalk/wire/leader_choice.h
+++ b/oriolewalk/wire/leader_choice.h
@@ -1,16 +1,15 @@
 #pragma once
 
-// Which control process to ask next. Pure: failures come in, a choice goes out.
+// Selects the control process to call next.
 //
 //   leader_choice choice({ "10.0.0.1:7001", "10.0.0.2:7001" });
-//   choice.Current();                        // ask this one
+//   choice.Current();                          // call this one
 //   choice.Redirected(peer, "10.0.0.2:7001");  // it named the leader
-//   choice.Failed(peer);                     // it is silent, or knows no
-//   leader
+//   choice.Failed(peer);                       // no answer, or no known leader
 //
-// Many calls fail at once when a leader goes; only the first failure of the
-// present choice moves it, or seven calls would walk past the new leader.
-// Not thread-safe.
+// Many calls fail at once when a leader is lost. Only the first failure of the
+// current choice changes it; otherwise several failures would skip the new
+// leader. Pure; not thread-safe.
 
 #include <cstddef>
 #include <string>
@@ -28,7 +27,7 @@
   [[nodiscard]] const std::string& Current() const { return mPeers[mCurrent]; }
   void Redirected(std::string_view aFrom, std::string_view aLeader);
   void Failed(std::string_view aPeer);
-  // Processes that joined since: they are asked too, the present choice stays.
+  // Adds processes that have joined since. The current choice stays.
   void Learn(const std::vector<std::string>& aPeers);
 
 private:
--- a/oriolewalk/wire/peer_link.cc
+++ b/oriolewalk/wire/peer_link.cc
@@ -17,7 +17,7 @@
 }
 
 std::string
-Text(const kj::Exception& aException)
+Describe(const kj::Exception& aException)
 {
   return { aException.getDescription().cStr() };
 }
@@ -34,8 +34,8 @@
   , mNetwork(aNetwork)
   , mTimer(aTimer)
   , mRandom(aSeed)
-  , mNextTry(aTimer.now())
-  , mLastHeard(aTimer.now())
+  , mNextAttemptAt(aTimer.now())
+  , mLastContactAt(aTimer.now())
   , mTasks(*this)
 {
 }
@@ -43,11 +43,11 @@
 void
 peer_link::taskFailed(kj::Exception&& /*aException*/)
 {
-  // Every task ends its own call; what is left over here is a cancelled send.
+  // Each task ends its own call, so only cancelled sends get here.
 }
 
 error
-peer_link::Problem(error_code aCode, std::string aMessage) const
+peer_link::MakeError(error_code aCode, std::string aMessage) const
 {
   return { aCode, "rpc", mPeer, std::move(aMessage) };
 }
@@ -59,12 +59,12 @@
     Send(std::move(aCall));
     return;
   }
-  if (!mConnecting && mTimer.now() < mNextTry) {
-    aCall.mReply(
-      Fail(Problem(error_code::Unavailable, "not connected, will try again")));
+  if (!mConnecting && mTimer.now() < mNextAttemptAt) {
+    aCall.mReply(Fail(
+      MakeError(error_code::Unavailable, "not connected, will try again")));
     return;
   }
-  mWaiting.push_back(std::move(aCall));
+  mPending.push_back(std::move(aCall));
   if (!mConnecting) {
     Connect();
   }
@@ -74,7 +74,7 @@
 peer_link::Deliver(bytes aMessage)
 {
   KJ_IF_MAYBE (live, mConnection) {
-    if (mUndelivered >= mOptions.mMostUndelivered) {
+    if (mUndelivered >= mOptions.mMaxUndelivered) {
       return;
     }
     auto request = (*live)->mChannel.deliverRequest();
@@ -88,20 +88,20 @@
     auto sent = request.send().then(
       [this](auto&&) {
         --mUndelivered;
-        mLastHeard = mTimer.now();
+        mLastContactAt = mTimer.now();
       },
       [this](kj::Exception&&) { --mUndelivered; });
-    // A peer cut off in silence takes nothing over and resets nothing: after
-    // the silence bound the connection goes, or replication would wait for the
-    // kernel's minutes.
-    mTasks.add(sent.exclusiveJoin(
-      mTimer.afterDelay(ToKj(mOptions.mSilence)).then([this, generation]() {
-        --mUndelivered;
-        NoteTimeout(generation);
-      })));
+    // A partitioned peer neither acknowledges nor resets. Without this timeout,
+    // replication would wait for the kernel's, which takes minutes.
+    mTasks.add(
+      sent.exclusiveJoin(mTimer.afterDelay(ToKj(mOptions.mSilenceTimeout))
+                           .then([this, generation]() {
+                             --mUndelivered;
+                             OnTimeout(generation);
+                           })));
     return;
   }
-  if (!mConnecting && mTimer.now() >= mNextTry) {
+  if (!mConnecting && mTimer.now() >= mNextAttemptAt) {
     Connect();
   }
 }
@@ -115,27 +115,28 @@
       auto connected = aAddress->connect();
       return connected.attach(kj::mv(aAddress));
     });
-  mTasks.add(
-    mTimer.timeoutAfter(ToKj(mOptions.mConnectTimeout), kj::mv(stream))
-      .then(
-        [this](kj::Own<kj::AsyncIoStream> aStream) {
-          Connected(kj::mv(aStream));
-        },
-        [this](kj::Exception&& aProblem) { ConnectFailed(Text(aProblem)); }));
+  mTasks.add(mTimer.timeoutAfter(ToKj(mOptions.mConnectTimeout), kj::mv(stream))
+               .then(
+                 [this](kj::Own<kj::AsyncIoStream> aStream) {
+                   Connected(kj::mv(aStream));
+                 },
+                 [this](kj::Exception&& aProblem) {
+                   ConnectFailed(Describe(aProblem));
+                 }));
 }
 
 void
 peer_link::Connected(kj::Own<kj::AsyncIoStream> aStream)
 {
   mConnecting = false;
-  mFailures = 0;
-  mLastHeard = mTimer.now();
+  mFailedAttempts = 0;
+  mLastContactAt = mTimer.now();
   const std::uint64_t generation = ++mGeneration;
   auto live = kj::heap<connection>(kj::mv(aStream));
   mTasks.add(live->mClient.onDisconnect().then(
     [this, generation]() { Drop(generation); }));
   mConnection = kj::mv(live);
-  for (outgoing_call& call : std::exchange(mWaiting, {})) {
+  for (outgoing_call& call : std::exchange(mPending, {})) {
     Send(std::move(call));
   }
 }
@@ -143,17 +144,17 @@
 void
 peer_link::ConnectFailed(const std::string& aReason)
 {
-  constexpr int kMostDoublings = 10;
+  constexpr int kMaxDoublings = 10;
   mConnecting = false;
   const duration doubled =
-    mOptions.mLeastBackoff * (1LL << std::min(mFailures, kMostDoublings));
-  const duration backoff = std::min<duration>(doubled, mOptions.mMostBackoff);
-  ++mFailures;
+    mOptions.mMinBackoff * (1LL << std::min(mFailedAttempts, kMaxDoublings));
+  const duration backoff = std::min<duration>(doubled, mOptions.mMaxBackoff);
+  ++mFailedAttempts;
   const double jitter = 0.5 + 0.5 * mRandom.Fraction();
-  mNextTry =
+  mNextAttemptAt =
     mTimer.now() + ToKj(std::chrono::duration_cast<duration>(backoff * jitter));
-  for (outgoing_call& call : std::exchange(mWaiting, {})) {
-    call.mReply(Fail(Problem(error_code::Unavailable, aReason)));
+  for (outgoing_call& call : std::exchange(mPending, {})) {
+    call.mReply(Fail(MakeError(error_code::Unavailable, aReason)));
   }
 }
 
@@ -170,7 +171,7 @@
     auto reply = std::make_shared<reply_function>(std::move(aCall.mReply));
     auto answered = request.send().then(
       [this, reply](capnp::Response<Channel::CallResults>&& aResults) {
-        mLastHeard = mTimer.now();
+        mLastContactAt = mTimer.now();
         const auto body = aResults.getBody();
         (*reply)(FromReply(
           aResults.getCode(),
@@ -178,28 +179,28 @@
           mPeer));
       },
       [this, reply](kj::Exception&& aProblem) {
-        // The request may have arrived before the connection broke.
-        (*reply)(Fail(Problem(error_code::Timeout, Text(aProblem))));
+        // The request may have arrived before the connection was lost.
+        (*reply)(Fail(MakeError(error_code::Timeout, Describe(aProblem))));
       });
     auto late =
       mTimer.atTime(aCall.mDeadline).then([this, reply, generation]() {
-        (*reply)(Fail(Problem(error_code::Timeout, "no answer in time")));
-        NoteTimeout(generation);
+        (*reply)(Fail(MakeError(error_code::Timeout, "no answer in time")));
+        OnTimeout(generation);
       });
     mTasks.add(answered.exclusiveJoin(kj::mv(late)));
   }
 }
 
 void
-peer_link::NoteTimeout(std::uint64_t aGeneration)
+peer_link::OnTimeout(std::uint64_t aGeneration)
 {
-  if (mTimer.now() - mLastHeard >= ToKj(mOptions.mSilence)) {
+  if (mTimer.now() - mLastContactAt >= ToKj(mOptions.mSilenceTimeout)) {
     Drop(aGeneration);
   }
 }
 
-// Runs inside a promise of the connection that it drops, so the connection is
-// destroyed in a turn of its own.
+// Runs in a promise of the connection that it drops, so the connection is
+// destroyed in a later turn of the event loop.
 void
 peer_link::Drop(std::uint64_t aGeneration)
 {
--- a/oriolewalk/wire/peer_link.h
+++ b/oriolewalk/wire/peer_link.h
@@ -1,7 +1,10 @@
 #pragma once
 
-// The connection to one peer, on the RPC node's kj thread only. Not installed
-// for use outside: rpc_node is the public part.
+// The connection to one peer: connects with backoff, sends calls and one-way
+// messages, and drops the connection of a silent peer.
+//
+// Private to rpc_node, which owns one for each peer and uses it on its kj
+// thread only. Not installed.
 
 #include "oriolewalk/wire/kj_compat.h"
 
@@ -56,7 +59,7 @@
     Channel::Client mChannel;
   };
 
-  // kj's own name for its hook.
+  // The name is kj's.
   void taskFailed(kj::Exception&& aException) // NOLINT
     override;
 
@@ -65,8 +68,8 @@
   void ConnectFailed(const std::string& aReason);
   void Send(outgoing_call aCall);
   void Drop(std::uint64_t aGeneration);
-  void NoteTimeout(std::uint64_t aGeneration);
-  [[nodiscard]] error Problem(error_code aCode, std::string aMessage) const;
+  void OnTimeout(std::uint64_t aGeneration);
+  [[nodiscard]] error MakeError(error_code aCode, std::string aMessage) const;
 
   const std::string mPeer;
   const rpc_options& mOptions;
@@ -76,12 +79,12 @@
   kj::Maybe<kj::Own<connection>> mConnection;
   bool mConnecting = false;
   std::uint64_t mGeneration = 0; // of the connection
-  kj::TimePoint mNextTry;
-  kj::TimePoint mLastHeard;
-  int mFailures = 0;
-  std::vector<outgoing_call> mWaiting; // for the connection
-  std::size_t mUndelivered = 0;
-  kj::TaskSet mTasks; // last: its promises refer to the rest
+  kj::TimePoint mNextAttemptAt;
+  kj::TimePoint mLastContactAt;
+  int mFailedAttempts = 0;             // consecutive
+  std::vector<outgoing_call> mPending; // until it is connected
+  std::size_t mUndelivered = 0;        // one-way messages in flight
+  kj::TaskSet mTasks;                  // last: its promises refer to the rest
 };
 
 } // namespace oriolewalk::wire
--- a/oriolewalk/wire/reply_code.h
+++ b/oriolewalk/wire/reply_code.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// How a result travels in the two fields of an RPC answer.
+// Encodes a result in the two fields of an RPC answer.
 
 #include <cstdint>
 #include <string_view>
@@ -20,7 +20,7 @@
 bytes
 ReplyBody(result<bytes> aReply);
 
-// aPeer is named in the error.
+// Decodes an answer. An error names aPeer.
 result<bytes>
 FromReply(std::uint16_t aCode, bytes aBody, std::string_view aPeer);
 
--- a/oriolewalk/wire/rpc_node.cc
+++ b/oriolewalk/wire/rpc_node.cc
@@ -10,20 +10,20 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
-#include "oriolewalk/wire/mailbox.h"
 #include "oriolewalk/wire/peer_link.h"
 #include "oriolewalk/wire/reply_code.h"
+#include "oriolewalk/wire/task_queue.h"
 
 namespace oriolewalk::wire {
 
 namespace {
 
-// On the heap, since kj's storage of a value that may be absent and tl's of one
-// of two confuse g++ 12's flow analysis (a false maybe-uninitialized).
+// On the heap, since g++ 12 reports a false maybe-uninitialized for kj's and
+// tl's storage of an optional value together.
 using owned_answer = kj::Own<result<bytes>>;
 using answer_fulfiller = kj::Own<kj::PromiseFulfiller<owned_answer>>;
 
-// Calls that came in and wait for our answer. The loop's thread only.
+// Received calls that have no answer yet. The loop's thread only.
 class open_answers
 {
 public:
@@ -48,18 +48,18 @@
 class channel_server final : public Channel::Server
 {
 public:
-  channel_server(std::shared_ptr<mailbox> aMailbox,
+  channel_server(std::shared_ptr<task_queue> aTasks,
                  open_answers& aOpen,
                  call_handler& aOnCall,
                  deliver_handler& aOnDeliver)
-    : mMailbox(std::move(aMailbox))
+    : mTasks(std::move(aTasks))
     , mOpen(aOpen)
     , mOnCall(aOnCall)
     , mOnDeliver(aOnDeliver)
   {
   }
 
-  // The names below are those of the generated interface.
+  // The names are those of the generated interface.
   // NOLINTBEGIN(readability-identifier-naming)
   kj::Promise<void> call(CallContext aContext) override
   {
@@ -68,8 +68,8 @@
     const auto body = aContext.getParams().getBody();
     mOnCall(aContext.getParams().getKind(),
             bytes(reinterpret_cast<const char*>(body.begin()), body.size()),
-            [box = mMailbox, &open = mOpen, id](result<bytes> aAnswer) {
-              box->Post([&open, id, answer = std::move(aAnswer)]() mutable {
+            [tasks = mTasks, &open = mOpen, id](result<bytes> aAnswer) {
+              tasks->Post([&open, id, answer = std::move(aAnswer)]() mutable {
                 open.Fulfil(id, std::move(answer));
               });
             });
@@ -93,7 +93,7 @@
   // NOLINTEND(readability-identifier-naming)
 
 private:
-  std::shared_ptr<mailbox> mMailbox;
+  std::shared_ptr<task_queue> mTasks;
   open_answers& mOpen;
   call_handler& mOnCall;
   deliver_handler& mOnDeliver;
@@ -106,7 +106,7 @@
 public:
   explicit implementation(rpc_options aOptions)
     : mOptions(aOptions)
-    , mMailbox(std::make_shared<mailbox>())
+    , mTasks(std::make_shared<task_queue>())
     , mThread([this]() { Run(); })
   {
   }
@@ -123,11 +123,11 @@
   {
     auto bound = std::make_shared<std::promise<result<std::uint16_t>>>();
     auto outcome = bound->get_future();
-    mMailbox->Post([this,
-                    bound,
-                    aAddress,
-                    onCall = std::move(aOnCall),
-                    onDeliver = std::move(aOnDeliver)]() mutable {
+    mTasks->Post([this,
+                  bound,
+                  aAddress,
+                  onCall = std::move(aOnCall),
+                  onDeliver = std::move(aOnDeliver)]() mutable {
       mOnCall = std::move(onCall);
       mOnDeliver = std::move(onDeliver);
       bound->set_value(Bind(aAddress));
@@ -141,12 +141,12 @@
             duration aTimeout,
             reply_function aReply)
   {
-    mMailbox->Post([this,
-                    peer = std::move(aPeer),
-                    aKind,
-                    body = std::move(aBody),
-                    aTimeout,
-                    reply = std::move(aReply)]() mutable {
+    mTasks->Post([this,
+                  peer = std::move(aPeer),
+                  aKind,
+                  body = std::move(aBody),
+                  aTimeout,
+                  reply = std::move(aReply)]() mutable {
       const kj::TimePoint deadline =
         mIo->provider->getTimer().now() + aTimeout.count() * kj::NANOSECONDS;
       Link(peer).Call({ aKind, std::move(body), deadline, std::move(reply) });
@@ -155,7 +155,7 @@
 
   void Deliver(std::string aPeer, bytes aMessage)
   {
-    mMailbox->Post(
+    mTasks->Post(
       [this, peer = std::move(aPeer), message = std::move(aMessage)]() mutable {
         Link(peer).Deliver(std::move(message));
       });
@@ -164,7 +164,7 @@
   void Stop()
   {
     if (mThread.joinable()) {
-      mMailbox->Post([this]() { mStopping = true; });
+      mTasks->Post([this]() { mStopping = true; });
       mThread.join();
     }
   }
@@ -190,7 +190,7 @@
         mIo->provider->getNetwork().parseAddress(aAddress).wait(mIo->waitScope);
       mListener = address->listen();
       mServer = kj::heap<capnp::TwoPartyServer>(
-        kj::heap<channel_server>(mMailbox, mOpen, mOnCall, mOnDeliver));
+        kj::heap<channel_server>(mTasks, mOpen, mOnCall, mOnDeliver));
       mAccepting = mServer->listen(*mListener).eagerlyEvaluate(nullptr);
       return static_cast<std::uint16_t>(mListener->getPort());
     } catch (const kj::Exception& problem) {
@@ -203,15 +203,15 @@
   {
     auto io = kj::setupAsyncIo();
     mIo = &io;
-    auto wake = io.lowLevelProvider->wrapInputFd(mMailbox->Descriptor());
+    auto wake = io.lowLevelProvider->wrapInputFd(mTasks->Descriptor());
     while (!mStopping) {
       std::uint64_t count = 0;
       wake->read(&count, sizeof count).wait(io.waitScope);
-      for (const mailbox::task& task : mMailbox->Take()) {
+      for (const task_queue::task& task : mTasks->TakeAll()) {
         task();
       }
     }
-    mMailbox->Close();
+    mTasks->Close();
     mLinks.clear();
     mAccepting = kj::Promise<void>(kj::READY_NOW);
     mServer = nullptr;
@@ -221,7 +221,7 @@
   }
 
   rpc_options mOptions;
-  // The loop's thread only, from here.
+  // The loop's thread only.
   kj::AsyncIoContext* mIo = nullptr;
   bool mStopping = false;
   call_handler mOnCall;
@@ -232,8 +232,8 @@
   kj::Own<capnp::TwoPartyServer> mServer;
   kj::Promise<void> mAccepting = kj::READY_NOW;
   // Any thread.
-  std::shared_ptr<mailbox> mMailbox;
-  std::thread mThread; // last: it uses all of the above
+  std::shared_ptr<task_queue> mTasks;
+  std::thread mThread; // last, since it uses the other members
 };
 
 rpc_node::rpc_node(rpc_options aOptions)
--- a/oriolewalk/wire/rpc_node.h
+++ b/oriolewalk/wire/rpc_node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// One process's end of the RPC between our processes.
+// One process's endpoint of the RPC between the scheduler's processes.
 //
 //   rpc_node node(rpc_options{});
 //   node.Listen("127.0.0.1:7001", OnCall, OnDeliver);
@@ -8,13 +8,14 @@
 //             [](result<bytes> aAnswer) {...});
 //
 // Cap'n Proto RPC over TCP. kj has its own event loop, so a node owns one
-// thread; Call, Deliver and answers may come from any thread, and all
-// callbacks run on the node's thread: they hand their value over and return.
+// thread. Call, Deliver and answers may come from any thread; all callbacks run
+// on the node's thread, and should pass their value on and return.
 //
 // Until Stop(), every call ends exactly once: with the answer, the peer's
-// error, Unavailable (surely not delivered) or Timeout (not known). Connections
-// are made again with jittered backoff. A peer that is silent while calls wait
-// for it is dropped without waiting for a reset: a cut network sends none.
+// error, Unavailable (certainly not delivered) or Timeout (unknown). Lost
+// connections are reopened with a jittered exponential backoff. A peer that is
+// silent while calls to it are in flight is disconnected, since a network
+// partition resets no connection.
 
 #include <cstddef>
 #include <cstdint>
@@ -30,17 +31,19 @@
 
 struct rpc_options
 {
-  // Between data centres 1 ms apart a connection takes 2 ms; 500 ms covers a
-  // lost SYN no better than the retry does.
+  // A connection between data centres takes a few milliseconds. A lost SYN is
+  // better repeated by the next attempt than waited for.
   milliseconds mConnectTimeout{ 500 };
-  // After a failed connection: doubles from least to most, with jitter of
-  // half, so that seven entries do not knock on a new leader together.
-  milliseconds mLeastBackoff{ 50 };
-  milliseconds mMostBackoff{ 1000 };
-  // Calls wait for this peer and nothing came for so long: drop it.
-  milliseconds mSilence{ 1500 };
-  // One-way messages not yet taken over by the peer; more are dropped.
-  std::size_t mMostUndelivered = 512;
+  // Delay after a failed attempt: doubles from the minimum to the maximum, with
+  // a jitter of half, so that entries don't connect to a new leader all at
+  // once.
+  milliseconds mMinBackoff{ 50 };
+  milliseconds mMaxBackoff{ 1000 };
+  // A peer that sends nothing for this long while a call to it times out is
+  // disconnected.
+  milliseconds mSilenceTimeout{ 1500 };
+  // Further one-way messages that the peer hasn't acknowledged are dropped.
+  std::size_t mMaxUndelivered = 512;
   std::uint64_t mSeed = 1;
 };
 
@@ -71,10 +74,10 @@
             duration aTimeout,
             reply_function aReply);
 
-  // Dropped where the peer can't be reached now.
+  // Drops the message if there is no connection to the peer.
   void Deliver(std::string aPeer, bytes aMessage);
 
-  // Closes all connections; no callback runs afterwards, so open calls get
+  // Closes all connections. No callback runs afterwards, so calls in flight get
   // no answer. The destructor does the same.
   void Stop();
 
--- a/oriolewalk/wire/mailbox.cc
+++ b/oriolewalk/wire/task_queue.cc
@@ -1,4 +1,4 @@
-#include "oriolewalk/wire/mailbox.h"
+#include "oriolewalk/wire/task_queue.h"
 
 #include <cstdint>
 #include <utility>
@@ -8,18 +8,18 @@
 
 namespace oriolewalk::wire {
 
-mailbox::mailbox()
+task_queue::task_queue()
   : mDescriptor(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
 }
 
-mailbox::~mailbox()
+task_queue::~task_queue()
 {
   close(mDescriptor);
 }
 
 void
-mailbox::Post(task aTask)
+task_queue::Post(task aTask)
 {
   bool first = false;
   {
@@ -32,20 +32,20 @@
   }
   if (first) {
     const std::uint64_t one = 1;
-    // Fails only when the counter is full, and then the loop is awake anyway.
+    // Fails only if the counter is at its maximum; the loop is awake then.
     [[maybe_unused]] const auto written = write(mDescriptor, &one, sizeof one);
   }
 }
 
-std::vector<mailbox::task>
-mailbox::Take()
+std::vector<task_queue::task>
+task_queue::TakeAll()
 {
   const std::lock_guard lock(mMutex);
   return std::exchange(mTasks, {});
 }
 
 void
-mailbox::Close()
+task_queue::Close()
 {
   const std::lock_guard lock(mMutex);
   mClosed = true;
--- a/testing/wire/rpc_node_test.cc
+++ b/testing/wire/rpc_node_test.cc
@@ -15,7 +15,7 @@
 constexpr std::uint16_t kSilent = 3;
 constexpr seconds kLong{ 20 };
 
-// Answers by kind, keeping the answers of kSilent open.
+// Answers by kind, and calls of kSilent never.
 struct fake_server
 {
   rpc_node mNode{ rpc_options{} };
@@ -68,7 +68,7 @@
   CHECK(refused.error().mMessage == "ask 2");
 }
 
-TEST_CASE("a call without an answer ends as a timeout, later ones go through")
+TEST_CASE("a call without an answer times out and later calls succeed")
 {
   const fake_server server;
   rpc_node client(rpc_options{});
@@ -79,7 +79,7 @@
   CHECK(CallAndWait(client, server.mAddress, kEcho, "a", kLong) == bytes("a"));
 }
 
-TEST_CASE("a peer that isn't there is unavailable: surely not delivered")
+TEST_CASE("a call to an absent peer is unavailable and not delivered")
 {
   std::string address;
   {
@@ -92,10 +92,10 @@
   CHECK(refused.error().mCode == error_code::Unavailable);
 }
 
-TEST_CASE("a peer that dies with a call open leaves a timeout, not a refusal")
+TEST_CASE("a call in flight to a peer that dies times out")
 {
-  // The caller sees "not known": the request had been sent when the peer died,
-  // so it may have been carried out.
+  // Guards against a call that is reported as not delivered, although the peer
+  // may have executed it before it died.
   auto server = std::make_unique<fake_server>();
   rpc_node client(rpc_options{});
   REQUIRE(CallAndWait(client, server->mAddress, kEcho, "a", kLong));
@@ -111,7 +111,7 @@
   CHECK(outcome.error().mCode == error_code::Timeout);
 }
 
-TEST_CASE("messages are delivered once the connection stands")
+TEST_CASE("messages are delivered over an open connection")
 {
   fake_server server;
   rpc_node client(rpc_options{});
@@ -120,7 +120,7 @@
   CHECK(server.mDelivered.get_future().get() == "message");
 }
 
-TEST_CASE("an address in use is an error, not a crash")
+TEST_CASE("listening on an address in use fails")
 {
   const fake_server server;
   rpc_node second(rpc_options{});
