--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -14,9 +14,17 @@
 
 namespace {
 
-constexpr std::size_t kNodes = 3;
+// Control processes; the first mVoters of them form the group.
+struct group_size
+{
+  std::size_t mNodes = 3;
+  std::size_t mVoters = 3;
+  std::size_t mMaxVoters = 9;
+};
+
+// As in a deployment of thousands of workers.
+constexpr group_size kWithSpares{ 15, 5, 5 };
 constexpr std::size_t kWorkers = 3;
-constexpr std::size_t kMaxVoters = 9;
 
 class player
 {
@@ -29,7 +37,8 @@
     : mChoose(aChoose)
     , mFaults(aFaults)
     , mCounts(aCounts)
-    , mGroup(kNodes, kNodes, aSeed, kMaxVoters, aOptions)
+    , mSize(aFaults.mSpares ? kWithSpares : group_size{})
+    , mGroup(mSize.mNodes, mSize.mVoters, aSeed, mSize.mMaxVoters, aOptions)
   {
     if (mFaults.mRestarts) {
       mActions.push_back(&player::RestartWorker);
@@ -247,22 +256,22 @@
     job->second = SendCancellation(job->first) || job->second;
   }
 
-  void Kill() { mGroup.Kill(Choose(kNodes), Choose(2) == 0); }
+  void Kill() { mGroup.Kill(Choose(mSize.mNodes), Choose(2) == 0); }
 
   // Only one disk is lost, and only while the other nodes are up and in the
   // group. A node that was silent for 20 s has been removed from the group; a
   // disk that is lost before it has rejoined is a second loss.
   void Wipe()
   {
-    const std::size_t chosen = Choose(kNodes);
-    for (std::size_t node = 0; node < kNodes; ++node) {
+    const std::size_t chosen = Choose(mSize.mNodes);
+    for (std::size_t node = 0; node < mSize.mNodes; ++node) {
       if (node != chosen && !mGroup.IsUp(node)) {
         return;
       }
     }
     const auto leader = mGroup.Leader();
     if (mHasWipedDisk || !leader || *leader == chosen ||
-        mGroup.Core(*leader).Raft().Members().mVoters.size() < kNodes) {
+        mGroup.Core(*leader).Raft().Members().mVoters.size() < mSize.mVoters) {
       return;
     }
     mHasWipedDisk = true;
@@ -271,14 +280,14 @@
 
   void Restart()
   {
-    for (std::size_t node = 0; node < kNodes; ++node) {
+    for (std::size_t node = 0; node < mSize.mNodes; ++node) {
       mGroup.Restart(node);
       mGroup.Pause(node, false);
     }
   }
 
-  void Pause() { mGroup.Pause(Choose(kNodes), true); }
-  void Cut() { mGroup.Cut(Choose(kNodes), Choose(2) == 0); }
+  void Pause() { mGroup.Pause(Choose(mSize.mNodes), true); }
+  void Cut() { mGroup.Cut(Choose(mSize.mNodes), Choose(2) == 0); }
   void CutWorker()
   {
     mGroup.CutWorker(mWorkers[Choose(mWorkers.size())], Choose(2) == 0);
@@ -395,7 +404,7 @@
     mGroup.ReleaseOrders();
     mGroup.SetOrderDelay(milliseconds(0));
     mGroup.SetSyncTime(milliseconds(9));
-    for (std::size_t node = 0; node < kNodes; ++node) {
+    for (std::size_t node = 0; node < mSize.mNodes; ++node) {
       mGroup.Cut(node, false);
     }
     Restart();
@@ -431,6 +440,7 @@
   const flow_choices& mChoose;
   history_faults mFaults;
   history_counts& mCounts;
+  group_size mSize;
   fake_group mGroup;
   std::optional<organisation_oracle> mOrganisations;
   std::vector<std::size_t> mWorkers;
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -27,6 +27,8 @@
   bool mRestarts = false;
   // Orders are held in transit for seconds and then delivered.
   bool mHolds = false;
+  // Fifteen control processes, of which five vote and ten are spares.
+  bool mSpares = false;
   // Some tasks crash each worker that starts them; it restarts after seconds.
   bool mCrashing = false;
   // Workers' capacities shrink and grow again.
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -49,6 +49,15 @@
   PlaySeeds(150, options);
 }
 
+TEST_CASE("random histories violate no guarantee with ten spares as relays")
+{
+  // Guards against members that are replaced from spares which relay orders at
+  // the same time.
+  flow_options options;
+  options.mMaxWorkersWithoutRelays = 0;
+  PlaySeeds(50, options, { .mRestarts = true, .mSpares = true });
+}
+
 TEST_CASE("random histories violate no guarantee while the leader is busy")
 {
   // The leader's processor is saturated: orders wait for seconds before they
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -35,7 +35,7 @@
 constexpr const char* kUsage =
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
-  "                 [--crashing] [--shrinking] [--organisations]\n"
+  "                 [--crashing] [--shrinking] [--organisations] [--spares]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
   "  --holds     orders stand still on their way for seconds\n"
@@ -43,6 +43,7 @@
   "  --shrinking workers' capacities shrink and grow again\n"
   "  --organisations jobs belong to organisations, whose keys and maxima\n"
   "              change\n"
+  "  --spares    fifteen control processes, of which five vote\n"
   "  --carried   other control processes carry the leader's orders\n";
 
 template<class Number>
@@ -69,6 +70,7 @@
     option{ "crashing", no_argument, nullptr, 'x' },
     option{ "shrinking", no_argument, nullptr, 's' },
     option{ "organisations", no_argument, nullptr, 'o' },
+    option{ "spares", no_argument, nullptr, 'p' },
     option{ nullptr, 0, nullptr, 0 },
   };
   run_options options;
@@ -110,6 +112,9 @@
       case 'o':
         options.mFaults.mOrganisations = true;
         break;
+      case 'p':
+        options.mFaults.mSpares = true;
+        break;
       default:
         isValid = false;
     }
