--- a/oriolewalk/flow/relay_assignment.h
+++ b/oriolewalk/flow/relay_assignment.h
@@ -10,9 +10,9 @@
 //
 // Each busy worker holds a long poll open and takes a start or lists an end
 // every second, so connections, HTTP and JSON grow with the workers, all at one
-// process, which runs out of descriptors and answers too late. A relay makes no decisions: each order
-// has the leader's fence and an absolute lease, so an order that is late, lost
-// or from an earlier leader does no harm.
+// process, which runs out of descriptors and answers too late. A relay makes no
+// decisions: each order has the leader's fence and an absolute lease, so an
+// order that is late, lost or from an earlier leader does no harm.
 //
 // Pure; owned by leader_core; control thread only.
 
