Lint: fields of a worker's view in order, plan_worker by reference, AllFor

plan_worker is trivially copyable, so moves of it say nothing; the workers of a queue without a policy service are collected in a function of their own. No behaviour changed.

--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -182,13 +182,14 @@
           const std::string& aName,
           const flow::decision_counts& aCounts)
 {
-  const auto add = [&](const char* aWhat, std::uint64_t aCount) {
-    aReport.Add(aName + "." + aWhat, static_cast<double>(aCount), "count");
+  const auto add = [&](std::string_view aWhat, std::uint64_t aCount) {
+    aReport.Add(
+      std::string(aName).append(aWhat), static_cast<double>(aCount), "count");
   };
-  add("plans", aCounts.mPlans);
-  add("planned_workers", aCounts.mPlannedWorkers);
-  add("evaluated_workers", aCounts.mEvaluatedWorkers);
-  add("ticked_workers", aCounts.mTickedWorkers);
+  add(".plans", aCounts.mPlans);
+  add(".planned_workers", aCounts.mPlannedWorkers);
+  add(".evaluated_workers", aCounts.mEvaluatedWorkers);
+  add(".ticked_workers", aCounts.mTickedWorkers);
 }
 
 // The cost of one load in cells of growing size.
--- a/oriolewalk/flow/plan_worker_cache.cc
+++ b/oriolewalk/flow/plan_worker_cache.cc
@@ -28,9 +28,9 @@
 plan_worker_cache::Evaluate(worker_number aWorker, const evaluator& aEvaluate)
 {
   ++mEvaluations;
-  worker_evaluation found = aEvaluate(aWorker);
+  const worker_evaluation found = aEvaluate(aWorker);
   if (found.mWorker) {
-    mWorkers.Put(std::move(*found.mWorker));
+    mWorkers.Put(*found.mWorker);
   } else {
     mWorkers.Remove(aWorker);
   }
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -5,7 +5,7 @@
 namespace oriolewalk::flow {
 
 void
-plan_workers::Put(plan_worker aWorker)
+plan_workers::Put(const plan_worker& aWorker)
 {
   const worker_number number = aWorker.mNumber;
   const auto known = mEntries.find(number);
@@ -19,16 +19,17 @@
   } else {
     mAvoided.erase(number);
   }
-  aWorker.mAvoided = aWorker.mAvoided && mAvoids;
+  plan_worker worker = aWorker;
+  worker.mAvoided = aWorker.mAvoided && mAvoids;
   if (keepsKeys) {
-    Replace(known->second, std::move(aWorker));
+    Replace(known->second, worker);
     return;
   }
   entry& added = mEntries[number];
-  added.mService = aWorker.mDescription->mService;
-  added.mRack = aWorker.mDescription->mRack;
-  added.mCapacity = aWorker.mDescription->mCapacity;
-  added.mWorker = std::move(aWorker);
+  added.mService = worker.mDescription->mService;
+  added.mRack = worker.mDescription->mRack;
+  added.mCapacity = worker.mDescription->mCapacity;
+  added.mWorker = worker;
   mCapacity += added.mCapacity;
   mFree += added.mWorker.mFree;
   mByRack[added.mRack].insert(number);
@@ -46,10 +47,10 @@
 
 // Most changes are of what is free, so the indexes' nodes are kept.
 void
-plan_workers::Replace(entry& aEntry, plan_worker aWorker)
+plan_workers::Replace(entry& aEntry, const plan_worker& aWorker)
 {
   mFree += aWorker.mFree - aEntry.mWorker.mFree;
-  aEntry.mWorker = std::move(aWorker);
+  aEntry.mWorker = aWorker;
   const rank former = aEntry.mRank;
   aEntry.mRank.first = -BaseScore(aEntry.mWorker, mPlacement);
   if (aEntry.mRank != former) {
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -51,7 +51,7 @@
   plan_workers& operator=(plan_workers&&) = default;
   ~plan_workers() = default;
 
-  void Put(plan_worker aWorker);
+  void Put(const plan_worker& aWorker);
   void Remove(worker_number aWorker);
   // Decides anew whether workers are avoided at all; after changes.
   void UpdateAvoidance();
@@ -80,7 +80,7 @@
   };
 
   static bool HasSameKeys(const entry& aEntry, const plan_worker& aWorker);
-  void Replace(entry& aEntry, plan_worker aWorker);
+  void Replace(entry& aEntry, const plan_worker& aWorker);
   void Index(entry& aEntry);
   void Unindex(const entry& aEntry);
 
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -98,19 +98,10 @@
   [[nodiscard]] worker_list ApprovedFor(const open_step& aStep,
                                         bool aExpiredToo)
   {
-    worker_list approved;
     if (!aStep.mQueue->mAdvice) {
-      for (const auto& [capacity, ranked] :
-           mInput.mWorkers->Ranked(aStep.mQueue->mService)) {
-        for (const auto& [rank, worker] : ranked) {
-          if (FitsWhenEmpty(aStep, *worker)) {
-            approved.push_back(Find(worker->mNumber));
-          }
-        }
-      }
-      std::ranges::sort(approved, {}, &plan_worker::mNumber);
-      return approved;
+      return AllFor(aStep);
     }
+    worker_list approved;
     for (const worker_number number : mInput.mAdvice->ApprovedWorkers(
            aStep.mRef, aExpiredToo ? time_point::min() : mInput.mNow)) {
       plan_worker* worker = Find(number);
@@ -121,6 +112,21 @@
     return approved;
   }
 
+  [[nodiscard]] worker_list AllFor(const open_step& aStep)
+  {
+    worker_list all;
+    for (const auto& [capacity, ranked] :
+         mInput.mWorkers->Ranked(aStep.mQueue->mService)) {
+      for (const auto& [rank, worker] : ranked) {
+        if (FitsWhenEmpty(aStep, *worker)) {
+          all.push_back(Find(worker->mNumber));
+        }
+      }
+    }
+    std::ranges::sort(all, {}, &plan_worker::mNumber);
+    return all;
+  }
+
   // Removes the waiting tasks that the quota of their organisation doesn't
   // allow to start, and returns how many; of tasks that weren't listed, those
   // that aren't done. A step of which none is left is not served: it neither
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -90,8 +90,8 @@
   time_point mNextPollAt{};
   bool mShortPollRequested = false; // a poll that doesn't wait is due
   std::uint64_t mShortPoll = 0;
-  bool mIsFirstPollInFlight = false; // of an idle worker; see IsFirstPoll
   time_point mNextExpiryCheckAt{};
+  time_point mVisitAt = time_point::max(); // the next scheduled visit
   int mFailedPolls = 0;           // consecutive polls without an answer
   time_point mFailedPollSentAt{}; // when the last of them was sent
   time_point mFailingSince{};     // when the first of them was sent
@@ -107,6 +107,7 @@
   bool mHasUncommittedUpdate =
     false; // it reported a change that isn't committed yet
   bool mHasUncommittedEnds = false;
+  bool mIsFirstPollInFlight = false; // of an idle worker; see IsFirstPoll
   // Its last poll listed ends, so the next one sends the cursor. If every poll
   // sent it, a process that has restarted unnoticed would forget ends of its
   // own.
@@ -122,7 +123,6 @@
   // expired.
   std::map<run_ref, duration> mLostRunAges;
   bool mEndLogged = false; // its incarnation ended; every late answer says so
-  time_point mVisitAt = time_point::max(); // the next scheduled visit
 };
 
 // When a leader received the last heartbeat of a worker, by the clock of this
