--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -199,7 +199,9 @@
       SimulateLoad(MakeLoad(scenario, kSeeds.front()), {});
     const std::string name = "workers_" + scenario.mName;
     for (const auto& [activity, ms] : one.mActivityMs) {
-      aReport.Add(name + "." + activity, ms, "processor ms");
+      std::string figure = name + ".";
+      figure += activity;
+      aReport.Add(std::move(figure), ms, "processor ms");
     }
     aReport.Add(name + ".plan", one.mDecisionMs, "processor ms");
     AddCounts(aReport, name, one.mCounts);
--- a/testing/flow/plan_workers_test.cc
+++ b/testing/flow/plan_workers_test.cc
@@ -147,9 +147,8 @@
       scene.mBuilder.AddJob("00", { Step(400, 1'000) }, "runs");
     std::uint32_t started = 0;
     for (int at = 0; at < 400; ++at) {
-      const worker_number number = scene.mBuilder.AddWorker(
-        Worker("w" + std::to_string(at),
-               static_cast<std::int64_t>(4'000 << random.Below(3))));
+      const worker_number number = scene.mBuilder.AddWorker(Worker(
+        "w" + std::to_string(at), std::int64_t{ 4'000 } << random.Below(3)));
       if (random.Below(2) == 0 && started < 400) {
         scene.mBuilder.Start(testing::state_builder::Run(filler, 1, started++),
                              number);
