What plans look at, and how late the leader is, in its log and metrics

No line and no metric said how many plans a leader makes, how many tasks and workers they weigh and how late its ticks come. leader.load says so once a second; two gauges count what plans weigh. With them overload that feeds itself is told from plans that are dear and from late calls.

No decision is changed.

--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -93,6 +93,9 @@
   std::uint64_t mPlannedWorkers = 0;   // that plans looked at
   std::uint64_t mEvaluatedWorkers = 0; // whose free capacity was determined
   std::uint64_t mTickedWorkers = 0;    // that ticks visited
+  std::uint64_t mPlannedSteps = 0;     // open ones
+  std::uint64_t mPlannedTasks = 0;     // waiting ones of them
+  std::uint64_t mComparisons = 0;      // of a worker with a task, by plans
 };
 
 class leader_core
@@ -218,6 +221,7 @@
   void LogWaits(const plan_result& aPlan);
   void LogQuotas(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
+  void LogLoad();
   void Start(std::vector<planned_start> aStarts);
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
   void ForgetEndedPreemptions();
@@ -263,8 +267,9 @@
   interference_control mInterference;
   plan_timer mPlanTimer;
   std::size_t mTopPriorityWaiting = 0; // tasks, in the last plan
-  std::uint64_t mPlans = 0;
-  std::uint64_t mPlannedWorkers = 0;
+  decision_counts mPlanCounts;         // of plans alone
+  decision_counts mLoggedCounts;
+  time_point mLoadLoggedAt{};
   time_point mShortageLoggedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -22,6 +22,7 @@
 using log_fields = decltype(decision::mFields);
 
 constexpr milliseconds kShortageLogInterval{ 1'000 };
+constexpr milliseconds kLoadLogInterval{ 1'000 };
 // A wait that is shorter than two commits isn't logged.
 constexpr milliseconds kMinLoggedWait{ 20 };
 
@@ -106,6 +107,32 @@
   }
 }
 
+// Logs how much the plans looked at since the last line, and how late the
+// process is: a leader that can't keep up is told from one that has no work.
+void
+leader_core::LogLoad()
+{
+  if (mAt.mNow < mLoadLoggedAt + kLoadLogInterval) {
+    return;
+  }
+  const decision_counts now = Counts();
+  const auto since = [&](std::uint64_t decision_counts::*aCount) {
+    return std::to_string(now.*aCount - mLoggedCounts.*aCount);
+  };
+  mPort.mLogDecision(
+    { "leader.load",
+      { { "plans", since(&decision_counts::mPlans) },
+        { "steps", since(&decision_counts::mPlannedSteps) },
+        { "tasks", since(&decision_counts::mPlannedTasks) },
+        { "comparisons", since(&decision_counts::mComparisons) },
+        { "workers", since(&decision_counts::mPlannedWorkers) },
+        { "evaluated", since(&decision_counts::mEvaluatedWorkers) },
+        { "live_jobs", std::to_string(mState.LiveJobs().size()) },
+        { "tick_ms", std::to_string(ToMs(mPlanTimer.TickInterval())) } } });
+  mLoadLoggedAt = mAt.mNow;
+  mLoggedCounts = now;
+}
+
 // Logs why work waits, once a second while it does: one line for all work, and
 // one per queue with its waiting tasks by cause.
 void
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -114,8 +114,12 @@
   const std::size_t usable = input.mWorkers->Size();
   plan_result plan = MakePlan(std::move(input));
   mTopPriorityWaiting = plan.mUrgentWaiting;
-  ++mPlans;
-  mPlannedWorkers += plan.mVisitedWorkers;
+  ++mPlanCounts.mPlans;
+  mPlanCounts.mPlannedWorkers += plan.mVisitedWorkers;
+  mPlanCounts.mPlannedSteps += plan.mOpenSteps;
+  mPlanCounts.mPlannedTasks += plan.mConsideredTasks;
+  mPlanCounts.mComparisons += plan.mComparisons;
+  LogLoad();
   if (*scope == plan_scope::All) {
     LogWaits(plan);
     LogShortage(plan, usable);
@@ -135,9 +139,10 @@
 decision_counts
 leader_core::Counts() const
 {
-  return {
-    mPlans, mPlannedWorkers, mPlanWorkers.Evaluations(), mSupervisor.Visits()
-  };
+  decision_counts counts = mPlanCounts;
+  counts.mEvaluatedWorkers = mPlanWorkers.Evaluations();
+  counts.mTickedWorkers = mSupervisor.Visits();
+  return counts;
 }
 
 // The workers whose free capacity the applied command may have changed.
--- a/oriolewalk/flow/plan_timer.h
+++ b/oriolewalk/flow/plan_timer.h
@@ -38,6 +38,8 @@
   // Returns nullopt if no plan is due yet.
   [[nodiscard]] std::optional<plan_scope> DueScope(std::size_t aLiveJobs,
                                                    time_point aNow) const;
+  // The mean time between the last ticks.
+  [[nodiscard]] duration TickInterval() const { return mMeanTickInterval; }
   // aWaiting: tasks that could not be placed.
   void OnPlanned(plan_scope aScope, std::size_t aWaiting, time_point aNow);
 
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -55,6 +55,7 @@
                       *mInput.mAdvice,
                       *mInput.mOpenQueries);
     for (open_step& step : steps) {
+      mResult.mConsideredTasks += step.mWaiting.size();
       const std::size_t beyondQuota = LimitToQuota(step);
       const bool waits = !step.mWaiting.empty() && Serve(step);
       if (beyondQuota > 0 && !waits) {
@@ -68,6 +69,8 @@
       mResult.mReserved += worker.mReserved;
     }
     mResult.mVisitedWorkers += mCopies.size();
+    mResult.mOpenSteps = steps.size();
+    mResult.mComparisons += mReservations.Comparisons();
     return std::move(mResult);
   }
 
@@ -236,6 +239,7 @@
   {
     std::size_t placed = 0;
     for (const std::uint32_t task : aStep.mWaiting) {
+      mResult.mComparisons += aCandidates.size();
       plan_worker* best =
         aPlacement.BestWorker(task, aRack, aCandidates, FitsNow);
       if (best == nullptr) {
@@ -331,6 +335,7 @@
       }
     }
     for (const std::uint32_t task : aTasks) {
+      mResult.mComparisons += workers.size();
       plan_worker* worker = aPlacement.BestWorker(task, {}, workers, FitsNow);
       if (worker == nullptr) {
         break;
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -96,6 +96,10 @@
   cell::resources mFree;           // of all workers, after the starts
   cell::resources mReserved;       // reserved on all workers, out of mFree
   std::size_t mVisitedWorkers = 0; // that the plan looked at
+  std::size_t mOpenSteps = 0;
+  std::size_t mConsideredTasks = 0; // waiting ones of the open steps
+  // How often a worker was weighed for a task.
+  std::size_t mComparisons = 0;
 };
 
 plan_result
--- a/oriolewalk/flow/reservations.cc
+++ b/oriolewalk/flow/reservations.cc
@@ -96,6 +96,7 @@
                              step_placement& aPlacement,
                              capacity_reservation& aFound)
 {
+  mComparisons += aCandidates.size();
   plan_worker* worker = aPlacement.BestWorker(aTask, {}, aCandidates, FitsSoon);
   if (worker == nullptr && mPolicy.mPreempts) {
     worker = Preempt(aStep, aTask, aCandidates, aPlacement, aFound);
@@ -120,6 +121,7 @@
                              const step_placement& aPlacement,
                              capacity_reservation& aFound)
 {
+  mComparisons += aCandidates.size();
   plan_worker* worker =
     Cheapest(aCandidates, [&](plan_worker& aWorker) -> std::optional<double> {
       if (!FitsWhenEmpty(aStep, aWorker) || aWorker.mAvoided ||
@@ -151,6 +153,7 @@
   if (!mPolicy.mReservesCapacity || draining >= kMaxDrainingTasks) {
     return nullptr;
   }
+  mComparisons += aCandidates.size();
   plan_worker* worker =
     Cheapest(aCandidates, [&](plan_worker& aWorker) -> std::optional<double> {
       if (!FitsWhenEmpty(aStep, aWorker) || IsFullyReserved(aStep, aWorker) ||
--- a/oriolewalk/flow/reservations.h
+++ b/oriolewalk/flow/reservations.h
@@ -59,6 +59,8 @@
   // Undoes a reservation.
   void Release(const open_step& aStep,
                const capacity_reservation& aReservation);
+  // How often a worker was weighed for a task so far.
+  [[nodiscard]] std::size_t Comparisons() const { return mComparisons; }
 
 private:
   bool FindOne(const open_step& aStep,
@@ -80,6 +82,7 @@
   const plan_policy& mPolicy;
   std::map<service_id, std::size_t>
     mDrainingTasks; // draining tasks, by service
+  std::size_t mComparisons = 0;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/host/metrics_page.cc
+++ b/oriolewalk/host/metrics_page.cc
@@ -44,6 +44,10 @@
   , mPlannedWorkers(
       mRegistry.Gauge("oriole_flow_planned_workers",
                       "workers that those plans looked at, in all"))
+  , mPlannedTasks(mRegistry.Gauge("oriole_flow_planned_tasks",
+                                  "waiting tasks that those plans considered"))
+  , mComparisons(mRegistry.Gauge("oriole_flow_plan_comparisons",
+                                 "how often plans weighed a worker for a task"))
   , mEvaluatedWorkers(
       mRegistry.Gauge("oriole_flow_evaluated_workers",
                       "workers whose free capacity was determined anew"))
@@ -146,6 +150,8 @@
 {
   mPlans.Set(static_cast<double>(aCounts.mPlans));
   mPlannedWorkers.Set(static_cast<double>(aCounts.mPlannedWorkers));
+  mPlannedTasks.Set(static_cast<double>(aCounts.mPlannedTasks));
+  mComparisons.Set(static_cast<double>(aCounts.mComparisons));
   mEvaluatedWorkers.Set(static_cast<double>(aCounts.mEvaluatedWorkers));
   mTickedWorkers.Set(static_cast<double>(aCounts.mTickedWorkers));
 }
--- a/oriolewalk/host/metrics_page.h
+++ b/oriolewalk/host/metrics_page.h
@@ -64,6 +64,8 @@
   observe::gauge& mLiveJobs;
   observe::gauge& mPlans;
   observe::gauge& mPlannedWorkers;
+  observe::gauge& mPlannedTasks;
+  observe::gauge& mComparisons;
   observe::gauge& mEvaluatedWorkers;
   observe::gauge& mTickedWorkers;
   observe::counter& mDropped;
