--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -190,6 +190,9 @@
   add(".planned_workers", aCounts.mPlannedWorkers);
   add(".evaluated_workers", aCounts.mEvaluatedWorkers);
   add(".ticked_workers", aCounts.mTickedWorkers);
+  add(".planned_steps", aCounts.mPlannedSteps);
+  add(".planned_tasks", aCounts.mPlannedTasks);
+  add(".comparisons", aCounts.mComparisons);
 }
 
 // The cost of one load in cells of growing size.
@@ -213,5 +216,24 @@
   }
 });
 
+// A full cell with processors of growing price: where its leader saturates.
+const registered_bench kSaturation("saturation", [](bench_report& aReport) {
+  constexpr std::array kPrices{ 0, 100, 150, 200 };
+  flow_scenario scenario = FlowScenarios().back();
+  const flow_load load = MakeLoad(scenario, kSeeds.front());
+  for (const int percent : kPrices) {
+    const flow_outcome one = SimulateLoad(load, {}, LeaderCosts(percent));
+    const std::string name = "price_" + std::to_string(percent);
+    aReport.Add(name + ".plan", one.mDecisionMs, "processor ms");
+    AddOutcome(aReport, name, one);
+    AddCounts(aReport, name, one.mCounts);
+    for (const auto& [queue, outcome] : one.mQueues) {
+      std::string figure = name + ".";
+      figure += queue;
+      AddQueue(aReport, figure, outcome);
+    }
+  }
+});
+
 } // namespace
 } // namespace oriolewalk::bench
--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <ctime>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -49,8 +50,11 @@
 class simulation
 {
 public:
-  simulation(const flow_load& aLoad, const flow::plan_policy& aPolicy)
+  simulation(const flow_load& aLoad,
+             const flow::plan_policy& aPolicy,
+             const processor_costs& aCosts)
     : mLoad(aLoad)
+    , mCosts(aCosts)
   {
     mOptions.mPlan = aPolicy;
     for (const arrival& job : mLoad.mArrivals) {
@@ -67,7 +71,9 @@
       mEvents.pop();
       mNow = next.mAt;
       next.mDo();
-      Decide();
+      if (IsProcessorFree()) {
+        Decide();
+      }
     }
     Evaluate();
     if (mLeader) {
@@ -113,6 +119,72 @@
     mEvents.push({ aAt, ++mLastEvent, std::move(aDo) });
   }
 
+  // Work of the leader: done at aAt, or when its processor is free again.
+  void AtLeader(time_point aAt, std::function<void()> aDo)
+  {
+    At(aAt, [this, task = std::move(aDo)]() {
+      mLeaderQueue.push_back([this, task]() {
+        task();
+        Spend(mCosts.mEvent);
+        DecideLater();
+      });
+      ServeLeaderQueue();
+    });
+  }
+
+  void ServeLeaderQueue()
+  {
+    if (mNow >= mBusyUntil && !mLeaderQueue.empty()) {
+      const std::function<void()> task = std::move(mLeaderQueue.front());
+      mLeaderQueue.pop_front();
+      task();
+    }
+    if (!mLeaderQueue.empty() && !std::exchange(mWillServe, true)) {
+      At(std::max(mNow, mBusyUntil), [this]() {
+        mWillServe = false;
+        ServeLeaderQueue();
+      });
+    }
+  }
+
+  // A decision follows what has arrived by now.
+  void DecideLater()
+  {
+    if (!IsProcessorFree() && !std::exchange(mWillDecide, true)) {
+      mLeaderQueue.push_back([this]() {
+        mWillDecide = false;
+        Decide();
+      });
+    }
+  }
+
+  // Nothing costs time.
+  [[nodiscard]] bool IsProcessorFree() const
+  {
+    return mCosts.mEvent == std::chrono::nanoseconds::zero();
+  }
+
+  void Spend(std::chrono::nanoseconds aCost)
+  {
+    mBusyUntil =
+      std::max(mBusyUntil, mNow) + std::chrono::duration_cast<duration>(aCost);
+  }
+
+  // aBefore: the counts of this leader before the plan.
+  void SpendOnPlan(const flow::decision_counts& aBefore)
+  {
+    const flow::decision_counts now = mLeader->Counts();
+    const auto cost = [](std::chrono::nanoseconds aEach, std::uint64_t aCount) {
+      return aEach * static_cast<std::int64_t>(aCount);
+    };
+    Spend(cost(mCosts.mPlannedWorker,
+               now.mPlannedWorkers - aBefore.mPlannedWorkers) +
+          cost(mCosts.mPlan, now.mPlans - aBefore.mPlans) +
+          cost(mCosts.mPlannedStep, now.mPlannedSteps - aBefore.mPlannedSteps) +
+          cost(mCosts.mPlannedTask, now.mPlannedTasks - aBefore.mPlannedTasks) +
+          cost(mCosts.mComparison, now.mComparisons - aBefore.mComparisons));
+  }
+
   void Apply(const flow::command_body& aBody,
              const flow::leader_port::on_applied& aThen)
   {
@@ -187,12 +259,13 @@
     const std::uint64_t term = mTerm;
     port.mPropose = [this, term](flow::command_body aBody,
                                  flow::leader_port::on_applied aThen) {
-      At(mNow + kCommitDelay,
-         [this, term, body = std::move(aBody), then = std::move(aThen)]() {
-           if (term == mTerm) {
-             Apply(body, then);
-           }
-         });
+      AtLeader(
+        mNow + kCommitDelay,
+        [this, term, body = std::move(aBody), then = std::move(aThen)]() {
+          if (term == mTerm) {
+            Apply(body, then);
+          }
+        });
       return true;
     };
     port.mAnswer = [this](flow::call_number, const flow::flow_answer& aAnswer) {
@@ -242,6 +315,11 @@
 
   // Sends a request to the leader; without a leader it is repeated later.
   void SendRequest(const flow::flow_request& aRequest)
+  {
+    AtLeader(mNow, [this, aRequest]() { HandleRequest(aRequest); });
+  }
+
+  void HandleRequest(const flow::flow_request& aRequest)
   {
     if (mLeader) {
       mLeader->SetTime(Instant());
@@ -284,7 +362,7 @@
       mLeader->SetTime(Instant());
       Measure("tick", [this]() { mLeader->Tick(); });
     }
-    At(mNow + kTickInterval, [this]() { Tick(); });
+    AtLeader(mNow + kTickInterval, [this]() { Tick(); });
   }
 
   void Decide()
@@ -292,10 +370,12 @@
     if (!mLeader) {
       return;
     }
+    const flow::decision_counts counts = mLeader->Counts();
     const double before = ProcessorMs();
     mLeader->SetTime(Instant());
     mLeader->PlanIfDue();
     mOutcome.mDecisionMs += ProcessorMs() - before;
+    SpendOnPlan(counts);
     for (flow::worker_order& order : mLeader->TakeOrders()) {
       At(mNow + kOneWayDelay,
          [this, sent = std::move(order)]() { Deliver(sent); });
@@ -325,24 +405,25 @@
     ++mOutcome.mQueries;
     mOutcome.mAdviceMs += ToMs(took);
     mOutcome.mQueriedWorkers += aQuery.mRequest.mWorkers.size();
-    At(mNow + took + kOneWayDelay,
-       [this, term = mTerm, id = aQuery.mId, approved]() {
-         if (mLeader && term == mTerm) {
-           mLeader->SetTime(Instant());
-           mLeader->OnAdviceAnswer(id, approved);
-         }
-       });
+    AtLeader(mNow + took + kOneWayDelay,
+             [this, term = mTerm, id = aQuery.mId, approved]() {
+               if (mLeader && term == mTerm) {
+                 mLeader->SetTime(Instant());
+                 mLeader->OnAdviceAnswer(id, approved);
+               }
+             });
   }
 
   void Answer(std::uint64_t aOrder, flow::order_answer aAnswer)
   {
-    At(mNow + kOneWayDelay,
-       [this, term = mTerm, aOrder, answer = std::move(aAnswer)]() {
-         if (mLeader && term == mTerm) {
-           mLeader->SetTime(Instant());
-           Measure("answer", [&]() { mLeader->OnOrderAnswer(aOrder, answer); });
-         }
-       });
+    AtLeader(mNow + kOneWayDelay,
+             [this, term = mTerm, aOrder, answer = std::move(aAnswer)]() {
+               if (mLeader && term == mTerm) {
+                 mLeader->SetTime(Instant());
+                 Measure("answer",
+                         [&]() { mLeader->OnOrderAnswer(aOrder, answer); });
+               }
+             });
   }
 
   void Deliver(const flow::worker_order& aOrder)
@@ -514,6 +595,11 @@
   }
 
   const flow_load& mLoad;
+  processor_costs mCosts;
+  std::deque<std::function<void()>> mLeaderQueue; // waits for the processor
+  bool mWillServe = false;                        // an event serves the queue
+  bool mWillDecide = false;                       // it holds a decision
+  time_point mBusyUntil{};
   flow::flow_options mOptions;
   flow::flow_state mState;
   std::unique_ptr<flow::leader_core> mLeader;
@@ -532,10 +618,29 @@
 
 } // namespace
 
+processor_costs
+LeaderCosts(int aPercent)
+{
+  using std::chrono::microseconds;
+  using std::chrono::nanoseconds;
+  constexpr int kWhole = 100;
+  const auto priced = [&](nanoseconds aCost) {
+    return aCost * aPercent / kWhole;
+  };
+  return { .mEvent = priced(microseconds(80)),
+           .mPlan = priced(microseconds(1'000)),
+           .mPlannedStep = priced(microseconds(7)),
+           .mPlannedTask = priced(nanoseconds(800)),
+           .mPlannedWorker = priced(nanoseconds(1'000)),
+           .mComparison = priced(nanoseconds(100)) };
+}
+
 flow_outcome
-SimulateLoad(const flow_load& aLoad, const flow::plan_policy& aPolicy)
+SimulateLoad(const flow_load& aLoad,
+             const flow::plan_policy& aPolicy,
+             const processor_costs& aCosts)
 {
-  return simulation(aLoad, aPolicy).Run();
+  return simulation(aLoad, aPolicy, aCosts).Run();
 }
 
 } // namespace oriolewalk::bench
--- a/bench/flow_driver.h
+++ b/bench/flow_driver.h
@@ -8,6 +8,7 @@
 //
 // Cost: that of the decisions; 350 workers and 40 s take a few seconds.
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -49,7 +50,27 @@
   std::size_t mStarts = 0;
 };
 
+// What the leader's work costs on its processor. While the processor is busy,
+// what arrives waits. Counted work and not measured time, so that each run is
+// the same.
+struct processor_costs
+{
+  std::chrono::nanoseconds mEvent{}; // a message, commit or tick
+  std::chrono::nanoseconds mPlan{};
+  std::chrono::nanoseconds mPlannedStep{};
+  std::chrono::nanoseconds mPlannedTask{};
+  std::chrono::nanoseconds mPlannedWorker{};
+  std::chrono::nanoseconds mComparison{};
+};
+
+// The costs on a core of which the leader has three fifths, dearer by
+// aPercent of that; 0: everything is free.
+processor_costs
+LeaderCosts(int aPercent);
+
 flow_outcome
-SimulateLoad(const flow_load& aLoad, const flow::plan_policy& aPolicy);
+SimulateLoad(const flow_load& aLoad,
+             const flow::plan_policy& aPolicy,
+             const processor_costs& aCosts = {});
 
 } // namespace oriolewalk::bench
