Urgent steps that query in one plan don't all query the same workers

What callers saw: urgent jobs wait for seconds and fail on a full cell once the leader's processor is dearer, while workers are idle.

Cause: a plan reserved capacity only for queries that earlier plans had sent. All urgent steps that came since the last plan queried the same best workers; the first of them started there and all others queried again. The rarer the plans of a busy leader, the more steps met in one plan, and each further query made it busier. Nor was anything reserved for a step that queries a second time, because those workers that it may use are full.

--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -289,7 +289,8 @@
                              step_placement& aPlacement)
   {
     const worker_list approved = ApprovedFor(aStep, true);
-    if (approved.empty() && ReserveQueried(aStep, aTasks, aPlacement)) {
+    if (approved.empty() && mInput.mOpenQueries->contains(aStep.mRef)) {
+      ReserveQueried(aStep, aTasks, aPlacement);
       return wait_cause::Verdict;
     }
     capacity_reservation reservation;
@@ -298,6 +299,10 @@
     }
     const bool needsAdvisor =
       aStep.mQueue->mAdvice && !Query(aStep, aTasks.size(), reservation);
+    // Tasks that wait for a worker to drain start sooner elsewhere.
+    const std::size_t served =
+      reservation.mWorkers.size() - reservation.mDrainingTasks;
+    ReserveQueried(aStep, aTasks.subspan(served), aPlacement);
     const bool willHaveTickets = WillHaveTickets(aStep, reservation);
     const wait_cause cause =
       CauseOf(aStep, approved, reservation, needsAdvisor);
@@ -311,25 +316,20 @@
     return cause;
   }
 
-  // While a query for a top-priority step is in flight, reserves the capacity
-  // that the step would use on the queried workers. Otherwise runs that other
-  // steps start there have to be preempted again, or the step has to query a
-  // second time. Returns whether a query is in flight.
-  bool ReserveQueried(const open_step& aStep,
+  // While a query for a top-priority step is in flight, or part of this plan,
+  // reserves the capacity that aTasks would use on the queried workers.
+  // Otherwise other steps start runs there or query the same workers, and all
+  // but the first of them have to preempt or to query again.
+  void ReserveQueried(const open_step& aStep,
                       std::span<const std::uint32_t> aTasks,
                       step_placement& aPlacement)
   {
-    if (mInput.mQueriedWorkers == nullptr ||
-        !mInput.mPolicy.mReservesCapacity ||
+    if (!mInput.mPolicy.mReservesCapacity ||
         !IsTopPriority(*aStep.mQueue, *aStep.mSpec)) {
-      return false;
-    }
-    const auto queried = mInput.mQueriedWorkers->find(aStep.mRef);
-    if (queried == mInput.mQueriedWorkers->end()) {
-      return false;
+      return;
     }
     worker_list workers;
-    for (const worker_number number : queried->second) {
+    for (const worker_number number : QueriedWorkers(aStep)) {
       if (plan_worker* worker = Find(number)) {
         workers.push_back(worker);
       }
@@ -343,7 +343,30 @@
       worker->mReserved += aStep.mSpec->Booked();
       aPlacement.AddTask(*worker);
     }
-    return true;
+  }
+
+  // Whether this plan queries the policy service for the step. Holds only while
+  // the step is served.
+  [[nodiscard]] bool IsQueriedByPlan(const open_step& aStep) const
+  {
+    return !mResult.mQueries.empty() &&
+           mResult.mQueries.back().mStep == aStep.mRef;
+  }
+
+  // The workers of the step's query that is in flight or part of this plan.
+  [[nodiscard]] std::span<const worker_number> QueriedWorkers(
+    const open_step& aStep) const
+  {
+    if (IsQueriedByPlan(aStep)) {
+      return mResult.mQueries.back().mWorkers;
+    }
+    if (mInput.mQueriedWorkers == nullptr) {
+      return {};
+    }
+    const auto found = mInput.mQueriedWorkers->find(aStep.mRef);
+    return found == mInput.mQueriedWorkers->end()
+             ? std::span<const worker_number>()
+             : found->second;
   }
 
   [[nodiscard]] wait_cause CauseOf(const open_step& aStep,
@@ -367,9 +390,7 @@
   // Whether a query for the step is in flight or part of this plan.
   [[nodiscard]] bool HasOpenQuery(const open_step& aStep) const
   {
-    return mInput.mOpenQueries->contains(aStep.mRef) ||
-           (!mResult.mQueries.empty() &&
-            mResult.mQueries.back().mStep == aStep.mRef);
+    return mInput.mOpenQueries->contains(aStep.mRef) || IsQueriedByPlan(aStep);
   }
 
   // Whether the reserved workers' tickets are valid or a query is open.
