Queries of a full cell look at fewer workers, each at less cost

What callers saw: as before, urgent work waits where the leader's processor is dearer.

Cause: the candidates of a query were all workers of the service where nearly all are full, or booked by the plan itself, and each candidate cost a look-up of the step by its job's id.

A query now keeps as many full workers as it could include and no more; what the plan itself booked is looked at as it is now. The step's verdicts are looked up once.

--- a/oriolewalk/flow/advice_cache.cc
+++ b/oriolewalk/flow/advice_cache.cc
@@ -55,13 +55,25 @@
 advice_cache::VerdictFor(const step_ref& aStep,
                          worker_number aWorker,
                          time_point aNow) const
+{
+  return VerdictsFor(aStep).For(aWorker, aNow);
+}
+
+step_verdicts
+advice_cache::VerdictsFor(const step_ref& aStep) const
 {
   const auto step = mTickets.find(aStep);
-  if (step == mTickets.end()) {
+  return step_verdicts(step == mTickets.end() ? nullptr : &step->second);
+}
+
+verdict
+step_verdicts::For(worker_number aWorker, time_point aNow) const
+{
+  if (mTickets == nullptr) {
     return verdict::Unknown;
   }
-  const auto found = step->second.find(aWorker);
-  if (found == step->second.end()) {
+  const auto found = mTickets->find(aWorker);
+  if (found == mTickets->end()) {
     return verdict::Unknown;
   }
   if (!found->second.mApproved) {
@@ -71,14 +83,20 @@
                                           : verdict::Expired;
 }
 
+duration
+step_verdicts::RemainingValidity(worker_number aWorker, time_point aNow) const
+{
+  return For(aWorker, aNow) == verdict::Approved
+           ? mTickets->at(aWorker).mValidUntil - aNow
+           : duration::zero();
+}
+
 duration
 advice_cache::RemainingValidity(const step_ref& aStep,
                                 worker_number aWorker,
                                 time_point aNow) const
 {
-  return VerdictFor(aStep, aWorker, aNow) == verdict::Approved
-           ? mTickets.at(aStep).at(aWorker).mValidUntil - aNow
-           : duration::zero();
+  return VerdictsFor(aStep).RemainingValidity(aWorker, aNow);
 }
 
 std::vector<worker_number>
--- a/oriolewalk/flow/advice_cache.h
+++ b/oriolewalk/flow/advice_cache.h
@@ -60,6 +60,9 @@
   Expired,  // approved, but its ticket has expired
 };
 
+// The verdicts for one step. Valid until the cache changes.
+class step_verdicts;
+
 class advice_cache
 {
 public:
@@ -78,6 +81,8 @@
   [[nodiscard]] verdict VerdictFor(const step_ref& aStep,
                                    worker_number aWorker,
                                    time_point aNow) const;
+  // For many workers: finds the step once.
+  [[nodiscard]] step_verdicts VerdictsFor(const step_ref& aStep) const;
   // How long the ticket remains valid; zero if there is no valid ticket.
   [[nodiscard]] duration RemainingValidity(const step_ref& aStep,
                                            worker_number aWorker,
@@ -106,6 +111,8 @@
   [[nodiscard]] double ApprovalRate(std::string_view aQueue) const;
 
 private:
+  friend class step_verdicts;
+
   struct ticket
   {
     bool mApproved = false;
@@ -117,4 +124,24 @@
   std::map<std::string, double, std::less<>> mRates; // approval, by queue
 };
 
+class step_verdicts
+{
+public:
+  [[nodiscard]] verdict For(worker_number aWorker, time_point aNow) const;
+  // How long the ticket remains valid; zero if there is no valid ticket.
+  [[nodiscard]] duration RemainingValidity(worker_number aWorker,
+                                           time_point aNow) const;
+
+private:
+  friend class advice_cache;
+  using tickets = std::map<worker_number, advice_cache::ticket>;
+
+  explicit step_verdicts(const tickets* aTickets)
+    : mTickets(aTickets)
+  {
+  }
+
+  const tickets* mTickets; // null if there are none
+};
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/advice_queries.cc
+++ b/oriolewalk/flow/advice_queries.cc
@@ -86,7 +86,8 @@
     : mStep(aStep)
     , mNeed(aNeed)
     , mTerms(*aStep.mQueue->mAdvice)
-    , mAdvice(aAdvice)
+    , mVerdicts(aAdvice.VerdictsFor(aStep.mRef))
+    , mApprovalRate(aAdvice.ApprovalRate(aStep.mQueue->mName))
   {
     for (const plan_worker* worker : aWorkers) {
       if (FitsWhenEmpty(aStep, *worker)) {
@@ -118,7 +119,7 @@
                 const plan_policy& aPolicy,
                 time_point aNow)
   {
-    const verdict known = mAdvice.VerdictFor(mStep.mRef, aWorker.mNumber, aNow);
+    const verdict known = mVerdicts.For(aWorker.mNumber, aNow);
     const bool isReserved = mNeed.mReserved.contains(aWorker.mNumber);
     const bool hasCapacity = FitsNow(mStep, aWorker) || isReserved;
     if (known == verdict::Refused) {
@@ -130,7 +131,7 @@
     const bool isRenewalDue =
       known == verdict::Expired ||
       (known == verdict::Approved && isReserved &&
-       mAdvice.RemainingValidity(mStep.mRef, aWorker.mNumber, aNow) <
+       mVerdicts.RemainingValidity(aWorker.mNumber, aNow) <
          AdviceTime(mTerms, 1) + kRenewalRoundTrip);
     if (isRenewalDue && hasCapacity) {
       Add(query_reason::Renewal, aWorker, aPolicy);
@@ -214,7 +215,7 @@
   void Count(const candidate& aOne)
   {
     const plan_worker& worker = *aOne.mWorker;
-    const double rate = mAdvice.ApprovalRate(mStep.mQueue->mName);
+    const double rate = mApprovalRate;
     if (HasCapacity(aOne)) {
       mExpectedTasks += (aOne.mReason == query_reason::Renewal ? 1 : rate) *
                         ExpectedTasks(mStep, worker.mFree - worker.mReserved);
@@ -241,7 +242,8 @@
   const open_step& mStep;
   const query_need& mNeed;
   const advice_timing& mTerms;
-  const advice_cache& mAdvice;
+  const step_verdicts mVerdicts;
+  const double mApprovalRate;
   std::vector<candidate> mCandidates;
   // Tasks that the selected workers with free capacity are expected to run.
   double mExpectedTasks = 0;
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -451,10 +451,11 @@
 
   // The workers that a query for the step may include: those with a verdict or
   // a reservation, those near its data, and the best of the others. As many of
-  // the others have free capacity as a query takes, if there are so many.
+  // the others have free capacity as a query takes, if there are so many, and
+  // no more of them are full than a query takes.
   [[nodiscard]] std::vector<const plan_worker*> QueryCandidates(
     const open_step& aStep,
-    const query_need& aNeed) const
+    const query_need& aNeed)
   {
     const plan_workers& workers = *mInput.mWorkers;
     std::vector<const plan_worker*> candidates;
@@ -483,7 +484,7 @@
   // aRanked: workers of one capacity.
   void AddBest(const open_step& aStep,
                const plan_workers::ranking& aRanked,
-               std::vector<const plan_worker*>& aCandidates) const
+               std::vector<const plan_worker*>& aCandidates)
   {
     if (!aStep.mSpec->Booked().FitsIn(
           aRanked.begin()->second->mDescription->mCapacity)) {
@@ -493,20 +494,20 @@
     const std::size_t wanted =
       kMaxQueriedWorkers + mInput.mAdvice->QueriedCount(aStep.mRef);
     std::size_t usable = 0;
+    std::size_t others = 0;
     for (const auto& [rank, worker] : aRanked) {
       if (usable >= wanted) {
         break;
       }
-      if (!FitsWhenEmpty(aStep, *worker)) {
+      ++mResult.mComparisons;
+      const bool isUsable = FitsNow(aStep, *worker) && !worker->mAvoided &&
+                            !Interferes(aStep, *worker) &&
+                            FitsNow(aStep, Current(*worker));
+      if ((!isUsable && others >= wanted) || !FitsWhenEmpty(aStep, *worker)) {
         continue;
       }
+      ++(isUsable ? usable : others);
       aCandidates.push_back(worker);
-      // One that this plan has booked may rank lower now.
-      usable += FitsNow(aStep, *worker) && !worker->mAvoided &&
-                    !Interferes(aStep, *worker) &&
-                    !mCopies.contains(worker->mNumber)
-                  ? 1
-                  : 0;
     }
   }
 
