A query's candidates follow what the query can include

Cause: for each step the candidates were a hundred free workers of each capacity and as many full ones, whatever the step wants; an urgent step of 13 tasks includes about 27.

The most that a query for the step can include is worked out first, from the same rules that select the workers, and bounds both. No query changes but by full workers that rank behind it.

--- a/oriolewalk/flow/advice_queries.cc
+++ b/oriolewalk/flow/advice_queries.cc
@@ -51,6 +51,42 @@
   const plan_worker* mWorker = nullptr;
 };
 
+// The fraction of the usual extra workers that the step includes.
+double
+ExtraFraction(const open_step& aStep)
+{
+  return aStep.mQueue->mPriority == 0 ? kUrgentFraction : 1;
+}
+
+// The number of workers that the policy service checks in this time.
+double
+Affordable(const advice_timing& aTerms, double aMs)
+{
+  return aTerms.mPerWorkerMs > 0 ? aMs / aTerms.mPerWorkerMs : aMs;
+}
+
+// The tasks for which a query finds capacity.
+double
+TasksToCover(const query_need& aNeed)
+{
+  return static_cast<double>(aNeed.mTasks) * kQueryMargin + kExtraTasks;
+}
+
+std::size_t
+MaxExtra(const open_step& aStep, const advice_timing& aTerms)
+{
+  return static_cast<std::size_t>(
+    Affordable(aTerms, ExtraFraction(aStep) * kExtraMs));
+}
+
+// Fewer workers than this cost less than the query itself.
+std::size_t
+MaxCheap(const open_step& aStep, const advice_timing& aTerms)
+{
+  return static_cast<std::size_t>(
+    Affordable(aTerms, ExtraFraction(aStep) * aTerms.mBaseMs));
+}
+
 // How many of the step's tasks are expected to start in the capacity: half of
 // those that fit, since other steps compete for it.
 double
@@ -169,36 +205,28 @@
   {
     return static_cast<double>(mNeed.mTasks);
   }
-  // The fraction of the usual extra workers that the step includes.
-  [[nodiscard]] double ExtraFraction() const
-  {
-    return mStep.mQueue->mPriority == 0 ? kUrgentFraction : 1;
-  }
   // The selected workers with free capacity are expected to run all tasks.
   [[nodiscard]] bool HasCapacityForAll() const
   {
-    return mExpectedTasks >= Tasks() * kQueryMargin + kExtraTasks;
-  }
-  [[nodiscard]] std::size_t MaxExtra() const
-  {
-    return static_cast<std::size_t>(Affordable(ExtraFraction() * kExtraMs));
+    return mExpectedTasks >= TasksToCover(mNeed);
   }
   // One more worker costs less than the query itself.
   [[nodiscard]] bool IsCheap(std::size_t aSelected) const
   {
-    return aSelected < static_cast<std::size_t>(
-                         Affordable(ExtraFraction() * mTerms.mBaseMs));
+    return aSelected < MaxCheap(mStep, mTerms);
   }
   // No further candidate would be wanted, whatever its reason.
   [[nodiscard]] bool HasEnough(std::size_t aSelected) const
   {
-    return HasCapacityForAll() && mExtra >= MaxExtra() && !IsCheap(aSelected);
+    return HasCapacityForAll() && mExtra >= MaxExtra(mStep, mTerms) &&
+           !IsCheap(aSelected);
   }
 
   // Whether to include aOne in addition to the aSelected workers before it.
   bool IsWanted(const candidate& aOne, std::size_t aSelected)
   {
-    if (HasCapacity(aOne) && (!HasCapacityForAll() || ++mExtra <= MaxExtra())) {
+    if (HasCapacity(aOne) &&
+        (!HasCapacityForAll() || ++mExtra <= MaxExtra(mStep, mTerms))) {
       return true;
     }
     if (!IsCheap(aSelected)) {
@@ -233,12 +261,6 @@
       { aReason, PlacementScore(mStep, aWorker, aPolicy), &aWorker });
   }
 
-  // The number of workers that the policy service checks in this time.
-  [[nodiscard]] double Affordable(double aMs) const
-  {
-    return mTerms.mPerWorkerMs > 0 ? aMs / mTerms.mPerWorkerMs : aMs;
-  }
-
   const open_step& mStep;
   const query_need& mNeed;
   const advice_timing& mTerms;
@@ -261,6 +283,21 @@
     aTerms.mBaseMs + aTerms.mPerWorkerMs * static_cast<double>(aWorkerCount))));
 }
 
+std::size_t
+MaxWorkersToQuery(const open_step& aStep,
+                  const query_need& aNeed,
+                  const advice_cache& aAdvice)
+{
+  const advice_timing& terms = *aStep.mQueue->mAdvice;
+  // Each free worker is expected to run a task at least if it is approved.
+  const double forTasks =
+    std::ceil(TasksToCover(aNeed) / aAdvice.ApprovalRate(aStep.mQueue->mName));
+  const auto free =
+    std::min(kMaxQueriedWorkers, static_cast<std::size_t>(forTasks)) +
+    MaxExtra(aStep, terms);
+  return std::min(kMaxQueriedWorkers, std::max(free, MaxCheap(aStep, terms)));
+}
+
 std::vector<worker_number>
 WorkersToQuery(const open_step& aStep,
                const query_need& aNeed,
--- a/oriolewalk/flow/advice_queries.h
+++ b/oriolewalk/flow/advice_queries.h
@@ -43,6 +43,12 @@
 // of a queue whose policy approves few workers needs most of them.
 inline constexpr std::size_t kMaxQueriedWorkers = 100;
 
+// A query for the step includes at most this many workers.
+std::size_t
+MaxWorkersToQuery(const open_step& aStep,
+                  const query_need& aNeed,
+                  const advice_cache& aAdvice);
+
 // Empty if no query is worthwhile.
 std::vector<worker_number>
 WorkersToQuery(const open_step& aStep,
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -467,9 +467,13 @@
     std::ranges::for_each(aNeed.mReserved, add);
     std::ranges::for_each(mInput.mAdvice->QueriedWorkers(aStep.mRef), add);
     std::ranges::for_each(workers.InRack(rack_id(aStep.mSpec->mDataRack)), add);
+    // Those with a verdict are no news to the step.
+    const std::size_t wanted =
+      MaxWorkersToQuery(aStep, aNeed, *mInput.mAdvice) +
+      mInput.mAdvice->QueriedCount(aStep.mRef);
     for (const auto& [capacity, ranked] :
          workers.Ranked(aStep.mQueue->mService)) {
-      AddBest(aStep, ranked, candidates);
+      AddBest(aStep, wanted, ranked, candidates);
     }
     std::ranges::sort(candidates, {}, &plan_worker::mNumber);
     const auto repeated = std::ranges::unique(candidates);
@@ -481,8 +485,10 @@
     return candidates;
   }
 
+  // Adds up to aWanted workers that the step could use now, and as many others.
   // aRanked: workers of one capacity.
   void AddBest(const open_step& aStep,
+               std::size_t aWanted,
                const plan_workers::ranking& aRanked,
                std::vector<const plan_worker*>& aCandidates)
   {
@@ -490,20 +496,17 @@
           aRanked.begin()->second->mDescription->mCapacity)) {
       return;
     }
-    // Those with a verdict are no news to the step.
-    const std::size_t wanted =
-      kMaxQueriedWorkers + mInput.mAdvice->QueriedCount(aStep.mRef);
     std::size_t usable = 0;
     std::size_t others = 0;
     for (const auto& [rank, worker] : aRanked) {
-      if (usable >= wanted) {
+      if (usable >= aWanted) {
         break;
       }
       ++mResult.mComparisons;
       const bool isUsable = FitsNow(aStep, *worker) && !worker->mAvoided &&
                             !Interferes(aStep, *worker) &&
                             FitsNow(aStep, Current(*worker));
-      if ((!isUsable && others >= wanted) || !FitsWhenEmpty(aStep, *worker)) {
+      if ((!isUsable && others >= aWanted) || !FitsWhenEmpty(aStep, *worker)) {
         continue;
       }
       ++(isUsable ? usable : others);
