Plans copy only those approved workers on which a task fits now

Cause: for each step with tickets a plan copied every approved worker, full or not, twice, and weighed all of them for each task. In a full cell most are full; so a backlog makes plans dear.

--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -94,19 +94,18 @@
     return found == mCopies.end() ? aShared : found->second;
   }
 
-  // The workers on which the policy service allows the step, with a valid
-  // ticket or, if aExpiredToo, also with an expired one. All workers of the
-  // service if the queue has no policy service. Doesn't visit workers without a
-  // verdict, since most open steps wait for an answer.
-  [[nodiscard]] worker_list ApprovedFor(const open_step& aStep,
-                                        bool aExpiredToo)
+  // The workers on which the policy service allows the step, also by an expired
+  // ticket. All workers of the service if the queue has no policy service.
+  // Doesn't visit workers without a verdict, since most open steps wait for an
+  // answer.
+  [[nodiscard]] worker_list ApprovedFor(const open_step& aStep)
   {
     if (!aStep.mQueue->mAdvice) {
       return AllFor(aStep);
     }
     worker_list approved;
-    for (const worker_number number : mInput.mAdvice->ApprovedWorkers(
-           aStep.mRef, aExpiredToo ? time_point::min() : mInput.mNow)) {
+    for (const worker_number number :
+         mInput.mAdvice->ApprovedWorkers(aStep.mRef, time_point::min())) {
       plan_worker* worker = Find(number);
       if (worker != nullptr && FitsWhenEmpty(aStep, *worker)) {
         approved.push_back(worker);
@@ -115,6 +114,25 @@
     return approved;
   }
 
+  // Those of them with a valid ticket on which a task fits now. Most are full
+  // when work waits, so the plan copies only these.
+  [[nodiscard]] worker_list UsableFor(const open_step& aStep)
+  {
+    if (!aStep.mQueue->mAdvice) {
+      return AllFor(aStep);
+    }
+    worker_list usable;
+    for (const worker_number number :
+         mInput.mAdvice->ApprovedWorkers(aStep.mRef, mInput.mNow)) {
+      const plan_worker* shared = mInput.mWorkers->Find(number);
+      if (shared != nullptr && FitsNow(aStep, Current(*shared)) &&
+          FitsWhenEmpty(aStep, *shared)) {
+        usable.push_back(Find(number));
+      }
+    }
+    return usable;
+  }
+
   [[nodiscard]] worker_list AllFor(const open_step& aStep)
   {
     worker_list all;
@@ -190,7 +208,7 @@
   // starts whole or not at all; a step that is bound to one rack starts in one.
   std::size_t PlaceNow(const open_step& aStep, step_placement& aPlacement)
   {
-    const worker_list candidates = ApprovedFor(aStep, false);
+    const worker_list candidates = UsableFor(aStep);
     if (candidates.empty() || IsGangUnderWay(aStep)) {
       return 0;
     }
@@ -288,7 +306,7 @@
                              std::span<const std::uint32_t> aTasks,
                              step_placement& aPlacement)
   {
-    const worker_list approved = ApprovedFor(aStep, true);
+    const worker_list approved = ApprovedFor(aStep);
     if (approved.empty() && mInput.mOpenQueries->contains(aStep.mRef)) {
       ReserveQueried(aStep, aTasks, aPlacement);
       return wait_cause::Verdict;
