--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -503,7 +503,8 @@
     return candidates;
   }
 
-  // Adds up to aWanted workers that the step could use now, and as many others.
+  // Adds the best workers until aWanted of them could run a task now without
+  // harm, and up to aWanted full ones among them.
   // aRanked: workers of one capacity.
   void AddBest(const open_step& aStep,
                std::size_t aWanted,
@@ -515,19 +516,20 @@
       return;
     }
     std::size_t usable = 0;
-    std::size_t others = 0;
+    std::size_t full = 0;
     for (const auto& [rank, worker] : aRanked) {
       if (usable >= aWanted) {
         break;
       }
       ++mResult.mComparisons;
-      const bool isUsable = FitsNow(aStep, *worker) && !worker->mAvoided &&
-                            !Interferes(aStep, *worker) &&
-                            FitsNow(aStep, Current(*worker));
-      if ((!isUsable && others >= aWanted) || !FitsWhenEmpty(aStep, *worker)) {
+      const bool isFull =
+        !FitsNow(aStep, *worker) || !FitsNow(aStep, Current(*worker));
+      if ((isFull && full >= aWanted) || !FitsWhenEmpty(aStep, *worker)) {
         continue;
       }
-      ++(isUsable ? usable : others);
+      const bool isLastResort = worker->mAvoided || Interferes(aStep, *worker);
+      full += isFull ? 1 : 0;
+      usable += isFull || isLastResort ? 0 : 1;
       aCandidates.push_back(worker);
     }
   }
--- a/testing/flow/advice_queries_test.cc
+++ b/testing/flow/advice_queries_test.cc
@@ -1,5 +1,8 @@
 // Plans in which the policy service's answers are the bottleneck.
 
+#include <algorithm>
+#include <string>
+
 #include <catch2/catch.hpp>
 
 #include "oriolewalk/flow/planner.h"
@@ -116,4 +119,34 @@
   CHECK(scene.Plan().mQueries.size() == 1);
 }
 
+TEST_CASE("a query finds the one free worker of a full cell")
+{
+  // Guards against a bound on candidates that hides capacity behind full
+  // workers.
+  queue_row queue = Queue("fees", 0);
+  queue.mAdvice = advice_timing{ 30, 0.4, 2'500 };
+  plan_fixture scene({ queue, Queue("runs", 2) });
+  constexpr int kFull = 400;
+  for (int at = 0; at < kFull; ++at) {
+    const worker_number full =
+      scene.mBuilder.AddWorker(Worker("w" + std::to_string(at)));
+    const job_id job = scene.mBuilder.AddJob(
+      "j" + std::to_string(at), { Step(1, 8'000) }, "runs");
+    scene.mBuilder.Start(testing::state_builder::Run(job, 1), full);
+  }
+  const worker_number free = scene.mBuilder.AddWorker(Worker("free"));
+  step_spec step = Step(1, 8'000);
+  step.mTailLatencyTargetMs = 50; // best-effort runs beside it harm it
+  scene.mBuilder.AddJob("urgent", { step }, "fees");
+  const plan_input input = scene.Input();
+  // It ranks behind the full ones.
+  plan_worker worker = *scene.mWorkers.Find(free);
+  worker.mSpeed = -3;
+  worker.mRunsBestEffort = GENERATE(false, true);
+  scene.mWorkers.Put(worker);
+  const plan_result plan = MakePlan(input);
+  REQUIRE(plan.mQueries.size() == 1);
+  CHECK(std::ranges::count(plan.mQueries[0].mWorkers, free) == 1);
+}
+
 } // namespace oriolewalk::flow
