--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -123,7 +123,7 @@
   void AtLeader(time_point aAt, std::function<void()> aDo)
   {
     At(aAt, [this, task = std::move(aDo)]() {
-      mLeaderQueue.push_back([this, task]() {
+      mLeaderQueue.emplace_back([this, task]() {
         task();
         Spend(mCosts.mEvent);
         DecideLater();
@@ -151,7 +151,7 @@
   void DecideLater()
   {
     if (!IsProcessorFree() && !std::exchange(mWillDecide, true)) {
-      mLeaderQueue.push_back([this]() {
+      mLeaderQueue.emplace_back([this]() {
         mWillDecide = false;
         Decide();
       });
--- a/testing/flow/reservations_test.cc
+++ b/testing/flow/reservations_test.cc
@@ -89,14 +89,14 @@
   const plan_result plan = scene.Plan();
   REQUIRE(plan.mQueries.size() == 6);
   // Each task reserves one of the queried workers; queries include a few more.
-  const std::size_t reserved = 6 * 4;
+  constexpr std::size_t kReserved = 24;
   std::set<worker_number> queried;
   for (const advice_query& query : plan.mQueries) {
     queried.insert(query.mWorkers.begin(), query.mWorkers.end());
   }
-  CHECK(queried.size() >= reserved);
+  CHECK(queried.size() >= kReserved);
   CHECK(plan.mReserved.mMilliProcessors ==
-        static_cast<std::int64_t>(reserved) * 4'000);
+        static_cast<std::int64_t>(kReserved) * 4'000);
 }
 
 TEST_CASE("capacity is reserved for an urgent step's second query")
