Benchmarks report queues by one function; a price said as it is used

Found by reading the change again: the new benchmark repeated the loop over queues that two others had, and reported the plans' processor time twice (.plan is .decisions, which stays); the costs' comment said 'dearer by' for a share of the usual price; a test file opened one namespace twice.

--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -103,6 +103,18 @@
               "ms");
 }
 
+void
+AddQueues(bench_report& aReport,
+          const std::string& aName,
+          const std::map<std::string, queue_outcome>& aQueues)
+{
+  for (const auto& [queue, outcome] : aQueues) {
+    std::string figure = aName + ".";
+    figure += queue;
+    AddQueue(aReport, figure, outcome);
+  }
+}
+
 void
 Add(queue_outcome& aSum, const queue_outcome& aOne)
 {
@@ -157,11 +169,7 @@
     }
     AddOutcome(aReport, name + ".seed_" + std::to_string(seed), one);
   }
-  for (const auto& [queue, outcome] : queues) {
-    std::string figure = name + ".";
-    figure += queue;
-    AddQueue(aReport, figure, outcome);
-  }
+  AddQueues(aReport, name, queues);
   AddQueue(aReport, name + ".all", all);
 }
 
@@ -208,30 +216,20 @@
     }
     aReport.Add(name + ".plan", one.mDecisionMs, "processor ms");
     AddCounts(aReport, name, one.mCounts);
-    for (const auto& [queue, outcome] : one.mQueues) {
-      std::string figure = name + ".";
-      figure += queue;
-      AddQueue(aReport, figure, outcome);
-    }
+    AddQueues(aReport, name, one.mQueues);
   }
 });
 
 // A full cell with processors of growing price: where its leader saturates.
 const registered_bench kSaturation("saturation", [](bench_report& aReport) {
   constexpr std::array kPrices{ 0, 100, 150, 200 };
-  flow_scenario scenario = FlowScenarios().back();
-  const flow_load load = MakeLoad(scenario, kSeeds.front());
+  const flow_load load = MakeLoad(FlowScenarios().back(), kSeeds.front());
   for (const int percent : kPrices) {
     const flow_outcome one = SimulateLoad(load, {}, LeaderCosts(percent));
     const std::string name = "price_" + std::to_string(percent);
-    aReport.Add(name + ".plan", one.mDecisionMs, "processor ms");
     AddOutcome(aReport, name, one);
     AddCounts(aReport, name, one.mCounts);
-    for (const auto& [queue, outcome] : one.mQueues) {
-      std::string figure = name + ".";
-      figure += queue;
-      AddQueue(aReport, figure, outcome);
-    }
+    AddQueues(aReport, name, one.mQueues);
   }
 });
 
--- a/bench/flow_driver.h
+++ b/bench/flow_driver.h
@@ -63,8 +63,8 @@
   std::chrono::nanoseconds mComparison{};
 };
 
-// The costs on a core of which the leader has three fifths, dearer by
-// aPercent of that; 0: everything is free.
+// The costs on a core of which the leader has three fifths, at aPercent of
+// their usual price; 0: everything is free.
 processor_costs
 LeaderCosts(int aPercent);
 
--- a/testing/flow/reservations_test.cc
+++ b/testing/flow/reservations_test.cc
@@ -53,10 +53,6 @@
   return job;
 }
 
-} // namespace
-
-namespace {
-
 queue_row
 AdvisedUrgentQueue()
 {
