--- a/oriolewalk/flow/advice_cache.cc
+++ b/oriolewalk/flow/advice_cache.cc
@@ -91,14 +91,6 @@
            : duration::zero();
 }
 
-duration
-advice_cache::RemainingValidity(const step_ref& aStep,
-                                worker_number aWorker,
-                                time_point aNow) const
-{
-  return VerdictsFor(aStep).RemainingValidity(aWorker, aNow);
-}
-
 std::vector<worker_number>
 advice_cache::ApprovedWorkers(const step_ref& aStep, time_point aNow) const
 {
--- a/oriolewalk/flow/advice_cache.h
+++ b/oriolewalk/flow/advice_cache.h
@@ -83,10 +83,6 @@
                                    time_point aNow) const;
   // For many workers: finds the step once.
   [[nodiscard]] step_verdicts VerdictsFor(const step_ref& aStep) const;
-  // How long the ticket remains valid; zero if there is no valid ticket.
-  [[nodiscard]] duration RemainingValidity(const step_ref& aStep,
-                                           worker_number aWorker,
-                                           time_point aNow) const;
   // Workers with a ticket that is valid at aNow. Passing time_point::min()
   // includes workers whose ticket has expired. Linear in the queried workers.
   [[nodiscard]] std::vector<worker_number> ApprovedWorkers(
