--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -48,7 +48,12 @@
                 false,
                 false,
                 false,
-                share_rule::None };
+                share_rule::None,
+                false,
+                false,
+                false,
+                false,
+                false };
   };
   add("no_packing",
       [](plan_policy& aOne) { aOne.mPlacement = placement_rule::Spreading; });
--- a/oriolewalk/flow/plan_policy.h
+++ b/oriolewalk/flow/plan_policy.h
@@ -54,6 +54,11 @@
   bool mPreempts = true; // preempts runs of lower-priority queues
   bool mSharesAdvisors = true; // guarantees each queue a share of the advisors
   share_rule mShares = share_rule::WithinShare;
+  bool mCopies = true; // copies of slow tasks, where their steps allow them
+  bool mLearnsDurations = true; // instead of taking callers' estimates
+  bool mForecastsDemand = true; // keeps capacity free before a peak
+  bool mPlacesBySpeed = true;   // leaves fast workers to those that need them
+  bool mRefusesHopeless = true; // jobs that can't be done while they have value
 };
 
 } // namespace oriolewalk::flow
