Learned durations: the model, fed from committed ends

The leader feeds it with ends as done of runs that it saw start without a checkpoint, on workers that were compared with others. Steps of one task, which have no siblings to compare, count at the speed that is known or 1. Gangs, long-running and best-effort steps are left out: their durations are those of others. Whether a run began with a checkpoint is kept from its start, because a checkpoint may be saved while it runs.

--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -34,6 +34,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
+#include "oriolewalk/flow/duration_model.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/interference_control.h"
 #include "oriolewalk/flow/messages.h"
@@ -193,6 +194,9 @@
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
   void RecordEnds(const end_runs& aEnds);
+  // Adds the run's duration to what is learned, if it tells something about
+  // the task. Its end as done is committed.
+  void LearnDuration(const run_ref& aRun, worker_number aWorker);
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
   void LogCrashingTasks(const std::vector<task_ref>& aTasks);
@@ -263,6 +267,7 @@
   advice_cache mAdvice;
   worker_health mHealth;
   straggler_detector mStragglers;
+  duration_model mDurationModel;
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -81,6 +81,9 @@
 {
   for (const run_end& end : aEnds.mEnds) {
     mHealth.OnRunEnded(aEnds.mWorker, end.mOutcome, mAt.mNow);
+    if (mOptions.mPlan.mLearnsDurations && end.mOutcome == run_outcome::Done) {
+      LearnDuration(end.mRun, aEnds.mWorker);
+    }
     const auto ratio = mStragglers.OnRunEnded(end.mRun, end.mOutcome, mAt.mNow);
     if (ratio) {
       mHealth.OnTaskTime(aEnds.mWorker, *ratio);
@@ -88,6 +91,32 @@
   }
 }
 
+void
+leader_core::LearnDuration(const run_ref& aRun, worker_number aWorker)
+{
+  const job_record* job = mState.FindJob(aRun.mTask.mJob);
+  const step_spec* spec = mState.FindStep(aRun.mTask);
+  const auto took = mStragglers.WholeRunMs(aRun, mAt.mNow);
+  // Members of a gang wait for each other, and a best-effort task is paced by
+  // what other tasks leave.
+  if (job == nullptr || spec == nullptr || !took || spec->mGang ||
+      spec->mLongRunning || spec->mBestEffort) {
+    return;
+  }
+  // The first tasks on a worker can't be compared with siblings, and those of
+  // steps of one task never can.
+  const worker_standing standing = mHealth.Standing(aWorker, mAt.mNow);
+  if (!standing.mIsSpeedKnown && spec->mCount > 1) {
+    return;
+  }
+  mDurationModel.OnRunEnded(
+    { mState.QueueOf(*job).mName, spec->mImage, aRun.mTask.mStep },
+    static_cast<double>(spec->mEstimateMs),
+    *took,
+    standing.mSpeed,
+    mAt.mNow);
+}
+
 void
 leader_core::StopStragglers(const job_id& aId, const job_record& aJob)
 {
@@ -239,7 +268,9 @@
   }
   for (const run_start& start : aOutcome.mStarted) {
     const auto ticket = mTickets.find(start.mRun);
-    mStragglers.OnRunStarted(start.mRun, mAt.mNow);
+    const task_record* task = mState.FindTask(start.mRun.mTask);
+    mStragglers.OnRunStarted(
+      start.mRun, mAt.mNow, task != nullptr && !task->mCheckpoint.empty());
     mSupervisor.OnStartCommitted(start,
                                  ticket == mTickets.end() ? std::string()
                                                           : ticket->second,
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -32,9 +32,11 @@
 } // namespace
 
 void
-straggler_detector::OnRunStarted(const run_ref& aRun, time_point aNow)
+straggler_detector::OnRunStarted(const run_ref& aRun,
+                                 time_point aNow,
+                                 bool aFromCheckpoint)
 {
-  mStartedAt[aRun] = aNow;
+  mRuns[aRun] = { aNow, aFromCheckpoint };
 }
 
 std::optional<double>
@@ -42,11 +44,11 @@
                                run_outcome aOutcome,
                                time_point aNow)
 {
-  const auto started = mStartedAt.extract(aRun);
+  const auto started = mRuns.extract(aRun);
   if (started.empty() || aOutcome != run_outcome::Done) {
     return std::nullopt;
   }
-  const double took = ToMs(aNow - started.mapped());
+  const double took = ToMs(aNow - started.mapped().mStartedAt);
   step_times& step = mSteps[StepOf(aRun.mTask)];
   std::optional<double> ratio;
   if (step.mFinished > 0 && step.mMeanMs > 0) {
@@ -60,10 +62,10 @@
 bool
 straggler_detector::MarkIfStraggler(const run_ref& aRun, time_point aNow)
 {
-  const auto started = mStartedAt.find(aRun);
+  const auto started = mRuns.find(aRun);
   const auto step = mSteps.find(StepOf(aRun.mTask));
-  if (started == mStartedAt.end() || step == mSteps.end() ||
-      ToMs(aNow - started->second) <
+  if (started == mRuns.end() || step == mSteps.end() ||
+      ToMs(aNow - started->second.mStartedAt) <
         kSlowdownFactor * step->second.mMeanMs + kSlowdownMarginMs) {
     return false;
   }
@@ -75,10 +77,20 @@
   return true;
 }
 
+std::optional<double>
+straggler_detector::WholeRunMs(const run_ref& aRun, time_point aNow) const
+{
+  const auto found = mRuns.find(aRun);
+  if (found == mRuns.end() || found->second.mFromCheckpoint) {
+    return std::nullopt;
+  }
+  return ToMs(aNow - found->second.mStartedAt);
+}
+
 void
 straggler_detector::Forget(const job_id& aJob)
 {
-  EraseWhile(mStartedAt, { { aJob, 0, 0, 0 }, 0 }, [&](const run_ref& aRun) {
+  EraseWhile(mRuns, { { aJob, 0, 0, 0 }, 0 }, [&](const run_ref& aRun) {
     return aRun.mTask.mJob == aJob;
   });
   EraseWhile(mSteps, { aJob, 0, 0 }, [&](const step_ref& aStep) {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -29,7 +29,10 @@
 class straggler_detector
 {
 public:
-  void OnRunStarted(const run_ref& aRun, time_point aNow);
+  // aFromCheckpoint: it doesn't begin with the task's beginning.
+  void OnRunStarted(const run_ref& aRun,
+                    time_point aNow,
+                    bool aFromCheckpoint = false);
   // Returns the run's duration relative to the mean of the step's finished
   // tasks. Returns nullopt for the step's first one, for runs that an earlier
   // leader started, and for any other outcome than Done.
@@ -41,14 +44,24 @@
   bool MarkIfStraggler(const run_ref& aRun, time_point aNow);
   void Forget(const job_id& aJob);
 
+  // How long a run has taken from the task's beginning. Returns nullopt for
+  // runs that began with a checkpoint or that an earlier leader started.
+  [[nodiscard]] std::optional<double> WholeRunMs(const run_ref& aRun,
+                                                 time_point aNow) const;
+
 private:
+  struct run_times
+  {
+    time_point mStartedAt{};
+    bool mFromCheckpoint = false;
+  };
   struct step_times
   {
     double mMeanMs = 0;
     int mFinished = 0;
   };
 
-  std::map<run_ref, time_point> mStartedAt;
+  std::map<run_ref, run_times> mRuns;
   std::map<step_ref, step_times> mSteps;
   std::map<task_ref, int> mStops;
 };
--- a/oriolewalk/flow/worker_health.cc
+++ b/oriolewalk/flow/worker_health.cc
@@ -53,6 +53,7 @@
   record& worker = mWorkers[aWorker];
   const double seen = std::clamp(1 / aRatio, kMinSpeed, kMaxSpeed);
   worker.mSpeed += kSampleWeight * (seen - worker.mSpeed);
+  worker.mIsSpeedKnown = true;
 }
 
 void
@@ -70,7 +71,10 @@
     return {};
   }
   const record& worker = found->second;
-  return { worker.mSpeed, aNow < worker.mAvoidedUntil, worker.mAvoidedUntil };
+  return { worker.mSpeed,
+           aNow < worker.mAvoidedUntil,
+           worker.mAvoidedUntil,
+           worker.mIsSpeedKnown };
 }
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/worker_health.h
+++ b/oriolewalk/flow/worker_health.h
@@ -30,6 +30,8 @@
   double mSpeed = 1; // relative to its peers, above 1 is faster; in [0.2, 2]
   bool mAvoided = false;
   time_point mAvoidedUntil{};
+  // Tasks have been compared with their siblings there; else mSpeed is 1.
+  bool mIsSpeedKnown = false;
 };
 
 class worker_health
@@ -49,6 +51,7 @@
   struct record
   {
     double mSpeed = 1;
+    bool mIsSpeedKnown = false;
     int mFailuresInRow = 0;
     time_point mAvoidedUntil{};
   };
