Slack, order and stragglers by learned durations

A plan orders steps by the time that their jobs have left, which it took from the callers' estimates. expected_durations now gives the figures of a step: the mean of its finished tasks at a speed of 1, else what duration_model predicts, raised by the longest run so far up to the tail, else the estimate. Without the pointer in open_steps_input nothing changes, nor for long-running and best-effort steps.

A run of a step without finished tasks counts as a straggler by four times the learned tail and 1.5 s, on its worker's speed. Reservations use no estimates.

The leader logs once a second what it has learned of each queue.

--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -35,6 +35,7 @@
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
 #include "oriolewalk/flow/duration_model.h"
+#include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/interference_control.h"
 #include "oriolewalk/flow/messages.h"
@@ -197,6 +198,9 @@
   // Adds the run's duration to what is learned, if it tells something about
   // the task. Its end as done is committed.
   void LearnDuration(const run_ref& aRun, worker_number aWorker);
+  // What nearly all tasks like the step's take at most; none if unknown.
+  [[nodiscard]] std::optional<double> LearnedTailMs(const job_record& aJob,
+                                                    std::uint32_t aStep) const;
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
   void LogCrashingTasks(const std::vector<task_ref>& aTasks);
@@ -226,6 +230,7 @@
   void LogQuotas(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void LogLoad();
+  void LogDurations();
   void Start(std::vector<planned_start> aStarts);
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
   void ForgetEndedPreemptions();
@@ -268,6 +273,7 @@
   worker_health mHealth;
   straggler_detector mStragglers;
   duration_model mDurationModel;
+  expected_durations mExpectedDurations{ mDurationModel, mStragglers };
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
@@ -276,6 +282,7 @@
   decision_counts mLoggedCounts;
   time_point mLoadLoggedAt{};
   time_point mShortageLoggedAt{};
+  time_point mDurationsLoggedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
   // Starts that are proposed and not yet applied.
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <numeric>
@@ -23,6 +24,7 @@
 
 constexpr milliseconds kShortageLogInterval{ 1'000 };
 constexpr milliseconds kLoadLogInterval{ 1'000 };
+constexpr milliseconds kDurationsLogInterval{ 1'000 };
 // A wait that is shorter than two commits isn't logged.
 constexpr milliseconds kMinLoggedWait{ 20 };
 
@@ -133,6 +135,29 @@
   mLoggedCounts = now;
 }
 
+// Logs what is learned of each queue's durations: how they compare with the
+// callers' estimates, and how far they are around the prediction.
+void
+leader_core::LogDurations()
+{
+  if (mAt.mNow < mDurationsLoggedAt + kDurationsLogInterval) {
+    return;
+  }
+  mDurationsLoggedAt = mAt.mNow;
+  constexpr double kPercent = 100;
+  const auto whole = [](double aNumber) {
+    return std::to_string(std::llround(aNumber));
+  };
+  for (const learned_queue& learned : mDurationModel.Queues(mAt.mNow)) {
+    mPort.mLogDecision(
+      { "durations.learned",
+        { { "queue", std::string(learned.mQueue) },
+          { "samples", whole(learned.mSamples) },
+          { "ratio_percent", whole(kPercent * learned.mRatio) },
+          { "spread_percent", whole(kPercent * learned.mSpread) } } });
+  }
+}
+
 // Logs why work waits, once a second while it does: one line for all work, and
 // one per queue with its waiting tasks by cause.
 void
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -99,6 +99,9 @@
   input.mNow = mAt.mNow;
   input.mWallMs = mAt.mWallMs;
   input.mScope = aScope;
+  if (mOptions.mPlan.mLearnsDurations) {
+    input.mDurations = &mExpectedDurations;
+  }
   return input;
 }
 
@@ -120,6 +123,7 @@
   mPlanCounts.mPlannedTasks += plan.mConsideredTasks;
   mPlanCounts.mComparisons += plan.mComparisons;
   LogLoad();
+  LogDurations();
   if (*scope == plan_scope::All) {
     LogWaits(plan);
     LogShortage(plan, usable);
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -126,15 +126,18 @@
       const auto& tasks = occurrence.mSteps[step].mTasks;
       // A gang ends together, and a long-running step has no duration to
       // compare.
-      if (spec.mGang || spec.mLongRunning ||
-          occurrence.mSteps[step].mDoneTasks == 0) {
+      if (spec.mGang || spec.mLongRunning) {
+        continue;
+      }
+      const auto learned = LearnedTailMs(aJob, step);
+      if (occurrence.mSteps[step].mDoneTasks == 0 && !learned) {
         continue;
       }
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const run_ref run{ { aId, number, step, index },
                            tasks[index].mAttempt };
         if (tasks[index].mPhase != task_phase::Placed ||
-            !mStragglers.MarkIfStraggler(run, mAt.mNow)) {
+            !mStragglers.MarkIfStraggler(run, mAt.mNow, learned)) {
           continue;
         }
         mPort.mLogDecision({ "run.straggles",
@@ -149,6 +152,20 @@
   }
 }
 
+std::optional<double>
+leader_core::LearnedTailMs(const job_record& aJob, std::uint32_t aStep) const
+{
+  if (!mOptions.mPlan.mLearnsDurations) {
+    return std::nullopt;
+  }
+  const duration_estimate known = EstimateOf(mDurationModel,
+                                             aJob.mSpec.mSteps[aStep],
+                                             aStep,
+                                             mState.QueueOf(aJob),
+                                             mAt.mNow);
+  return known.mIsLearned ? std::optional(known.mTailMs) : std::nullopt;
+}
+
 // A gang makes progress only if it is complete. If a member was refused and the
 // others kept waiting for it, they would hold their capacity until they timed
 // out.
@@ -270,7 +287,10 @@
     const auto ticket = mTickets.find(start.mRun);
     const task_record* task = mState.FindTask(start.mRun.mTask);
     mStragglers.OnRunStarted(
-      start.mRun, mAt.mNow, task != nullptr && !task->mCheckpoint.empty());
+      start.mRun,
+      mAt.mNow,
+      { task != nullptr && !task->mCheckpoint.empty(),
+        mHealth.Standing(start.mWorker, mAt.mNow).mSpeed });
     mSupervisor.OnStartCommitted(start,
                                  ticket == mTickets.end() ? std::string()
                                                           : ticket->second,
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -17,10 +17,13 @@
 // urgent jobs behind a backlog.
 constexpr std::size_t kMaxConsidered = 4'000;
 
-// The sum of the estimates along the longest dependency chain that starts with
-// aStep, in milliseconds.
+// The sum of the tasks' durations along the longest dependency chain that
+// starts with aStep, in milliseconds. aDurationOf: of a step's task.
+template<class DurationOf>
 std::int64_t
-LongestChainMs(const job_spec& aJob, std::uint32_t aStep)
+LongestChainMs(const job_spec& aJob,
+               std::uint32_t aStep,
+               const DurationOf& aDurationOf)
 {
   std::vector<std::int64_t> chain(aJob.mSteps.size(), 0);
   std::int64_t longest = 0;
@@ -38,12 +41,24 @@
     for (const std::uint32_t other : spec.mDependsOn) {
       before = std::max(before, chain[other]);
     }
-    chain[step] = before + std::max<std::int64_t>(spec.mEstimateMs, 1);
+    chain[step] = before + std::max<std::int64_t>(aDurationOf(step), 1);
     longest = std::max(longest, chain[step]);
   }
   return longest;
 }
 
+std::int64_t
+LongestChainMs(const job_spec& aJob,
+               std::uint32_t aStep,
+               std::span<const duration_estimate> aDurations)
+{
+  return LongestChainMs(aJob, aStep, [&](std::size_t aAt) {
+    return aDurations.empty()
+             ? aJob.mSteps[aAt].mEstimateMs
+             : static_cast<std::int64_t>(aDurations[aAt].mMeanMs);
+  });
+}
+
 class collector
 {
 public:
@@ -105,6 +120,7 @@
            std::vector<open_step>& aSteps) const
   {
     const queue_row& queue = mState.QueueOf(aJob);
+    std::span<const duration_estimate> durations;
     for (std::uint32_t step = 0; step < aOccurrence.mSteps.size(); ++step) {
       const step_record& record = aOccurrence.mSteps[step];
       const bool hasWaitingTask =
@@ -118,6 +134,10 @@
       if (!hasWaitingTask) {
         continue;
       }
+      if (mInput.mDurations != nullptr && durations.empty()) {
+        durations =
+          mInput.mDurations->Of(aId, aJob, queue, aNumber, mInput.mNow);
+      }
       aSteps.push_back(
         { { aId, aNumber, step },
           &aJob,
@@ -126,7 +146,7 @@
           &record,
           {},
           {},
-          SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs) });
+          SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs, durations) });
     }
   }
 
@@ -189,11 +209,12 @@
 } // namespace
 
 std::int64_t
-ObjectiveMs(const job_spec& aJob, const queue_row& aQueue)
+ObjectiveMs(const job_spec& aJob,
+            const queue_row& aQueue,
+            std::span<const duration_estimate> aDurations)
 {
-  return static_cast<std::int64_t>(
-           aQueue.mStretch * static_cast<double>(LongestChainMs(aJob, 0))) +
-         aQueue.mTargetMs;
+  const auto chain = static_cast<double>(LongestChainMs(aJob, 0, aDurations));
+  return static_cast<std::int64_t>(aQueue.mStretch * chain) + aQueue.mTargetMs;
 }
 
 std::int64_t
@@ -201,10 +222,12 @@
         const queue_row& aQueue,
         const occurrence_record& aOccurrence,
         std::uint32_t aStep,
-        std::int64_t aWallMs)
+        std::int64_t aWallMs,
+        std::span<const duration_estimate> aDurations)
 {
-  return aOccurrence.mOpenedWallMs + ObjectiveMs(aJob.mSpec, aQueue) - aWallMs -
-         LongestChainMs(aJob.mSpec, aStep);
+  return aOccurrence.mOpenedWallMs +
+         ObjectiveMs(aJob.mSpec, aQueue, aDurations) - aWallMs -
+         LongestChainMs(aJob.mSpec, aStep, aDurations);
 }
 
 std::vector<open_step>
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -20,8 +20,10 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <vector>
 
+#include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/quota_planner.h"
 
@@ -37,24 +39,29 @@
   plan_scope mScope = plan_scope::All;
   const suspect_summary* mSuspicions = nullptr;
   quota_planner* mQuotas = nullptr;
-  cell::resources mCapacity{}; // of all workers together
+  cell::resources mCapacity{};              // of all workers together
+  expected_durations* mDurations = nullptr; // null: the callers' estimates
+  time_point mNow{};                        // used with mDurations
 };
 
 std::vector<open_step>
 CollectOpenSteps(const flow_state& aState, const open_steps_input& aInput);
 
 // How many milliseconds after its first submission a job must end to be in
-// time, from the caller's estimates.
+// time. aDurations: by step; none: the caller's estimates.
 std::int64_t
-ObjectiveMs(const job_spec& aJob, const queue_row& aQueue);
+ObjectiveMs(const job_spec& aJob,
+            const queue_row& aQueue,
+            std::span<const duration_estimate> aDurations = {});
 
-// Milliseconds until aStep must start for its job to meet its objective, from
-// the caller's estimates. Negative if it is late.
+// Milliseconds until aStep must start for its job to meet its objective.
+// Negative if it is late. aDurations: by step; none: the caller's estimates.
 std::int64_t
 SlackMs(const job_record& aJob,
         const queue_row& aQueue,
         const occurrence_record& aOccurrence,
         std::uint32_t aStep,
-        std::int64_t aWallMs);
+        std::int64_t aWallMs,
+        std::span<const duration_estimate> aDurations = {});
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -48,7 +48,9 @@
                          .mScope = mInput.mScope,
                          .mSuspicions = &mInput.mSuspicions,
                          .mQuotas = &mQuotas,
-                         .mCapacity = mInput.mWorkers->Capacity() });
+                         .mCapacity = mInput.mWorkers->Capacity(),
+                         .mDurations = mInput.mDurations,
+                         .mNow = mInput.mNow });
     mAdvisors.emplace(mInput.mAdvisors,
                       mInput.mPolicy.mSharesAdvisors ? steps
                                                      : std::vector<open_step>(),
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -30,6 +30,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/advice_queries.h"
 #include "oriolewalk/flow/advisors.h"
+#include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/plan_workers.h"
@@ -68,6 +69,7 @@
   std::int64_t mWallMs = 0;
   plan_policy mPolicy;
   plan_scope mScope = plan_scope::All;
+  expected_durations* mDurations = nullptr; // null: the callers' estimates
 };
 
 struct planned_start
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -1,5 +1,6 @@
 #include "oriolewalk/flow/straggler_detector.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "oriolewalk/flow/erase_while.h"
@@ -34,9 +35,9 @@
 void
 straggler_detector::OnRunStarted(const run_ref& aRun,
                                  time_point aNow,
-                                 bool aFromCheckpoint)
+                                 const run_origin& aOrigin)
 {
-  mRuns[aRun] = { aNow, aFromCheckpoint };
+  mRuns[aRun] = { aNow, aOrigin };
 }
 
 std::optional<double>
@@ -56,17 +57,33 @@
   }
   ++step.mFinished;
   step.mMeanMs += (took - step.mMeanMs) / step.mFinished;
+  const run_origin& origin = started.mapped().mOrigin;
+  if (!origin.mFromCheckpoint) {
+    ++step.mFinishedWhole;
+    step.mMeanWorkMs +=
+      (took * origin.mSpeed - step.mMeanWorkMs) / step.mFinishedWhole;
+  }
   return ratio;
 }
 
 bool
-straggler_detector::MarkIfStraggler(const run_ref& aRun, time_point aNow)
+straggler_detector::MarkIfStraggler(const run_ref& aRun,
+                                    time_point aNow,
+                                    std::optional<double> aLearnedMs)
 {
   const auto started = mRuns.find(aRun);
+  if (started == mRuns.end()) {
+    return false;
+  }
+  const run_times& run = started->second;
   const auto step = mSteps.find(StepOf(aRun.mTask));
-  if (started == mRuns.end() || step == mSteps.end() ||
-      ToMs(aNow - started->second.mStartedAt) <
-        kSlowdownFactor * step->second.mMeanMs + kSlowdownMarginMs) {
+  if (step == mSteps.end() && !aLearnedMs) {
+    return false;
+  }
+  const double usual = step == mSteps.end() ? *aLearnedMs / run.mOrigin.mSpeed
+                                            : step->second.mMeanMs;
+  if (ToMs(aNow - run.mStartedAt) <
+      kSlowdownFactor * usual + kSlowdownMarginMs) {
     return false;
   }
   int& stops = mStops[aRun.mTask];
@@ -81,12 +98,34 @@
 straggler_detector::WholeRunMs(const run_ref& aRun, time_point aNow) const
 {
   const auto found = mRuns.find(aRun);
-  if (found == mRuns.end() || found->second.mFromCheckpoint) {
+  if (found == mRuns.end() || found->second.mOrigin.mFromCheckpoint) {
     return std::nullopt;
   }
   return ToMs(aNow - found->second.mStartedAt);
 }
 
+step_progress
+straggler_detector::ProgressOf(const step_ref& aStep, time_point aNow) const
+{
+  const auto finished = mSteps.find(aStep);
+  if (finished != mSteps.end() && finished->second.mFinishedWhole > 0) {
+    return { finished->second.mMeanWorkMs, 0 };
+  }
+  step_progress progress;
+  const run_ref first{ { aStep.mJob, aStep.mOccurrence, aStep.mStep, 0 }, 0 };
+  for (auto next = mRuns.lower_bound(first);
+       next != mRuns.end() && StepOf(next->first.mTask) == aStep;
+       ++next) {
+    const run_times& run = next->second;
+    if (!run.mOrigin.mFromCheckpoint) {
+      progress.mLongestRunningMs =
+        std::max(progress.mLongestRunningMs,
+                 ToMs(aNow - run.mStartedAt) * run.mOrigin.mSpeed);
+    }
+  }
+  return progress;
+}
+
 void
 straggler_detector::Forget(const job_id& aJob)
 {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -26,13 +26,28 @@
 
 namespace oriolewalk::flow {
 
+// What a step's runs tell about the duration of its tasks, from those that
+// began without a checkpoint, on a worker of speed 1.
+struct step_progress
+{
+  std::optional<double> mFinishedMeanMs; // none: no task has finished
+  // Of the tasks at work, so far. 0 once a task has finished.
+  double mLongestRunningMs = 0;
+};
+
+// How a run began.
+struct run_origin
+{
+  bool mFromCheckpoint = false; // not with the task's beginning
+  double mSpeed = 1;            // of its worker, relative to the worker's peers
+};
+
 class straggler_detector
 {
 public:
-  // aFromCheckpoint: it doesn't begin with the task's beginning.
   void OnRunStarted(const run_ref& aRun,
                     time_point aNow,
-                    bool aFromCheckpoint = false);
+                    const run_origin& aOrigin = {});
   // Returns the run's duration relative to the mean of the step's finished
   // tasks. Returns nullopt for the step's first one, for runs that an earlier
   // leader started, and for any other outcome than Done.
@@ -41,24 +56,34 @@
                                    time_point aNow);
   // Whether the run has taken so long that it should be stopped and
   // rescheduled. If so, the stop counts towards the task's limit.
-  bool MarkIfStraggler(const run_ref& aRun, time_point aNow);
+  // aLearnedMs: what nearly all tasks of its kind take at most on a worker of
+  // speed 1, for steps without a finished task; none if nothing was learned.
+  bool MarkIfStraggler(const run_ref& aRun,
+                       time_point aNow,
+                       std::optional<double> aLearnedMs = std::nullopt);
   void Forget(const job_id& aJob);
 
   // How long a run has taken from the task's beginning. Returns nullopt for
   // runs that began with a checkpoint or that an earlier leader started.
   [[nodiscard]] std::optional<double> WholeRunMs(const run_ref& aRun,
                                                  time_point aNow) const;
+  // The cost is linear in the runs of the step until a task has finished.
+  [[nodiscard]] step_progress ProgressOf(const step_ref& aStep,
+                                         time_point aNow) const;
 
 private:
   struct run_times
   {
     time_point mStartedAt{};
-    bool mFromCheckpoint = false;
+    run_origin mOrigin;
   };
   struct step_times
   {
     double mMeanMs = 0;
     int mFinished = 0;
+    // Of those that began without a checkpoint, at a speed of 1.
+    double mMeanWorkMs = 0;
+    int mFinishedWhole = 0;
   };
 
   std::map<run_ref, run_times> mRuns;
