--- a/oriolewalk/flow/command.h
+++ b/oriolewalk/flow/command.h
@@ -259,8 +259,23 @@
   }
 };
 
+// Second runs of tasks that are in progress; see flow_state_copies.cc.
+// Committed before any start order is sent, like start_runs. Proposed only for
+// steps that allow copies.
+struct start_copies
+{
+  std::vector<run_start> mRuns;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mRuns);
+  }
+};
+
 // A process of an earlier version can't read commands that were added later and
-// stops. They are proposed only where a table with organisations needs them.
+// stops. They are proposed only where a table with organisations or a step that
+// allows copies needs them.
 using command_body = std::variant<put_table,
                                   submit_job,
                                   cancel_job,
@@ -276,7 +291,8 @@
                                   record_worker_return,
                                   record_worker_crash,
                                   put_table_with_access,
-                                  submit_owned_job>;
+                                  submit_owned_job,
+                                  start_copies>;
 
 // An entry of the log. All replicas use the proposer's wall time.
 struct command
--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -1,6 +1,6 @@
 // The table, the lookups, the snapshots and the indexes of the replicated
 // state. The commands are in flow_state_jobs.cc, flow_state_runs.cc,
-// flow_state_workers.cc and flow_state_organisations.cc.
+// flow_state_workers.cc, flow_state_organisations.cc and flow_state_copies.cc.
 
 #include "oriolewalk/flow/flow_state.h"
 
@@ -32,7 +32,7 @@
   }
 };
 
-// The format of a snapshot.
+// The format of snapshots with organisations.
 struct saved_state
 {
   saved_state_without_access mState;
@@ -47,6 +47,19 @@
   }
 };
 
+// The format of snapshots with copies of tasks.
+struct saved_state_with_copies
+{
+  saved_state mState;
+  std::map<task_ref, copy_record> mCopies;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mState, mCopies);
+  }
+};
+
 // The format of snapshots from before crashes were counted.
 struct saved_state_without_crashes
 {
@@ -64,19 +77,26 @@
 };
 
 // Reads a snapshot of this or an earlier version.
-result<saved_state>
+result<saved_state_with_copies>
 ReadSnapshot(std::string_view aBytes)
 {
   constexpr std::string_view kWhat = "restoring the workflow state";
-  auto read = Decode<saved_state>(aBytes, kWhat);
+  auto read = Decode<saved_state_with_copies>(aBytes, kWhat);
   if (read) {
     return read;
   }
+  saved_state_with_copies made;
+  if (auto noCopies = Decode<saved_state>(aBytes, kWhat)) {
+    made.mState = std::move(*noCopies);
+    return made;
+  }
   if (auto older = Decode<saved_state_without_access>(aBytes, kWhat)) {
-    return saved_state{ std::move(*older), std::nullopt, {}, {} };
+    made.mState.mState = std::move(*older);
+    return made;
   }
   if (auto oldest = Decode<saved_state_without_crashes>(aBytes, kWhat)) {
-    return saved_state{ std::move(oldest->mState), std::nullopt, {}, {} };
+    made.mState.mState = std::move(oldest->mState);
+    return made;
   }
   return read;
 }
@@ -155,7 +175,12 @@
 flow_state::IsPlaced(const run_ref& aRun, worker_number aWorker) const
 {
   const task_record* task = FindTask(aRun.mTask);
-  return task != nullptr && IsRunPlaced(*task, aRun.mAttempt, aWorker);
+  if (task != nullptr && IsRunPlaced(*task, aRun.mAttempt, aWorker)) {
+    return true;
+  }
+  const copy_record* copy = FindPlacedCopy(aRun.mTask);
+  return copy != nullptr && copy->mAttempt == aRun.mAttempt &&
+         copy->mWorker == aWorker;
 }
 
 const std::set<run_ref>&
@@ -241,6 +266,9 @@
   // A process of an earlier version may receive the snapshot.
   const bool hasOrganisations =
     saved.mAccess || !saved.mFormer.empty() || !saved.mOwners.empty();
+  if (!mCopies.empty()) {
+    return Encode(saved_state_with_copies{ std::move(saved), mCopies });
+  }
   return hasOrganisations ? Encode(saved) : Encode(saved.mState);
 }
 
@@ -251,16 +279,18 @@
   if (!read) {
     return Fail(read.error());
   }
-  saved_state_without_access& state = read->mState;
+  saved_state& saved = read->mState;
+  saved_state_without_access& state = saved.mState;
   mTable = std::move(state.mTable);
   mTableSource = std::move(state.mTableSource);
   mJobs = std::move(state.mJobs);
   mWorkers = std::move(state.mWorkers);
   mLastWorker = state.mLastWorker;
   mCrashes = std::move(state.mCrashes);
-  mAccess = std::move(read->mAccess);
-  mFormer = std::move(read->mFormer);
-  for (const auto& [id, owner] : read->mOwners) {
+  mAccess = std::move(saved.mAccess);
+  mFormer = std::move(saved.mFormer);
+  mCopies = std::move(read->mCopies);
+  for (const auto& [id, owner] : saved.mOwners) {
     mJobs.at(id).mOwner = owner;
   }
   RebuildIndexes();
@@ -290,6 +320,7 @@
       }
     }
   }
+  IndexPlacedCopies();
 }
 
 // The index makes lookups fast: a table may have hundreds of queues, and every
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -7,8 +7,10 @@
 //   apply_outcome outcome = state.Apply(command{ wallMs, submit_job{...} });
 //
 // It maintains these invariants whatever is proposed:
-// - a task has at most one attempt that may be in progress, but the attempts of
-//   a gang's members are assigned together;
+// - a task has at most one attempt that may be in progress, or two on different
+//   workers if its step allows copies; the attempts of a gang's members are
+//   assigned together;
+// - the attempts of a task increase;
 // - no task of a step is placed before all steps that it depends on are done;
 // - the runs of an organisation that may be in progress take no more than its
 //   maximum, but for a single task that is larger by itself;
@@ -95,6 +97,15 @@
   [[nodiscard]] const step_spec* FindStep(const task_ref& aTask) const;
   // The progress of the task's step; null for an unknown one.
   [[nodiscard]] const step_record* FindStepRecord(const task_ref& aTask) const;
+  // The highest attempt that was given to the task, or 0.
+  [[nodiscard]] attempt_t LastAttempt(const task_ref& aTask) const;
+  // The task's second run that may be in progress; null if there is none.
+  [[nodiscard]] const copy_record* FindPlacedCopy(const task_ref& aTask) const;
+  // The copies of tasks that have not ended, and the runs that they overtook.
+  [[nodiscard]] const std::map<task_ref, copy_record>& Copies() const
+  {
+    return mCopies;
+  }
   // Whether the attempt may be in progress at aWorker.
   [[nodiscard]] bool IsPlaced(const run_ref& aRun, worker_number aWorker) const;
   // The runs that may be in progress at aWorker.
@@ -174,6 +185,7 @@
   apply_outcome On(const record_worker_crash& aCrash, std::int64_t aWallMs);
   apply_outcome On(const put_table_with_access& aPut, std::int64_t aWallMs);
   apply_outcome On(const submit_owned_job& aSubmit, std::int64_t aWallMs);
+  apply_outcome On(const start_copies& aStart, std::int64_t aWallMs);
 
   void PutTable(const put_table& aPut, std::optional<access_rules> aAccess);
   apply_outcome Submit(const submit_job& aSubmit,
@@ -225,8 +237,23 @@
   void AddPlaced(worker_number aWorker,
                  const run_ref& aRun,
                  const step_spec& aStep);
-  // Frees the capacity that an ended run books; its task waits again.
+  // Frees the capacity that an ended run books. Its task waits again, unless it
+  // has another run.
   void Release(const run_ref& aRun, worker_number aWorker);
+  bool StartCopy(const run_start& aStart);
+  // Removes the run from the task's two runs, if it has two. The other one is
+  // then in the task's record.
+  bool ReleaseOneOfTwo(const run_ref& aRun,
+                       worker_number aWorker,
+                       task_record& aTask);
+  // The task has ended as done: a run that is still in its record is overtaken.
+  void SetOvertaken(const task_ref& aTask, task_record& aRecord);
+  // The copy of the task that moves with its worker; null if the run isn't one.
+  copy_record* FindPlacedCopyRecord(const run_ref& aRun);
+  // Forgets the records of copies that are of no use any more.
+  void ForgetCopyIfOver(const task_ref& aTask);
+  void ForgetCopies(const job_id& aJob);
+  void IndexPlacedCopies();
   void FinishIfDone(const job_id& aId,
                     job_record& aJob,
                     std::int64_t aWallMs,
@@ -256,6 +283,7 @@
   std::optional<access_rules> mAccess;
   // Without keys.
   std::map<organisation_id, organisations::organisation_row> mFormer;
+  std::map<task_ref, copy_record> mCopies;
 
   // Derived from the members above.
   std::map<job_id, const job_record*> mLive; // into mJobs' stable nodes
--- a/oriolewalk/flow/flow_state_jobs.cc
+++ b/oriolewalk/flow/flow_state_jobs.cc
@@ -135,6 +135,7 @@
   aJob.mEndedWallMs = aWallMs;
   aOutcome.mEndedJobs.push_back(aId);
   UpdateLive(aId, aJob);
+  ForgetCopies(aId);
   // A failed job's crash records are kept for as long as the job is shown.
   // Other records are erased, since plans iterate over all of them.
   if (aState != job_state::Failed) {
--- a/oriolewalk/flow/flow_state_runs.cc
+++ b/oriolewalk/flow/flow_state_runs.cc
@@ -1,5 +1,5 @@
 // Runs in the replicated state: starts, ends, and what is released by which
-// proof.
+// proof. Second runs of a task are in flow_state_copies.cc.
 
 #include <algorithm>
 #include <iterator>
@@ -66,7 +66,7 @@
   job_record& job = found->second;
   task_record* task = FindTaskRecord(job, ref);
   if (task == nullptr || task->mPhase != task_phase::Waiting ||
-      aStart.mRun.mAttempt <= task->mAttempt) {
+      aStart.mRun.mAttempt <= LastAttempt(ref)) {
     return false;
   }
   occurrence_record& occurrence = job.mOccurrences.at(ref.mOccurrence);
@@ -107,8 +107,10 @@
   task_record* task = FindTaskRecord(job, aRun.mTask);
   const step_record& step =
     job.mOccurrences.at(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep];
-  task->mPhase = step.IsDone() ? task_phase::Done : task_phase::Waiting;
-  task->mWorker = 0;
+  if (!ReleaseOneOfTwo(aRun, aWorker, *task)) {
+    task->mPhase = step.IsDone() ? task_phase::Done : task_phase::Waiting;
+    task->mWorker = 0;
+  }
   --job.mPlacedRuns;
   const auto placed = mPlaced.find(aWorker);
   placed->second.Remove(aRun, job.mSpec.mSteps[aRun.mTask.mStep]);
@@ -122,6 +124,7 @@
     account->Remove(job.mSpec.mSteps[aRun.mTask.mStep].mSize);
   }
   UpdateLive(aRun.mTask.mJob, job);
+  ForgetCopyIfOver(aRun.mTask);
 }
 
 apply_outcome
@@ -152,7 +155,9 @@
   job_record& job = mJobs.at(ref.mJob);
   Release(aEnd.mRun, aWorker);
   step_record& step = job.mOccurrences.at(ref.mOccurrence).mSteps[ref.mStep];
-  if (job.IsActive() && !step.IsDone()) {
+  // The task may be done by its other run.
+  const bool isTaskDone = step.mTasks[ref.mIndex].mPhase == task_phase::Done;
+  if (job.IsActive() && !step.IsDone() && !isTaskDone) {
     CountEnd(aEnd, job, step, job.mSpec.mSteps[ref.mStep], aWallMs, aOutcome);
   }
 }
@@ -190,7 +195,7 @@
                      const step_spec& aSpec)
 {
   if (!aSpec.mGang) {
-    aStep.mTasks[aRun.mTask.mIndex].mPhase = task_phase::Done;
+    SetOvertaken(aRun.mTask, aStep.mTasks[aRun.mTask.mIndex]);
     ++aStep.mDoneTasks;
     return;
   }
@@ -264,8 +269,12 @@
     const auto found = mJobs.find(ref.mJob);
     task_record* task =
       found == mJobs.end() ? nullptr : FindTaskRecord(found->second, ref);
-    if (task != nullptr && task->mPhase == task_phase::Placed &&
-        task->mAttempt == saved.mRun.mAttempt) {
+    const copy_record* copy = FindPlacedCopy(ref);
+    const bool isInProgress =
+      task != nullptr && task->mPhase == task_phase::Placed &&
+      (task->mAttempt == saved.mRun.mAttempt ||
+       (copy != nullptr && copy->mAttempt == saved.mRun.mAttempt));
+    if (isInProgress) {
       job_record& job = found->second;
       SetCheckpoint(*task,
                     job.mOccurrences.at(ref.mOccurrence).mSteps[ref.mStep],
--- a/oriolewalk/flow/flow_state_workers.cc
+++ b/oriolewalk/flow/flow_state_workers.cc
@@ -69,7 +69,11 @@
     return;
   }
   for (const run_ref& run : placed.mapped().mRuns) {
-    FindTaskRecord(mJobs.at(run.mTask.mJob), run.mTask)->mWorker = aTo;
+    if (copy_record* copy = FindPlacedCopyRecord(run)) {
+      copy->mWorker = aTo;
+    } else {
+      FindTaskRecord(mJobs.at(run.mTask.mJob), run.mTask)->mWorker = aTo;
+    }
   }
   if (mBestEffort.erase(aFrom) != 0) {
     mBestEffort.insert(aTo);
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -91,8 +91,12 @@
     EraseWhile(mPreemptionRecords, { id, 0, 0, 0 }, [&](const task_ref& aTask) {
       return aTask.mJob == id;
     });
+    EraseWhile(mCopyCounts, { id, 0, 0, 0 }, [&](const task_ref& aTask) {
+      return aTask.mJob == id;
+    });
     StopRuns(id, *job);
   }
+  StopOvertakenRuns();
 }
 
 void
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -13,8 +13,8 @@
 //
 // leader_core.cc holds the event handlers, leader_calls.cc the answers to
 // requests, leader_plans.cc the plans, leader_runs.cc the life cycle of runs,
-// leader_advice.cc the queries to the policy service, leader_log.cc the
-// decision log.
+// leader_copies.cc the copies of tasks, leader_advice.cc the queries to the
+// policy service, leader_log.cc the decision log.
 //
 // It acts through `leader_port`: it proposes commands and answers calls. The
 // owner sets the time before each call. Owned by the flow core; control thread
@@ -190,6 +190,8 @@
   void StopRuns(const job_id& aId, const job_record& aJob);
   void StopStep(const step_ref& aStep, const step_record& aRecord);
   void StopUnwanted();
+  // Stops second runs whose task is done or whose job has ended.
+  void StopOvertakenRuns();
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
   void RecordEnds(const end_runs& aEnds);
@@ -223,6 +225,14 @@
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void LogLoad();
   void Start(std::vector<planned_start> aStarts);
+  void StartCopies(std::vector<planned_copy> aCopies);
+  void LogCopies(const std::vector<planned_copy>& aCopies,
+                 const apply_outcome& aOutcome);
+  // Adds the runs to the input of a plan that may get a copy.
+  void AddRunningTasks(plan_input& aInput) const;
+  // Books the capacity of starts that are about to be proposed, and keeps their
+  // tickets.
+  std::vector<run_start> Book(std::vector<planned_start> aStarts);
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
   void ForgetEndedPreemptions();
   void QueryPolicy(const advice_query& aQuery);
@@ -280,6 +290,7 @@
   // Preempted runs that may not have ended yet, and their workers.
   std::map<run_ref, worker_number> mPreemptedRuns;
   preemption_records mPreemptionRecords;
+  std::map<task_ref, std::uint32_t> mCopyCounts; // copies that were started
   suspect_isolation mIsolation;
   std::map<std::string, time_point> mEntries;
   std::map<std::string, time_point> mSpares; // processes that aren't members
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -99,6 +99,9 @@
   input.mNow = mAt.mNow;
   input.mWallMs = mAt.mWallMs;
   input.mScope = aScope;
+  if (aScope == plan_scope::All && mOptions.mPlan.mCopies) {
+    AddRunningTasks(input);
+  }
   return input;
 }
 
@@ -134,6 +137,9 @@
   if (!plan.mStarts.empty()) {
     Start(std::move(plan.mStarts));
   }
+  if (!plan.mTaskCopies.empty()) {
+    StartCopies(std::move(plan.mTaskCopies));
+  }
 }
 
 decision_counts
@@ -157,6 +163,9 @@
                [&](const start_runs& aStarts) {
                  std::ranges::for_each(aStarts.mRuns, invalidateOne);
                },
+               [&](const start_copies& aStarts) {
+                 std::ranges::for_each(aStarts.mRuns, invalidateOne);
+               },
                [&](const end_runs& aEnds) { invalidateOne(aEnds); },
                [&](const drop_runs& aDrop) { invalidateOne(aDrop); },
                [&](const mark_runs_lost& aLost) { invalidateOne(aLost); },
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -63,6 +63,7 @@
       StopBrokenGangs(id, job);
     }
   }
+  StopOvertakenRuns();
 }
 
 void
@@ -104,7 +105,11 @@
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const run_ref run{ { aId, number, step, index },
                            tasks[index].mAttempt };
+        // A task with a copy is done when the first of its runs is, so neither
+        // needs to be stopped.
         if (tasks[index].mPhase != task_phase::Placed ||
+            mState.FindPlacedCopy(run.mTask) != nullptr ||
+            mProposed.contains(run.mTask) ||
             !mStragglers.MarkIfStraggler(run, mAt.mNow)) {
           continue;
         }
@@ -165,7 +170,20 @@
 void
 leader_core::Start(std::vector<planned_start> aStarts)
 {
-  start_runs body;
+  const std::vector<run_start> proposed = Book(std::move(aStarts));
+  const bool sent = mPort.mPropose(
+    start_runs{ proposed }, [this, proposed](const apply_outcome& aOutcome) {
+      OnStartsApplied(proposed, aOutcome);
+    });
+  if (!sent) {
+    OnStartsApplied(proposed, {});
+  }
+}
+
+std::vector<run_start>
+leader_core::Book(std::vector<planned_start> aStarts)
+{
+  std::vector<run_start> booked;
   for (planned_start& planned : aStarts) {
     const run_start& start = planned.mStart;
     mProposed[start.mRun.mTask] = start.mWorker;
@@ -174,16 +192,9 @@
     if (!planned.mTicket.empty()) {
       mTickets[start.mRun] = std::move(planned.mTicket);
     }
-    body.mRuns.push_back(start);
-  }
-  const std::vector<run_start> proposed = body.mRuns;
-  const bool sent = mPort.mPropose(
-    std::move(body), [this, proposed](const apply_outcome& aOutcome) {
-      OnStartsApplied(proposed, aOutcome);
-    });
-  if (!sent) {
-    OnStartsApplied(proposed, {});
+    booked.push_back(start);
   }
+  return booked;
 }
 
 void
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -118,15 +118,19 @@
       if (!hasWaitingTask) {
         continue;
       }
+      const step_ref ref{ aId, aNumber, step };
       aSteps.push_back(
-        { { aId, aNumber, step },
-          &aJob,
-          &queue,
-          &aJob.mSpec.mSteps[step],
-          &record,
-          {},
-          {},
-          SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs) });
+        { .mRef = ref,
+          .mJob = &aJob,
+          .mQueue = &queue,
+          .mSpec = &aJob.mSpec.mSteps[step],
+          .mRecord = &record,
+          .mWaiting = {},
+          .mSuspects = {},
+          .mSlackMs = SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs),
+          .mCopyWorkers = aJob.mSpec.mSteps[step].MayHaveCopies()
+                            ? CopyWorkers(mState, ref)
+                            : std::vector<worker_number>() });
     }
   }
 
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -52,6 +52,10 @@
   // commit of the start: a table that lowers its maximum may be in force
   // everywhere soon afterwards.
   milliseconds mMaxQuotaAge{ 2'000 };
+  // A copy that starts later than this after its commit is refused by its
+  // worker. No run may start later than 1 s after its task's end as done was
+  // acknowledged; the rest is for the drift and the rounding of clocks.
+  milliseconds mMaxCopyStartDelay{ 800 };
   // A silent worker is removed after this time, if nothing can still run there.
   milliseconds mWorkerRemovalDelay{ 20'000 };
   // How long ended jobs stay visible.
--- a/oriolewalk/flow/placement.cc
+++ b/oriolewalk/flow/placement.cc
@@ -92,6 +92,9 @@
       ++mCounts[task.mWorker];
     }
   }
+  for (const worker_number worker : aStep.mCopyWorkers) {
+    ++mCounts[worker];
+  }
   const step_ref& ref = aStep.mRef;
   const task_ref first{ ref.mJob, ref.mOccurrence, ref.mStep, 0 };
   for (auto next = aProposed.lower_bound(first);
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -52,8 +52,29 @@
   std::int64_t mSlackMs = 0; // time left until it must start to be in time
   bool mBeyondShare = false; // of its organisation; see organisation_order.h
   bool mAtQuota = false; // its organisation can't start any of its tasks now
+  // The workers of the step's second runs; see copy_record.
+  std::vector<worker_number> mCopyWorkers;
 };
 
+// The workers with second runs of the step's tasks.
+inline std::vector<worker_number>
+CopyWorkers(const flow_state& aState, const step_ref& aStep)
+{
+  std::vector<worker_number> workers;
+  const std::map<task_ref, copy_record>& copies = aState.Copies();
+  for (auto next =
+         copies.lower_bound({ aStep.mJob, aStep.mOccurrence, aStep.mStep, 0 });
+       next != copies.end() && next->first.mJob == aStep.mJob &&
+       next->first.mOccurrence == aStep.mOccurrence &&
+       next->first.mStep == aStep.mStep;
+       ++next) {
+    if (next->second.IsPlaced()) {
+      workers.push_back(next->second.mWorker);
+    }
+  }
+  return workers;
+}
+
 inline suspicion
 SuspicionOf(const open_step& aStep, std::uint32_t aTask)
 {
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -68,6 +68,7 @@
       mResult.mFree += worker.mFree - mInput.mWorkers->Find(number)->mFree;
       mResult.mReserved += worker.mReserved;
     }
+    PlanCopies();
     mResult.mVisitedWorkers += mCopies.size();
     mResult.mOpenSteps = steps.size();
     mResult.mComparisons += mReservations.Comparisons();
@@ -290,7 +291,9 @@
     aWorker.mFree -= aStep.mSpec->Booked();
     aWorker.mSuspects.Add(SuspicionOf(aStep, aTask));
     const step_ref& ref = aStep.mRef;
-    attempt_t attempt = aStep.mRecord->mTasks[aTask].mAttempt + 1;
+    attempt_t attempt = mInput.mState->LastAttempt(
+                          { ref.mJob, ref.mOccurrence, ref.mStep, aTask }) +
+                        1;
     if (aStep.mSpec->mGang) {
       for (const task_record& member : aStep.mRecord->mTasks) {
         attempt = std::max(attempt, member.mAttempt + 1);
@@ -302,6 +305,120 @@
         mInput.mAdvice->TicketFor(ref, aWorker.mNumber, mInput.mNow) });
   }
 
+  // Starts copies of slow tasks on what is free when all steps are served.
+  void PlanCopies()
+  {
+    if (mInput.mScope != plan_scope::All || !mInput.mPolicy.mCopies ||
+        mInput.mRunning.empty()) {
+      return;
+    }
+    copy_budget budget(*mInput.mState,
+                       *mInput.mProposed,
+                       mInput.mWorkers->Capacity(),
+                       mResult.mFree - mResult.mReserved);
+    const copy_input input{ .mState = mInput.mState,
+                            .mRunning = mInput.mRunning,
+                            .mFinished = &mInput.mFinished,
+                            .mDurations = mInput.mDurations,
+                            .mCopyCounts = &mInput.mCopyCounts,
+                            .mWaitingPriority = PriorityWaitingForRoom(),
+                            .mNow = mInput.mNow };
+    for (const copy_candidate& candidate : SelectCopies(input)) {
+      const step_spec& spec = *mInput.mState->FindStep(candidate.mRun.mTask);
+      if (!mInput.mProposed->contains(candidate.mRun.mTask) &&
+          budget.MayAdd(spec) && PlanCopy(candidate)) {
+        budget.Add(spec);
+      }
+    }
+  }
+
+  [[nodiscard]] std::optional<int> PriorityWaitingForRoom() const
+  {
+    std::optional<int> first;
+    for (const waiting_step& wait : mResult.mWaits) {
+      const job_record* job = mInput.mState->FindJob(wait.mStep.mJob);
+      if (wait.mCause == wait_cause::Room && job != nullptr) {
+        const int priority = mInput.mState->QueueOf(*job).mPriority;
+        first = std::min(first.value_or(priority), priority);
+      }
+    }
+    return first;
+  }
+
+  // Returns whether there is a worker for the copy now.
+  bool PlanCopy(const copy_candidate& aCandidate)
+  {
+    const task_ref& task = aCandidate.mRun.mTask;
+    const step_ref ref{ task.mJob, task.mOccurrence, task.mStep };
+    const job_record& job = *mInput.mState->FindJob(task.mJob);
+    open_step step;
+    step.mRef = ref;
+    step.mJob = &job;
+    step.mQueue = &mInput.mState->QueueOf(job);
+    step.mSpec = mInput.mState->FindStep(task);
+    step.mRecord = mInput.mState->FindStepRecord(task);
+    step.mWaiting = { task.mIndex };
+    step.mCopyWorkers = CopyWorkers(*mInput.mState, ref);
+    // The maximum per worker counts starts from the next plan on.
+    if ((step.mSpec->mMaxPerWorker > 0 && StartsTasksOf(ref)) ||
+        mQuotas.Startable(job, *step.mSpec, 1) == 0) {
+      return false;
+    }
+    const step_placement placement(step, *mInput.mProposed, mInput.mPolicy);
+    plan_worker* best = WorkerForCopy(step, aCandidate.mWorker, placement);
+    if (best == nullptr) {
+      if (step.mQueue->mAdvice && mAdvisors->HasSurplus()) {
+        Query(step, 1, {});
+      }
+      return false;
+    }
+    best->mFree -= step.mSpec->Booked();
+    mQuotas.Hold(job, *step.mSpec, 1);
+    mResult.mTaskCopies.push_back(
+      { { { { task, mInput.mState->LastAttempt(task) + 1 }, best->mNumber },
+          mInput.mAdvice->TicketFor(ref, best->mNumber, mInput.mNow) },
+        aCandidate });
+    return true;
+  }
+
+  [[nodiscard]] bool StartsTasksOf(const step_ref& aStep) const
+  {
+    const auto isOfStep = [&](const planned_start& aStart) {
+      const task_ref& task = aStart.mStart.mRun.mTask;
+      return step_ref{ task.mJob, task.mOccurrence, task.mStep } == aStep;
+    };
+    return std::ranges::any_of(mResult.mStarts, isOfStep) ||
+           std::ranges::any_of(
+             mResult.mTaskCopies, isOfStep, &planned_copy::mStart);
+  }
+
+  // On another rack than the present worker's if possible. What slows a worker
+  // down may slow its rack.
+  [[nodiscard]] plan_worker* WorkerForCopy(const open_step& aStep,
+                                           worker_number aPresent,
+                                           const step_placement& aPlacement)
+  {
+    const plan_worker* present = mInput.mWorkers->Find(aPresent);
+    const double minSpeed = present == nullptr ? 0 : present->mSpeed;
+    worker_list usable = UsableFor(aStep);
+    std::erase_if(usable, [&](const plan_worker* aWorker) {
+      return aWorker->mNumber == aPresent || aWorker->mAvoided ||
+             aWorker->mSpeed < minSpeed || Interferes(aStep, *aWorker);
+    });
+    const rack_id& rack =
+      mInput.mState->FindWorker(aPresent)->mDescription.mRack;
+    worker_list elsewhere;
+    std::ranges::copy_if(
+      usable, std::back_inserter(elsewhere), [&](const plan_worker* aWorker) {
+        return aWorker->mDescription->mRack != rack;
+      });
+    mResult.mComparisons += usable.size() + elsewhere.size();
+    const std::uint32_t task = aStep.mWaiting.front();
+    plan_worker* best = aPlacement.BestWorker(task, {}, elsewhere, FitsNow);
+    return best != nullptr ? best
+                           : aPlacement.BestWorker(task, {}, usable, FitsNow);
+  }
+
   wait_cause ReserveAndQuery(const open_step& aStep,
                              std::span<const std::uint32_t> aTasks,
                              step_placement& aPlacement)
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -12,6 +12,7 @@
 //   placement        the worker on which a task starts now
 //   reservations     capacity that is reserved or preempted for tasks that
 //                    can't start now
+//   copy_planner     the slow tasks that get a copy, after all of these
 //   advice_queries   the workers that an advice query includes
 //
 // Pure: no clock, threads or I/O. The cost is the open steps times the workers
@@ -30,6 +31,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/advice_queries.h"
 #include "oriolewalk/flow/advisors.h"
+#include "oriolewalk/flow/copy_planner.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/plan_workers.h"
@@ -64,6 +66,11 @@
   preemption_records mPreemptionRecords;
   suspect_summary mSuspicions;
   advisor_load mAdvisors;
+  // Runs that may get a copy; only for a plan of all steps.
+  std::vector<running_task> mRunning;
+  std::map<step_ref, finished_tasks> mFinished;  // of their steps
+  const duration_model* mDurations = nullptr;    // see copy_input
+  std::map<task_ref, std::uint32_t> mCopyCounts; // see copy_input
   time_point mNow{};
   std::int64_t mWallMs = 0;
   plan_policy mPolicy;
@@ -83,9 +90,16 @@
   step_ref mPreemptor;
 };
 
+struct planned_copy
+{
+  planned_start mStart;
+  copy_candidate mReason;
+};
+
 struct plan_result
 {
   std::vector<planned_start> mStarts;
+  std::vector<planned_copy> mTaskCopies;
   std::vector<planned_preemption> mPreemptions;
   std::vector<advice_query> mQueries;
   // Waiting steps of queues below priority 0.
--- a/oriolewalk/flow/records.h
+++ b/oriolewalk/flow/records.h
@@ -35,6 +35,25 @@
   }
 };
 
+// The copies of a task. The record is kept from the task's first copy until the
+// task has ended.
+struct copy_record
+{
+  attempt_t mLastAttempt = 0; // the highest that was given to a copy
+  // The run that may be in progress beside the one in the task's record: a copy
+  // or, once a copy has ended as done, the run that it overtook.
+  attempt_t mAttempt = 0;
+  worker_number mWorker = 0; // 0: there is no such run
+
+  [[nodiscard]] bool IsPlaced() const { return mWorker != 0; }
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mLastAttempt, mAttempt, mWorker);
+  }
+};
+
 struct step_record
 {
   std::vector<task_record> mTasks;
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -47,13 +47,13 @@
     return std::nullopt;
   }
   const double took = ToMs(aNow - started.mapped());
-  step_times& step = mSteps[StepOf(aRun.mTask)];
+  finished_tasks& step = mSteps[StepOf(aRun.mTask)];
   std::optional<double> ratio;
-  if (step.mFinished > 0 && step.mMeanMs > 0) {
+  if (step.mCount > 0 && step.mMeanMs > 0) {
     ratio = took / step.mMeanMs;
   }
-  ++step.mFinished;
-  step.mMeanMs += (took - step.mMeanMs) / step.mFinished;
+  ++step.mCount;
+  step.mMeanMs += (took - step.mMeanMs) / step.mCount;
   return ratio;
 }
 
@@ -75,6 +75,13 @@
   return true;
 }
 
+finished_tasks
+straggler_detector::FinishedTasks(const step_ref& aStep) const
+{
+  const auto found = mSteps.find(aStep);
+  return found == mSteps.end() ? finished_tasks{} : found->second;
+}
+
 void
 straggler_detector::Forget(const job_id& aJob)
 {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -22,6 +22,7 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/flow/advice_cache.h"
+#include "oriolewalk/flow/copy_planner.h"
 #include "oriolewalk/flow/types.h"
 
 namespace oriolewalk::flow {
@@ -39,17 +40,14 @@
   // Whether the run has taken so long that it should be stopped and
   // rescheduled. If so, the stop counts towards the task's limit.
   bool MarkIfStraggler(const run_ref& aRun, time_point aNow);
+  // How long the step's tasks took that ended as done, of the runs that this
+  // leader started.
+  [[nodiscard]] finished_tasks FinishedTasks(const step_ref& aStep) const;
   void Forget(const job_id& aJob);
 
 private:
-  struct step_times
-  {
-    double mMeanMs = 0;
-    int mFinished = 0;
-  };
-
   std::map<run_ref, time_point> mStartedAt;
-  std::map<step_ref, step_times> mSteps;
+  std::map<step_ref, finished_tasks> mSteps;
   std::map<task_ref, int> mStops;
 };
 
--- a/oriolewalk/flow/suspect_isolation.cc
+++ b/oriolewalk/flow/suspect_isolation.cc
@@ -110,6 +110,12 @@
     if (task == nullptr) {
       continue;
     }
+    const copy_record* copy = aState.FindPlacedCopy(ref);
+    if (copy != nullptr &&
+        aIsNewlyStarted(copy->mWorker, { ref, copy->mAttempt })) {
+      summary.mByWorker[copy->mWorker].Add(record.Suspicion());
+      ++summary.mRunningByJob[ref.mJob];
+    }
     const auto proposed = aProposed.find(ref);
     const bool isNewlyStarted =
       task->mPhase == task_phase::Placed &&
--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -167,6 +167,14 @@
   bool mLongRunning = false;  // runs until the job is cancelled
   bool mBestEffort = false;   // uses what other tasks leave
 
+  // Whether a task of the step may have two runs in progress. The members of a
+  // gang run together, a long-running task has no end to be first at, and the
+  // tasks of a step in one rack gain nothing from a worker elsewhere.
+  [[nodiscard]] bool MayHaveCopies() const
+  {
+    return mAllowsCopies && !mGang && !mLongRunning && !mSameRack;
+  }
+
   // What a task books of its worker's capacity. Best-effort tasks book no
   // processors.
   [[nodiscard]] cell::resources Booked() const
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -204,7 +204,8 @@
                         order_body aBody,
                         bool aWithLease,
                         time_point aNow,
-                        std::optional<time_point> aSendBefore)
+                        std::optional<time_point> aSendBefore,
+                        std::optional<milliseconds> aShorterLease)
 {
   const worker_record* record = mState.FindWorker(aWorker);
   worker_view& view = mViews[aWorker];
@@ -216,7 +217,8 @@
   order.mFence = FenceOf(mTerm, aWorker);
   if (aWithLease && view.mHasClock) {
     const duration age = aNow - view.mClockAt;
-    order.mLeaseClockMs = view.mClockMs + ToMs(age) + mOptions.mLease.count();
+    order.mLeaseClockMs = view.mClockMs + ToMs(age) +
+                          aShorterLease.value_or(mOptions.mLease).count();
     // The worker's clock may have advanced less than the local one since its
     // answer.
     const duration lease =
@@ -253,13 +255,23 @@
   if (!job->mOwner.Value().empty()) {
     sendBefore = std::min(sendBefore, aNow + mOptions.mMaxQuotaAge);
   }
+  // The task may be done at any time by its other run. A worker refuses a start
+  // whose lease has expired, however long it was in transit; the next poll
+  // renews the lease.
+  std::optional<milliseconds> shorterLease;
+  const copy_record* copy = mState.FindPlacedCopy(aStart.mRun.mTask);
+  if (copy != nullptr && copy->mAttempt == aStart.mRun.mAttempt) {
+    shorterLease = mOptions.mMaxCopyStartDelay;
+    sendBefore = std::min(sendBefore, aNow + mOptions.mMaxCopyStartDelay);
+  }
   Send(
     aStart.mWorker,
     start_order{
       aStart.mRun, job->mSpec.mPayload, task->mCheckpoint, std::move(aTicket) },
     true,
     aNow,
-    sendBefore);
+    sendBefore,
+    shorterLease);
 }
 
 // A heartbeat that reported another capacity, which isn't committed yet, shows
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -241,7 +241,8 @@
                      order_body aBody,
                      bool aWithLease,
                      time_point aNow,
-                     std::optional<time_point> aSendBefore = std::nullopt);
+                     std::optional<time_point> aSendBefore = std::nullopt,
+                     std::optional<milliseconds> aShorterLease = std::nullopt);
   std::uint64_t SendPoll(worker_number aWorker,
                          worker_view& aView,
                          milliseconds aWait,
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -36,11 +36,9 @@
 } // namespace
 
 void
-run_oracle::OnStarted(const run_ref& aRun, const std::string& aWhere)
+run_oracle::CheckStart(const run_ref& aRun, const std::string& aWhere)
 {
-  ++mStarts;
-  auto& running = mRunning[aRun.mTask];
-  if (!running.empty()) {
+  if (!mRunning[aRun.mTask].empty()) {
     mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
                           " while another attempt runs");
   }
@@ -48,15 +46,61 @@
     mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
                           " after its end as done was acknowledged");
   }
-  running.insert(aRun.mAttempt);
+}
+
+void
+run_oracle::CheckStartWithCopies(const run_ref& aRun,
+                                 const std::string& aWhere,
+                                 time_point aNow)
+{
+  constexpr std::size_t kMaxRuns = 2;
+  const auto& running = mRunning[aRun.mTask];
+  mSecondStarts += running.empty() ? 0 : 1;
+  if (running.size() >= kMaxRuns) {
+    mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
+                          " while two other attempts run");
+  }
+  for (const auto& [attempt, where] : running) {
+    if (where == aWhere) {
+      mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
+                            " where another attempt runs");
+    }
+  }
+  constexpr seconds kMaxDelay{ 1 };
+  const auto checkAfter =
+    [&](const auto& aTimes, const auto& aKey, const char* aWhat) {
+      const auto found = aTimes.find(aKey);
+      if (found != aTimes.end() && aNow > found->second + kMaxDelay) {
+        mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
+                              " over 1 s after " + aWhat);
+      }
+    };
+  checkAfter(mAcknowledgedAsDone, aRun.mTask, "its end as done was known");
+  checkAfter(mShownDone, aRun.mTask.mJob, "its job was shown as done");
+  checkAfter(mFailedAt, aRun.mTask, "its last failure was acknowledged");
+}
+
+void
+run_oracle::OnStarted(const run_ref& aRun,
+                      const std::string& aWhere,
+                      time_point aNow)
+{
+  ++mStarts;
+  const bool allowsCopies = mAllowsCopies && mAllowsCopies(aRun.mTask);
+  if (allowsCopies) {
+    CheckStartWithCopies(aRun, aWhere, aNow);
+  } else {
+    CheckStart(aRun, aWhere);
+  }
+  mRunning[aRun.mTask][aRun.mAttempt] = aWhere;
   constexpr std::size_t kMaxCrashes = 3;
-  constexpr std::size_t kMaxStartsAfterCrashes = 2;
+  const std::size_t maxStartsAfterCrashes = allowsCopies ? 3 : 2;
   if (mCrashesWorker && mCrashesWorker(aRun.mTask) &&
       CrashCount(aRun.mTask) >= kMaxCrashes &&
-      ++mStartsAfterCrashes[aRun.mTask] > kMaxStartsAfterCrashes) {
-    mViolations.push_back(
-      Describe(aRun) + " starts at " + aWhere +
-      ", the third time after three workers crashed under it");
+      ++mStartsAfterCrashes[aRun.mTask] > maxStartsAfterCrashes) {
+    mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
+                          (allowsCopies ? ", the fourth" : ", the third") +
+                          " time after three workers crashed under it");
   }
   if (mOnStart) {
     mOnStart(aRun);
@@ -82,19 +126,39 @@
 {
   mRunning[aRun.mTask].erase(aRun.mAttempt);
   mEnds[aRun] = aHow;
+  mFailures[aRun.mTask] += aHow == run_outcome::Failed ? 1 : 0;
   if (mOnEnd) {
     mOnEnd(aRun, aHow);
   }
 }
 
+std::size_t
+run_oracle::FailureCount(const task_ref& aTask) const
+{
+  const auto found = mFailures.find(aTask);
+  return found == mFailures.end() ? 0 : found->second;
+}
+
 void
-run_oracle::OnEndAcknowledged(const run_ref& aRun)
+run_oracle::OnEndAcknowledged(const run_ref& aRun, time_point aNow)
 {
-  if (mEnds[aRun] == run_outcome::Done && !mExcused.contains(aRun)) {
-    mAcknowledgedAsDone.insert(aRun.mTask);
+  if (mExcused.contains(aRun)) {
+    return;
+  }
+  if (mEnds[aRun] == run_outcome::Done) {
+    mAcknowledgedAsDone.try_emplace(aRun.mTask, aNow);
+  } else if (mEnds[aRun] == run_outcome::Failed &&
+             ++mAcknowledgedFailures[aRun.mTask] == mMaxFailures) {
+    mFailedAt[aRun.mTask] = aNow;
   }
 }
 
+void
+run_oracle::OnShownDone(const job_id& aJob, time_point aNow)
+{
+  mShownDone.try_emplace(aJob, aNow);
+}
+
 void
 run_oracle::AddViolation(std::string aWhat)
 {
@@ -159,7 +223,7 @@
                  }
                },
                [&](const poll_order& aPoll) {
-                 Forget(aPoll.mCursor);
+                 Forget(aPoll.mCursor, aNow);
                  for (const auto& [run, live] : mRuns) {
                    answer.mRunning.push_back({ run, {}, 100, 0 });
                  }
@@ -174,7 +238,7 @@
 }
 
 void
-fake_worker::Forget(std::uint64_t aCursor)
+fake_worker::Forget(std::uint64_t aCursor, time_point aNow)
 {
   if (mForgetsOnHigherCursor && aCursor <= mAcknowledgedCursor) {
     return;
@@ -183,7 +247,7 @@
   std::erase_if(mEnds, [&](const listed_end& aEnd) {
     const bool isAcknowledged = aEnd.mNumber <= aCursor;
     if (isAcknowledged) {
-      mOracle.OnEndAcknowledged(aEnd.mEnd.mRun);
+      mOracle.OnEndAcknowledged(aEnd.mEnd.mRun, aNow);
     }
     return isAcknowledged;
   });
@@ -200,7 +264,7 @@
     return AnswerWith(order_result::StaleAttempt);
   }
   mOracle.mIsLateOrder = mHandlesLateOrder;
-  mOracle.OnStarted(aStart.mRun, mDescription.mId.Value());
+  mOracle.OnStarted(aStart.mRun, mDescription.mId.Value(), aNow);
   const bool crashes =
     mOracle.mCrashesWorker && mOracle.mCrashesWorker(aStart.mRun.mTask);
   mRuns[aStart.mRun] = { aNow + (crashes ? kCrashDelay : mWorkTime), crashes };
@@ -222,6 +286,14 @@
   mOracle.OnEnded(aRun, aHow);
 }
 
+bool
+fake_worker::Fails(const run_ref& aRun) const
+{
+  return aRun.mTask.mIndex % 2 == 1 &&
+         ((mFailsFirstAttempts && aRun.mAttempt == 1) ||
+          (mFailsSecondAttempts && aRun.mAttempt == 2));
+}
+
 void
 fake_worker::Advance(time_point aNow)
 {
@@ -243,9 +315,8 @@
       return;
     }
     if (live.mDoneAt <= aNow && !lapsed) {
-      const bool fails =
-        mFailsFirstAttempts && run.mAttempt == 1 && run.mTask.mIndex % 2 == 1;
-      over.emplace_back(run, fails ? run_outcome::Failed : run_outcome::Done);
+      over.emplace_back(run,
+                        Fails(run) ? run_outcome::Failed : run_outcome::Done);
     } else if (lapsed) {
       over.emplace_back(run, run_outcome::Lapsed);
     }
--- a/testing/flow/fake_worker.h
+++ b/testing/flow/fake_worker.h
@@ -24,10 +24,14 @@
 class run_oracle
 {
 public:
-  void OnStarted(const run_ref& aRun, const std::string& aWhere);
+  void OnStarted(const run_ref& aRun,
+                 const std::string& aWhere,
+                 time_point aNow);
   void OnEnded(const run_ref& aRun, run_outcome aHow);
   // A worker was told that it may forget the run's end.
-  void OnEndAcknowledged(const run_ref& aRun);
+  void OnEndAcknowledged(const run_ref& aRun, time_point aNow);
+  // A caller was told that the job is done.
+  void OnShownDone(const job_id& aJob, time_point aNow);
   // Its worker's lease expired between the run's end and its acknowledgement,
   // so the task may start again.
   void ExcuseEnd(const run_ref& aRun) { mExcused.insert(aRun); }
@@ -37,16 +41,25 @@
   // The worker's process died while the run was there.
   void OnCrashed(const run_ref& aRun);
   [[nodiscard]] std::size_t CrashCount(const task_ref& aTask) const;
+  // How often the task's runs ended as failed.
+  [[nodiscard]] std::size_t FailureCount(const task_ref& aTask) const;
 
   [[nodiscard]] const std::vector<std::string>& Violations() const
   {
     return mViolations;
   }
   [[nodiscard]] std::size_t Starts() const { return mStarts; }
+  // Starts beside another run of the same task.
+  [[nodiscard]] std::size_t SecondStarts() const { return mSecondStarts; }
 
   // Whether a task crashes each worker that starts it. Such a task may not
   // start three more times after three workers have crashed under it.
   std::function<bool(const task_ref&)> mCrashesWorker;
+  // Whether the task may have two runs at once, on two workers. None of its
+  // runs may start later than 1 s after it was done, or had failed mMaxFailures
+  // times, to the knowledge of a worker or a caller. Unset: no task may.
+  std::function<bool(const task_ref&)> mAllowsCopies;
+  std::size_t mMaxFailures = 2;
   // The run that starts was ordered long ago; see fake_worker.
   bool mIsLateOrder = false;
   // Optional callbacks.
@@ -54,15 +67,27 @@
   std::function<void(const run_ref&, run_outcome)> mOnEnd;
 
 private:
-  std::map<task_ref, std::set<attempt_t>> mRunning;
+  void CheckStart(const run_ref& aRun, const std::string& aWhere);
+  void CheckStartWithCopies(const run_ref& aRun,
+                            const std::string& aWhere,
+                            time_point aNow);
+
+  // With the workers.
+  std::map<task_ref, std::map<attempt_t, std::string>> mRunning;
   std::map<run_ref, run_outcome> mEnds;
   std::set<run_ref> mExcused;
-  std::set<task_ref> mAcknowledgedAsDone;
+  // When it first became known.
+  std::map<task_ref, time_point> mAcknowledgedAsDone;
+  std::map<job_id, time_point> mShownDone;
+  std::map<task_ref, std::size_t> mFailures;
+  std::map<task_ref, std::size_t> mAcknowledgedFailures;
+  std::map<task_ref, time_point> mFailedAt; // the last of mMaxFailures
   std::map<task_ref, std::size_t> mCrashes;
   // Starts after three crashes under the task.
   std::map<task_ref, std::size_t> mStartsAfterCrashes;
   std::vector<std::string> mViolations;
   std::size_t mStarts = 0;
+  std::size_t mSecondStarts = 0;
 };
 
 class fake_worker
@@ -76,7 +101,8 @@
   // Executes the order at aNow and returns the answer.
   order_answer Handle(const worker_order& aOrder, time_point aNow);
   // Ends the runs that are due: those that are done (or fail, for odd indices
-  // of attempt 1 if mFailsFirstAttempts), and all when the lease has expired.
+  // of attempt 1 if mFailsFirstAttempts and of attempt 2 if
+  // mFailsSecondAttempts), and all when the lease has expired.
   void Advance(time_point aNow);
   // Its process dies: all its runs are over, and their ends are not listed.
   void Crash(time_point aNow);
@@ -97,6 +123,7 @@
   milliseconds mWorkTime{ 300 };
   cell::resources mTaskSize; // of every task; for the capacity check
   bool mFailsFirstAttempts = false;
+  bool mFailsSecondAttempts = false;
   bool mDraining = false;
   // It is executing a late order, for which its capacity is not checked.
   bool mHandlesLateOrder = false;
@@ -114,7 +141,8 @@
 
   order_answer Start(const start_order& aStart, time_point aNow);
   void End(const run_ref& aRun, run_outcome aHow);
-  void Forget(std::uint64_t aCursor);
+  void Forget(std::uint64_t aCursor, time_point aNow);
+  [[nodiscard]] bool Fails(const run_ref& aRun) const;
   void Die();
   // Whether aUsed fits in its capacity, or in a recent one.
   [[nodiscard]] bool FitsRecentCapacity(const cell::resources& aUsed,
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,9 @@
 // As in a deployment of thousands of workers.
 constexpr group_size kWithSpares{ 15, 5, 5 };
 constexpr std::size_t kWorkers = 3;
+constexpr std::int64_t kTaskMilliProcessors = 2'000;
+// A few copies fit into the share of the cell that copies may take.
+constexpr std::int64_t kSmallTaskMilliProcessors = 300;
 
 class player
 {
@@ -38,6 +42,8 @@
     , mFaults(aFaults)
     , mCounts(aCounts)
     , mSize(aFaults.mSpares ? kWithSpares : group_size{})
+    , mTaskMilliProcessors(aFaults.mCopies ? kSmallTaskMilliProcessors
+                                           : kTaskMilliProcessors)
     , mGroup(mSize.mNodes, mSize.mVoters, aSeed, mSize.mMaxVoters, aOptions)
   {
     if (mFaults.mRestarts) {
@@ -57,6 +63,9 @@
     if (mFaults.mOrganisations) {
       EnableOrganisations();
     }
+    if (mFaults.mCopies) {
+      EnableCopies();
+    }
     for (std::size_t worker = 0; worker < kWorkers; ++worker) {
       AddWorker();
     }
@@ -107,13 +116,48 @@
     };
   }
 
+  [[nodiscard]] bool AllowsCopies(const task_ref& aTask) const
+  {
+    const auto found = mCopied.find(aTask.mJob.Value());
+    return found != mCopied.end() && found->second.contains(aTask.mStep);
+  }
+
+  void EnableCopies()
+  {
+    mGroup.Oracle().mAllowsCopies = [this](const task_ref& aTask) {
+      return AllowsCopies(aTask);
+    };
+    mActions.insert(mActions.end(), 3, &player::ChangeSpeed);
+    mActions.insert(mActions.end(), 2, &player::ShowStates);
+  }
+
+  // Of one worker, for the runs that start there from now on.
+  void ChangeSpeed()
+  {
+    constexpr std::uint64_t kSlowOneIn = 3;
+    fake_worker& chosen = mGroup.Worker(mWorkers[Choose(mWorkers.size())]);
+    chosen.mWorkTime = Choose(kSlowOneIn) == 0
+                         ? milliseconds(1'000 * (2 + Choose(10)))
+                         : milliseconds(100 + 50 * Choose(10));
+    chosen.mFailsSecondAttempts = Choose(4) == 0;
+  }
+
+  void ShowStates()
+  {
+    for (const auto& [id, cancelled] : mJobs) {
+      if (StateOf(id) == "done") {
+        mGroup.Oracle().OnShownDone(job_id(id), mGroup.Now());
+      }
+    }
+  }
+
   void EnableOrganisations()
   {
     mOrganisations.emplace(
       mGroup.Oracle(),
       [this](std::uint64_t aBound) { return Choose(aBound); },
       [this]() { return mGroup.Now(); },
-      testing::Step(1, kTaskMilliProcessors).mSize);
+      testing::Step(1, mTaskMilliProcessors).mSize);
     mActions.insert(mActions.end(), 4, &player::PutTable);
     mActions.insert(mActions.end(), 2, &player::Query);
     const auto first = mOrganisations->NextTable();
@@ -199,7 +243,7 @@
     const std::size_t made = mGroup.AddWorker(
       "w" + std::to_string(mWorkers.size()), Choose(2) == 0 ? 0 : 0.02);
     mGroup.Worker(made).mTaskSize =
-      testing::Step(1, kTaskMilliProcessors).mSize;
+      testing::Step(1, mTaskMilliProcessors).mSize;
     mGroup.Worker(made).mWorkTime = milliseconds(100 + 100 * Choose(20));
     mGroup.Worker(made).mFailsFirstAttempts = Choose(3) == 0;
     mWorkers.push_back(made);
@@ -221,18 +265,29 @@
     constexpr const char* kHex = "0123456789abcdef";
     // A job that reused the id of one without an answer would be the same job,
     // and crash as that one does.
-    const std::size_t number = mFaults.mCrashing || mFaults.mOrganisations
-                                 ? mSubmittedJobs++
-                                 : mJobs.size();
+    const bool isEachNew =
+      mFaults.mCrashing || mFaults.mOrganisations || mFaults.mCopies;
+    const std::size_t number = isEachNew ? mSubmittedJobs++ : mJobs.size();
     if (number >= 16) {
       return;
     }
     const std::string id = std::string(15, '0') + kHex[number];
-    step_spec first =
-      testing::Step(1 + static_cast<std::uint32_t>(Choose(5)), 2'000);
+    step_spec first = testing::Step(1 + static_cast<std::uint32_t>(Choose(5)),
+                                    mTaskMilliProcessors);
     first.mGang = Choose(4) == 0;
-    step_spec second = testing::Step(2, 2'000);
+    step_spec second = testing::Step(2, mTaskMilliProcessors);
     second.mDependsOn = { 0 };
+    if (mFaults.mCopies) {
+      first.mAllowsCopies = Choose(3) != 0;
+      second.mAllowsCopies = Choose(3) != 0;
+      // A gang has no copies, whatever its step says.
+      if (first.MayHaveCopies()) {
+        mCopied[id].insert(0);
+      }
+      if (second.MayHaveCopies()) {
+        mCopied[id].insert(1);
+      }
+    }
     constexpr std::uint64_t kCrashingOneIn = 5; // one job in five
     if (mFaults.mCrashing && Choose(kCrashingOneIn) == 0) {
       // The members of a gang end together, so all of them crash.
@@ -374,7 +429,9 @@
     if (mCrashing.contains(aId)) {
       return aState == "failed";
     }
-    return aState == "done" || (aState == "failed" && MaxCrashCount(aId) >= 2);
+    return aState == "done" ||
+           (aState == "failed" &&
+            (MaxCrashCount(aId) >= 2 || HasFailedTwice(aId)));
   }
 
   [[nodiscard]] std::size_t MaxCrashCount(const std::string& aId)
@@ -388,6 +445,19 @@
     return max;
   }
 
+  // Second attempts fail only with copies.
+  [[nodiscard]] bool HasFailedTwice(const std::string& aId)
+  {
+    constexpr std::uint32_t kMaxTasks = 6;
+    for (std::uint32_t at = 0; at < 2 * kMaxTasks; ++at) {
+      const task_ref task{ job_id(aId), 0, at / kMaxTasks, at % kMaxTasks };
+      if (mFaults.mCopies && mGroup.Oracle().FailureCount(task) >= 2) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void Count(const std::string& aId, const std::string& aState)
   {
     if (mCrashing.contains(aId)) {
@@ -424,6 +494,8 @@
       mGroup.RunUntil([&]() { return Put(last); }, seconds(20));
     }
     mGroup.Run(seconds(45));
+    mCounts.mStarts = mGroup.Oracle().Starts();
+    mCounts.mSecondStarts = mGroup.Oracle().SecondStarts();
     if (!mGroup.Oracle().Violations().empty()) {
       return mGroup.Oracle().Violations().front();
     }
@@ -435,18 +507,19 @@
     return std::nullopt;
   }
 
-  static constexpr std::int64_t kTaskMilliProcessors = 2'000;
-
   const flow_choices& mChoose;
   history_faults mFaults;
   history_counts& mCounts;
   group_size mSize;
+  std::int64_t mTaskMilliProcessors;
   fake_group mGroup;
   std::optional<organisation_oracle> mOrganisations;
   std::vector<std::size_t> mWorkers;
   std::map<std::string, bool> mJobs; // whether a cancel was sent
   // Jobs with tasks that crash their workers; true if all tasks of the step do.
   std::map<std::string, bool> mCrashing;
+  // The steps that allow copies, by job.
+  std::map<std::string, std::set<std::uint32_t>> mCopied;
   std::size_t mSubmittedJobs = 0; // submitted jobs, answered or not
   bool mHasWipedDisk = false;
   std::vector<action_function> mActions = {
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -35,6 +35,10 @@
   bool mShrinking = false;
   // Jobs belong to organisations, whose keys and maxima change.
   bool mOrganisations = false;
+  // Some steps allow copies of their tasks, workers slow down for a while, and
+  // second attempts may fail as well. There are more workers, and tasks are
+  // small.
+  bool mCopies = false;
 };
 
 // Counts of what happened to the jobs of a history.
@@ -44,12 +48,18 @@
   std::size_t mCrashingStarts = 0; // of such tasks
   std::size_t mNormalJobs = 0;
   std::size_t mFailedNormalJobs = 0;
+  std::size_t mStarts = 0;
+  std::size_t mSecondStarts = 0; // beside another run of the same task
 };
 
 // Plays up to aMaxActions actions, then heals all faults and waits. Returns the
 // first violation of these guarantees, or none:
 // - No task runs twice at once, or starts after its end as done was
 //   acknowledged.
+// - With copies: a task of a step that allows copies has two runs at most, on
+// two
+//   workers, and starts no later than 1 s after its end as done or its last
+//   allowed failure was acknowledged or its job was shown as done.
 // - No start brings a worker over its capacity and over its recent ones.
 // - With organisations: callers are accepted by their keys in the table in
 // force
@@ -59,7 +69,8 @@
 //   most), or as failed if two workers have crashed under one of its tasks, and
 //   is never unknown to a leader that answers.
 // - A task that crashes its workers isn't started three more times after three
-//   have crashed under it, and its job ends as failed.
+//   have crashed under it (four more times with copies), and its job ends as
+//   failed.
 // aOptions configures the group; with mMaxWorkersWithoutRelays = 0 relays make
 // the leader's calls.
 std::optional<std::string>
