--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -102,6 +102,9 @@
   if (mOptions.mPlan.mLearnsDurations) {
     input.mDurations = &mExpectedDurations;
   }
+  if (aScope == plan_scope::All && mOptions.mPlan.mCopies) {
+    AddRunningTasks(input);
+  }
   return input;
 }
 
@@ -138,6 +141,9 @@
   if (!plan.mStarts.empty()) {
     Start(std::move(plan.mStarts));
   }
+  if (!plan.mTaskCopies.empty()) {
+    StartCopies(std::move(plan.mTaskCopies));
+  }
 }
 
 decision_counts
@@ -161,6 +167,9 @@
                [&](const start_runs& aStarts) {
                  std::ranges::for_each(aStarts.mRuns, invalidateOne);
                },
+               [&](const start_copies& aStarts) {
+                 std::ranges::for_each(aStarts.mRuns, invalidateOne);
+               },
                [&](const end_runs& aEnds) { invalidateOne(aEnds); },
                [&](const drop_runs& aDrop) { invalidateOne(aDrop); },
                [&](const mark_runs_lost& aLost) { invalidateOne(aLost); },
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -138,15 +138,20 @@
         durations =
           mInput.mDurations->Of(aId, aJob, queue, aNumber, mInput.mNow);
       }
+      const step_ref ref{ aId, aNumber, step };
       aSteps.push_back(
-        { { aId, aNumber, step },
-          &aJob,
-          &queue,
-          &aJob.mSpec.mSteps[step],
-          &record,
-          {},
-          {},
-          SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs, durations) });
+        { .mRef = ref,
+          .mJob = &aJob,
+          .mQueue = &queue,
+          .mSpec = &aJob.mSpec.mSteps[step],
+          .mRecord = &record,
+          .mWaiting = {},
+          .mSuspects = {},
+          .mSlackMs =
+            SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs, durations),
+          .mCopyWorkers = aJob.mSpec.mSteps[step].MayHaveCopies()
+                            ? CopyWorkers(mState, ref)
+                            : std::vector<worker_number>() });
     }
   }
 
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -52,11 +52,11 @@
   const double took = ToMs(aNow - started.mapped().mStartedAt);
   step_times& step = mSteps[StepOf(aRun.mTask)];
   std::optional<double> ratio;
-  if (step.mFinished > 0 && step.mMeanMs > 0) {
+  if (step.mCount > 0 && step.mMeanMs > 0) {
     ratio = took / step.mMeanMs;
   }
-  ++step.mFinished;
-  step.mMeanMs += (took - step.mMeanMs) / step.mFinished;
+  ++step.mCount;
+  step.mMeanMs += (took - step.mMeanMs) / step.mCount;
   const run_origin& origin = started.mapped().mOrigin;
   if (!origin.mFromCheckpoint) {
     ++step.mFinishedWhole;
@@ -126,6 +126,17 @@
   return progress;
 }
 
+finished_tasks
+straggler_detector::FinishedTasks(const step_ref& aStep) const
+{
+  const auto found = mSteps.find(aStep);
+  if (found == mSteps.end()) {
+    return {};
+  }
+  const finished_tasks& finished = found->second;
+  return finished;
+}
+
 void
 straggler_detector::Forget(const job_id& aJob)
 {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -22,6 +22,7 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/flow/advice_cache.h"
+#include "oriolewalk/flow/copy_planner.h"
 #include "oriolewalk/flow/types.h"
 
 namespace oriolewalk::flow {
@@ -61,6 +62,9 @@
   bool MarkIfStraggler(const run_ref& aRun,
                        time_point aNow,
                        std::optional<double> aLearnedMs = std::nullopt);
+  // How long the step's tasks took that ended as done, of the runs that this
+  // leader started.
+  [[nodiscard]] finished_tasks FinishedTasks(const step_ref& aStep) const;
   void Forget(const job_id& aJob);
 
   // How long a run has taken from the task's beginning. Returns nullopt for
@@ -77,10 +81,8 @@
     time_point mStartedAt{};
     run_origin mOrigin;
   };
-  struct step_times
+  struct step_times : finished_tasks
   {
-    double mMeanMs = 0;
-    int mFinished = 0;
     // Of those that began without a checkpoint, at a speed of 1.
     double mMeanWorkMs = 0;
     int mFinishedWhole = 0;
