Admission at arrival: refuse jobs that can't be done while they have value

Every valid job was accepted, however full the cell was, and work that could only end without value delayed the rest.

admission decides by the work that waits ahead, at durations reduced by their known spread, against the capacity without long-running work and the rate at which runs freed processors. load_collector takes the figures from the steps that a plan visits; an arrival costs a few look-ups. Running work doesn't count as ahead, since it may be about to end.

A refusal is remembered until its Retry-After is over; a job in flight, within its organisation's share, of a kind without end, or with figures that are missing or old is accepted. plan_policy::mRefusesHopeless turns it off.

--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -169,6 +169,9 @@
     AnswerCaller(aCall, job_reply::Malformed, sound.error().mMessage);
     return;
   }
+  if (RefuseIfHopeless(aCall, job_id(id), *queue, aJob.mSpec, *owner)) {
+    return;
+  }
   LogAccepted(id, *queue, aJob.mSpec, *owner);
   ProposeSubmission(
     aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, *owner);
@@ -181,12 +184,15 @@
                                submit_job aSubmit,
                                const organisation_id& aOwner)
 {
+  const job_id id = aSubmit.mId;
   command_body body = std::move(aSubmit);
   if (!aOwner.Value().empty()) {
     body = submit_owned_job{ std::get<submit_job>(std::move(body)), aOwner };
   }
-  const bool proposed =
-    mPort.mPropose(std::move(body), [this, aCall](const apply_outcome& aDone) {
+  mAdmission.OnProposed(id);
+  const bool proposed = mPort.mPropose(
+    std::move(body), [this, aCall, id](const apply_outcome& aDone) {
+      mAdmission.OnSettled(id);
       if (!aDone.mError) {
         AnswerCaller(aCall, job_reply::Accepted);
       } else if (aDone.mError->mCode == error_code::Conflict) {
@@ -196,6 +202,7 @@
       }
     });
   if (!proposed) {
+    mAdmission.OnSettled(id);
     FailBusy(aCall);
   }
 }
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -50,6 +50,8 @@
   , mSupervisor(aState, aOptions, aTerm, aAt.mNow, aHeard)
   , mPlanWorkers(aOptions.mPlan.mPlacement)
   , mRelays(aOptions.mMaxWorkersWithoutRelays)
+  , mAdmission(aAt.mNow)
+  , mFreed(aAt.mNow)
   , mLastQuery(OrderIdBase(aTerm))
 {
 }
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -13,8 +13,8 @@
 //
 // leader_core.cc holds the event handlers, leader_calls.cc the answers to
 // requests, leader_plans.cc the plans, leader_runs.cc the life cycle of runs,
-// leader_advice.cc the queries to the policy service, leader_log.cc the
-// decision log.
+// leader_admission.cc the admission of jobs, leader_advice.cc the queries to
+// the policy service, leader_log.cc the decision log.
 //
 // It acts through `leader_port`: it proposes commands and answers calls. The
 // owner sets the time before each call. Owned by the flow core; control thread
@@ -31,10 +31,13 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/error.h"
+#include "oriolewalk/flow/admission.h"
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
+#include "oriolewalk/flow/duration_model.h"
 #include "oriolewalk/flow/flow_state.h"
+#include "oriolewalk/flow/freed_rate.h"
 #include "oriolewalk/flow/interference_control.h"
 #include "oriolewalk/flow/messages.h"
 #include "oriolewalk/flow/options.h"
@@ -182,6 +185,17 @@
   void ProposeSubmission(call_number aCall,
                          submit_job aSubmit,
                          const organisation_id& aOwner);
+  // Whether it answered the call by refusing the job, which is unknown.
+  bool RefuseIfHopeless(call_number aCall,
+                        const job_id& aId,
+                        const queue_row& aQueue,
+                        const job_spec& aSpec,
+                        const organisation_id& aOwner);
+  void UpdateLoads(cell_loads aLoads);
+  void CountFreed(const run_ref& aRun);
+  void LogRefused(const arrival& aJob,
+                  const queue_row& aQueue,
+                  const admission_verdict& aVerdict);
   void ProposeTable(call_number aCall,
                     const table_change& aChange,
                     command_body aBody);
@@ -293,6 +307,10 @@
   std::set<step_ref> mNothingToQuery;
   time_point mNothingToQueryClearedAt{};
   recent_peak mTopPriorityPeak; // concurrent queries
+  admission mAdmission;
+  cell_loads mLoads; // of the last plan of all steps
+  freed_rate mFreed;
+  duration_model mDurations;
   std::uint64_t mLastQuery;
   std::vector<advice_call> mAdviceCalls;
 };
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -99,6 +99,7 @@
   input.mNow = mAt.mNow;
   input.mWallMs = mAt.mWallMs;
   input.mScope = aScope;
+  input.mDurations = &mDurations;
   return input;
 }
 
@@ -123,6 +124,7 @@
   if (*scope == plan_scope::All) {
     LogWaits(plan);
     LogShortage(plan, usable);
+    UpdateLoads(std::move(plan.mLoads));
   }
   mPlanTimer.OnPlanned(*scope, plan.mWaiting, mAt.mNow);
   mNothingToQuery.insert(plan.mNothingToQuery.begin(),
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -80,6 +80,7 @@
 leader_core::RecordEnds(const end_runs& aEnds)
 {
   for (const run_end& end : aEnds.mEnds) {
+    CountFreed(end.mRun);
     mHealth.OnRunEnded(aEnds.mWorker, end.mOutcome, mAt.mNow);
     const auto ratio = mStragglers.OnRunEnded(end.mRun, end.mOutcome, mAt.mNow);
     if (ratio) {
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -107,6 +107,9 @@
     const queue_row& queue = mState.QueueOf(aJob);
     for (std::uint32_t step = 0; step < aOccurrence.mSteps.size(); ++step) {
       const step_record& record = aOccurrence.mSteps[step];
+      if (mInput.mLoad != nullptr && !record.IsDone()) {
+        mInput.mLoad->AddRunning(aJob, queue, aJob.mSpec.mSteps[step], record);
+      }
       const bool hasWaitingTask =
         (mInput.mScope == plan_scope::All ||
          IsTopPriority(queue, aJob.mSpec.mSteps[step])) &&
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <vector>
 
+#include "oriolewalk/flow/cell_load.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/quota_planner.h"
 
@@ -37,7 +38,8 @@
   plan_scope mScope = plan_scope::All;
   const suspect_summary* mSuspicions = nullptr;
   quota_planner* mQuotas = nullptr;
-  cell::resources mCapacity{}; // of all workers together
+  cell::resources mCapacity{};     // of all workers together
+  load_collector* mLoad = nullptr; // counts the tasks that run, if any
 };
 
 std::vector<open_step>
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -32,6 +32,9 @@
   added.mWorker = worker;
   mCapacity += added.mCapacity;
   mFree += added.mWorker.mFree;
+  service_totals& totals = mTotals[added.mService];
+  totals.mCapacity += added.mCapacity;
+  totals.mFree += added.mWorker.mFree;
   mByRack[added.mRack].insert(number);
   Index(added);
 }
@@ -49,7 +52,9 @@
 void
 plan_workers::Replace(entry& aEntry, const plan_worker& aWorker)
 {
-  mFree += aWorker.mFree - aEntry.mWorker.mFree;
+  const cell::resources freed = aWorker.mFree - aEntry.mWorker.mFree;
+  mFree += freed;
+  mTotals.at(aEntry.mService).mFree += freed;
   aEntry.mWorker = aWorker;
   const rank former = aEntry.mRank;
   aEntry.mRank.first = -BaseScore(aEntry.mWorker, mPlacement);
@@ -92,6 +97,9 @@
   const entry& removed = found->second;
   mCapacity -= removed.mCapacity;
   mFree -= removed.mWorker.mFree;
+  service_totals& totals = mTotals.at(removed.mService);
+  totals.mCapacity -= removed.mCapacity;
+  totals.mFree -= removed.mWorker.mFree;
   Unindex(removed);
   const auto rack = mByRack.find(removed.mRack);
   rack->second.erase(aWorker);
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -39,6 +39,12 @@
   // fits none of them needn't look at the workers.
   using rankings = std::map<std::array<std::int64_t, 3>, ranking>;
 
+  struct service_totals
+  {
+    cell::resources mCapacity;
+    cell::resources mFree;
+  };
+
   explicit plan_workers(placement_rule aPlacement)
     : mPlacement(aPlacement)
   {
@@ -67,6 +73,12 @@
   // The sums of all workers.
   [[nodiscard]] const cell::resources& Capacity() const { return mCapacity; }
   [[nodiscard]] const cell::resources& Free() const { return mFree; }
+  // The same of the workers of each service.
+  [[nodiscard]] const std::unordered_map<service_id, service_totals>& Totals()
+    const
+  {
+    return mTotals;
+  }
 
 private:
   // The keys by which a worker is indexed; its description may have changed.
@@ -92,6 +104,7 @@
   bool mAvoids = true;              // false: too many of them
   cell::resources mCapacity;
   cell::resources mFree;
+  std::unordered_map<service_id, service_totals> mTotals;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -23,6 +23,7 @@
     : mInput(std::move(aInput))
     , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
     , mQuotas(*mInput.mState, *mInput.mProposed)
+    , mLoad(*mInput.mState, mInput.mDurations, mInput.mNow)
   {
     for (const auto& [number, pending] : mInput.mPending) {
       if (plan_worker* worker = Find(number)) {
@@ -48,13 +49,15 @@
                          .mScope = mInput.mScope,
                          .mSuspicions = &mInput.mSuspicions,
                          .mQuotas = &mQuotas,
-                         .mCapacity = mInput.mWorkers->Capacity() });
+                         .mCapacity = mInput.mWorkers->Capacity(),
+                         .mLoad = CollectsLoad() ? &mLoad : nullptr });
     mAdvisors.emplace(mInput.mAdvisors,
                       mInput.mPolicy.mSharesAdvisors ? steps
                                                      : std::vector<open_step>(),
                       *mInput.mAdvice,
                       *mInput.mOpenQueries);
     for (open_step& step : steps) {
+      const std::size_t waitsBefore = mResult.mWaits.size();
       mResult.mConsideredTasks += step.mWaiting.size();
       const std::size_t beyondQuota = LimitToQuota(step);
       const bool waits = !step.mWaiting.empty() && Serve(step);
@@ -62,12 +65,18 @@
         mResult.mWaits.push_back(
           { step.mRef, step.mQueue->mName, wait_cause::Quota, beyondQuota });
       }
+      if (CollectsLoad() && mResult.mWaits.size() > waitsBefore) {
+        mLoad.AddWaiting(step, mResult.mWaits.back());
+      }
     }
     mResult.mFree = mInput.mWorkers->Free();
     for (const auto& [number, worker] : mCopies) {
       mResult.mFree += worker.mFree - mInput.mWorkers->Find(number)->mFree;
       mResult.mReserved += worker.mReserved;
     }
+    if (CollectsLoad()) {
+      mResult.mLoads = CollectLoads();
+    }
     mResult.mVisitedWorkers += mCopies.size();
     mResult.mOpenSteps = steps.size();
     mResult.mComparisons += mReservations.Comparisons();
@@ -75,6 +84,22 @@
   }
 
 private:
+  // What jobs are refused by; see admission.
+  [[nodiscard]] bool CollectsLoad() const
+  {
+    return mInput.mPolicy.mRefusesHopeless && mInput.mScope == plan_scope::All;
+  }
+
+  cell_loads CollectLoads()
+  {
+    for (const auto& [number, worker] : mCopies) {
+      mLoad.AddBooked(worker.mDescription->mService,
+                      mInput.mWorkers->Find(number)->mFree - worker.mFree +
+                        worker.mReserved);
+    }
+    return mLoad.Take(*mInput.mWorkers);
+  }
+
   // The plan's own copy of the worker, which it may change; null if nothing may
   // start there.
   plan_worker* Find(worker_number aWorker)
@@ -539,6 +564,7 @@
   std::unordered_map<worker_number, plan_worker> mCopies;
   reservation_planner mReservations;
   quota_planner mQuotas;
+  load_collector mLoad;
   std::optional<advisor_pool> mAdvisors;
   plan_result mResult;
 };
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -30,6 +30,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/advice_queries.h"
 #include "oriolewalk/flow/advisors.h"
+#include "oriolewalk/flow/cell_load.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/plan_workers.h"
@@ -68,6 +69,7 @@
   std::int64_t mWallMs = 0;
   plan_policy mPolicy;
   plan_scope mScope = plan_scope::All;
+  const duration_model* mDurations = nullptr;
 };
 
 struct planned_start
@@ -100,6 +102,8 @@
   std::size_t mConsideredTasks = 0; // waiting ones of the open steps
   // How often a worker was weighed for a task.
   std::size_t mComparisons = 0;
+  // By service; of a plan of all steps, if jobs may be refused.
+  cell_loads mLoads;
 };
 
 plan_result
