--- a/testing/flow/admission_test.cc
+++ b/testing/flow/admission_test.cc
@@ -1,9 +1,12 @@
 // Decisions about new jobs in cells that are full, each under the load that it
 // is for.
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
-#include <utility>
+#include <variant>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -53,6 +56,31 @@
            static_cast<std::int64_t>(aSeconds * kCapacity) };
 }
 
+// A job of this size takes the workers of the group seconds, while its value
+// ends after about one.
+job_submission
+LargeSubmission(const std::string& aId)
+{
+  step_spec step = Step(100, 2'000);
+  step.mEstimateMs = 100;
+  return { { "jobs.example", "/fees/" + aId }, { "", { step }, {} } };
+}
+
+std::string
+IdOf(int aNumber)
+{
+  const std::string number = std::to_string(aNumber);
+  return std::string(16 - number.size(), '0') + number;
+}
+
+std::optional<job_answer>
+Submit(fake_group& aGroup, const std::string& aId)
+{
+  const auto answer = aGroup.SendRequest(LargeSubmission(aId));
+  const auto* job = answer ? std::get_if<job_answer>(&*answer) : nullptr;
+  return job == nullptr ? std::nullopt : std::optional(*job);
+}
+
 // Nothing is free.
 cell_load
 FullCell(double aWaitingSeconds, time_point aNow = kLater)
@@ -416,4 +444,58 @@
   CHECK(rate.RatesOf(service_id("other"), full).empty());
 }
 
+TEST_CASE("a refused job never runs, and runs once if it is accepted later")
+{
+  // Guards against a refusal after which the job runs all the same, or twice.
+  fake_group group(3, 3, 7);
+  for (int worker = 0; worker < 3; ++worker) {
+    group.Worker(group.AddWorker("w" + std::to_string(worker))).mWorkTime =
+      milliseconds(600);
+  }
+  group.Run(seconds(5));
+  std::map<std::string, int> starts;
+  group.Oracle().mOnStart = [&](const run_ref& aRun) {
+    ++starts[aRun.mTask.mJob.Value()];
+  };
+  std::optional<job_answer> refused;
+  std::string id;
+  constexpr int kMostJobs = 200;
+  for (int number = 0; number < kMostJobs && !refused; ++number) {
+    id = IdOf(number);
+    const auto answer = Submit(group, id);
+    REQUIRE(answer);
+    if (answer->mReply == job_reply::Refused) {
+      refused = answer;
+    }
+  }
+  REQUIRE(refused);
+  CHECK(refused->mRetryAfterMs >= 1'000);
+  CHECK(group.Count("job.refused") == 1);
+  // A copy of the request that was delayed on its way.
+  CHECK(Submit(group, id)->mReply == job_reply::Refused);
+  group.Run(seconds(200));
+  CHECK(starts[id] == 0);
+  CHECK(group.StateOf(id).empty());
+
+  CHECK(Submit(group, id)->mReply == job_reply::Accepted);
+  CHECK(Submit(group, id)->mReply == job_reply::Accepted);
+  group.Run(seconds(20));
+  CHECK(starts[id] == 100);
+  CHECK(group.StateOf(id) == "done");
+  CHECK(group.Oracle().Violations().empty());
+}
+
+TEST_CASE("jobs are accepted as before where the policy doesn't refuse them")
+{
+  // Guards against refusals where they are turned off.
+  flow_options options;
+  options.mPlan.mRefusesHopeless = false;
+  fake_group group(3, 3, 7, 9, options);
+  group.AddWorker("w0");
+  group.Run(seconds(5));
+  for (int number = 0; number < 50; ++number) {
+    CHECK(Submit(group, IdOf(number))->mReply == job_reply::Accepted);
+  }
+}
+
 } // namespace oriolewalk::flow
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -57,6 +59,11 @@
     if (mFaults.mOrganisations) {
       EnableOrganisations();
     }
+    if (mFaults.mFull) {
+      mActions.insert(mActions.end(), 12, &player::Submit);
+      mActions.insert(mActions.end(), 4, &player::SubmitAgain);
+    }
+    CheckStartsOfRefused();
     for (std::size_t worker = 0; worker < kWorkers; ++worker) {
       AddWorker();
     }
@@ -122,6 +129,21 @@
     }
   }
 
+  // A job that its caller was told is refused never runs by that request.
+  void CheckStartsOfRefused()
+  {
+    run_oracle& oracle = mGroup.Oracle();
+    oracle.mOnStart = [this, former = oracle.mOnStart](const run_ref& aRun) {
+      if (former) {
+        former(aRun);
+      }
+      const std::string& id = aRun.mTask.mJob.Value();
+      if (mRefused.contains(id)) {
+        mGroup.Oracle().AddViolation("a refused job runs: " + id);
+      }
+    };
+  }
+
   // Returns whether it was acknowledged.
   bool Put(const table_change_with_access& aChange)
   {
@@ -160,14 +182,38 @@
   // Whether the job was accepted.
   bool Send(const std::string& aId, job_submission aJob)
   {
-    if (!mOrganisations) {
-      return mGroup.SendRequest(std::move(aJob)).has_value();
+    mRefused.erase(aId);
+    std::optional<job_reply> reply;
+    if (mOrganisations) {
+      const std::string key = mOrganisations->AnyKey();
+      reply =
+        ReplyOf(mGroup.SendRequest(keyed_request{ key, std::move(aJob) }));
+      mOrganisations->OnSubmitted(aId, key, reply);
+    } else {
+      reply = ReplyOf(mGroup.SendRequest(std::move(aJob)));
+    }
+    const bool isAccepted = mOrganisations
+                              ? reply == job_reply::Accepted
+                              : reply && reply != job_reply::Refused;
+    if (reply == job_reply::Refused) {
+      ++mCounts.mRefusals;
+      mRefused.insert(aId);
+    }
+    return isAccepted;
+  }
+
+  // A caller whose job was refused sends it again, at any time.
+  void SubmitAgain()
+  {
+    if (mRefused.empty()) {
+      return;
+    }
+    auto chosen = mRefused.begin();
+    std::advance(chosen, static_cast<long>(Choose(mRefused.size())));
+    const std::string id = *chosen;
+    if (Send(id, mSubmissions.at(id))) {
+      mJobs[id] = false;
     }
-    const std::string key = mOrganisations->AnyKey();
-    const auto reply =
-      ReplyOf(mGroup.SendRequest(keyed_request{ key, std::move(aJob) }));
-    mOrganisations->OnSubmitted(aId, key, reply);
-    return reply == job_reply::Accepted;
   }
 
   // Whether a cancellation may have been accepted.
@@ -200,7 +246,9 @@
       "w" + std::to_string(mWorkers.size()), Choose(2) == 0 ? 0 : 0.02);
     mGroup.Worker(made).mTaskSize =
       testing::Step(1, kTaskMilliProcessors).mSize;
-    mGroup.Worker(made).mWorkTime = milliseconds(100 + 100 * Choose(20));
+    constexpr std::uint64_t kTenthsWhenFull = 3;
+    mGroup.Worker(made).mWorkTime =
+      milliseconds(100 + 100 * Choose(mFaults.mFull ? kTenthsWhenFull : 20));
     mGroup.Worker(made).mFailsFirstAttempts = Choose(3) == 0;
     mWorkers.push_back(made);
   }
@@ -221,9 +269,10 @@
     constexpr const char* kHex = "0123456789abcdef";
     // A job that reused the id of one without an answer would be the same job,
     // and crash as that one does.
-    const std::size_t number = mFaults.mCrashing || mFaults.mOrganisations
-                                 ? mSubmittedJobs++
-                                 : mJobs.size();
+    const std::size_t number =
+      mFaults.mCrashing || mFaults.mOrganisations || mFaults.mFull
+        ? mSubmittedJobs++
+        : mJobs.size();
     if (number >= 16) {
       return;
     }
@@ -233,18 +282,32 @@
     first.mGang = Choose(4) == 0;
     step_spec second = testing::Step(2, 2'000);
     second.mDependsOn = { 0 };
+    if (mFaults.mFull) {
+      Widen(first, second);
+    }
     constexpr std::uint64_t kCrashingOneIn = 5; // one job in five
     if (mFaults.mCrashing && Choose(kCrashingOneIn) == 0) {
       // The members of a gang end together, so all of them crash.
       mCrashing[id] = first.mGang || Choose(4) == 0;
     }
-    if (Send(id,
-             { { "jobs.example", "/fees/" + id },
-               { "", { first, second }, {} } })) {
+    mSubmissions[id] = { { "jobs.example", "/fees/" + id },
+                         { "", { first, second }, {} } };
+    if (Send(id, mSubmissions.at(id))) {
       mJobs[id] = false;
     }
   }
 
+  // Makes a job of which a few are more than the workers can do in time.
+  void Widen(step_spec& aFirst, step_spec& aSecond)
+  {
+    constexpr std::uint32_t kLeastTasks = 50;
+    constexpr std::int64_t kEstimateMs = 200;
+    aFirst.mGang = false; // the workers have no room for one of this size
+    aFirst.mCount = kLeastTasks * (1 + static_cast<std::uint32_t>(Choose(2)));
+    aFirst.mEstimateMs = kEstimateMs;
+    aSecond.mEstimateMs = kEstimateMs;
+  }
+
   void Cancel()
   {
     if (mJobs.empty()) {
@@ -380,7 +443,7 @@
   [[nodiscard]] std::size_t MaxCrashCount(const std::string& aId)
   {
     std::size_t max = 0;
-    constexpr std::uint32_t kMaxTasks = 6;
+    constexpr std::uint32_t kMaxTasks = 100; // of a step
     for (std::uint32_t at = 0; at < 2 * kMaxTasks; ++at) {
       const task_ref task{ job_id(aId), 0, at / kMaxTasks, at % kMaxTasks };
       max = std::max(max, mGroup.Oracle().CrashCount(task));
@@ -427,6 +490,11 @@
     if (!mGroup.Oracle().Violations().empty()) {
       return mGroup.Oracle().Violations().front();
     }
+    for (const std::string& id : mRefused) {
+      if (const std::string state = StateOf(id); !state.empty()) {
+        return "at the end a refused job is '" + state + "': " + id;
+      }
+    }
     for (const auto& [id, cancelled] : mJobs) {
       if (auto violation = CheckEnd(id, cancelled)) {
         return violation;
@@ -445,6 +513,8 @@
   std::optional<organisation_oracle> mOrganisations;
   std::vector<std::size_t> mWorkers;
   std::map<std::string, bool> mJobs; // whether a cancel was sent
+  std::map<std::string, job_submission> mSubmissions;
+  std::set<std::string> mRefused; // by the last answer
   // Jobs with tasks that crash their workers; true if all tasks of the step do.
   std::map<std::string, bool> mCrashing;
   std::size_t mSubmittedJobs = 0; // submitted jobs, answered or not
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -35,6 +35,8 @@
   bool mShrinking = false;
   // Jobs belong to organisations, whose keys and maxima change.
   bool mOrganisations = false;
+  // Callers submit more than the workers can do, and come back when refused.
+  bool mFull = false;
 };
 
 // Counts of what happened to the jobs of a history.
@@ -44,6 +46,7 @@
   std::size_t mCrashingStarts = 0; // of such tasks
   std::size_t mNormalJobs = 0;
   std::size_t mFailedNormalJobs = 0;
+  std::size_t mRefusals = 0;
 };
 
 // Plays up to aMaxActions actions, then heals all faults and waits. Returns the
@@ -58,6 +61,7 @@
 // - An accepted job that was not cancelled ends as done (its tasks fail once at
 //   most), or as failed if two workers have crashed under one of its tasks, and
 //   is never unknown to a leader that answers.
+// - A refused job doesn't run, unless it is submitted again.
 // - A task that crashes its workers isn't started three more times after three
 //   have crashed under it, and its job ends as failed.
 // aOptions configures the group; with mMaxWorkersWithoutRelays = 0 relays make
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -67,6 +67,15 @@
   PlaySeeds(150, {}, { .mBusy = true });
 }
 
+TEST_CASE("random histories violate no guarantee while jobs are refused")
+{
+  // Guards against a refused job that runs by a copy of its request or by
+  // another leader, and against an accepted one that doesn't.
+  PlaySeeds(75, {}, { .mFull = true });
+  PlaySeeds(75, {}, { .mBusy = true, .mRestarts = true, .mFull = true });
+  PlaySeeds(75, {}, { .mOrganisations = true, .mFull = true });
+}
+
 TEST_CASE("random histories violate no guarantee while workers restart")
 {
   // Workers restart under their ids, amid all other faults. What the leader
--- a/testing/flow/organisation_oracle.cc
+++ b/testing/flow/organisation_oracle.cc
@@ -198,7 +198,8 @@
   if (aReply == job_reply::Unauthorized && !mayBeNobodys) {
     mRuns.AddViolation("a job was refused with a valid key: " + aJob);
   }
-  if (owners.size() == 1 && mayBeSomebodys) {
+  // A refused job is unknown; another organisation may submit its id.
+  if (owners.size() == 1 && mayBeSomebodys && aReply != job_reply::Refused) {
     mOwners.emplace(aJob, *owners.begin());
   }
 }
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -36,6 +36,7 @@
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
   "                 [--crashing] [--shrinking] [--organisations] [--spares]\n"
+  "                 [--full]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
   "  --holds     orders stand still on their way for seconds\n"
@@ -43,6 +44,7 @@
   "  --shrinking workers' capacities shrink and grow again\n"
   "  --organisations jobs belong to organisations, whose keys and maxima\n"
   "              change\n"
+  "  --full      callers submit more than the workers can do\n"
   "  --spares    fifteen control processes, of which five vote\n"
   "  --carried   other control processes carry the leader's orders\n";
 
@@ -71,6 +73,7 @@
     option{ "shrinking", no_argument, nullptr, 's' },
     option{ "organisations", no_argument, nullptr, 'o' },
     option{ "spares", no_argument, nullptr, 'p' },
+    option{ "full", no_argument, nullptr, 'u' },
     option{ nullptr, 0, nullptr, 0 },
   };
   run_options options;
@@ -115,6 +118,9 @@
       case 'p':
         options.mFaults.mSpares = true;
         break;
+      case 'u':
+        options.mFaults.mFull = true;
+        break;
       default:
         isValid = false;
     }
@@ -131,6 +137,7 @@
   aAll.mCrashingStarts += aOne.mCrashingStarts;
   aAll.mNormalJobs += aOne.mNormalJobs;
   aAll.mFailedNormalJobs += aOne.mFailedNormalJobs;
+  aAll.mRefusals += aOne.mRefusals;
 }
 
 // Returns how many violated a guarantee.
@@ -177,6 +184,9 @@
     std::cout << counts.mCrashingJobs << " jobs with tasks that crash, "
               << counts.mCrashingStarts << " starts of such tasks\n";
   }
+  if (counts.mRefusals > 0 || options->mFaults.mFull) {
+    std::cout << counts.mRefusals << " submissions refused\n";
+  }
   std::cout << counts.mFailedNormalJobs << " of " << counts.mNormalJobs
             << " jobs without crashing tasks failed\n";
   std::cout << options->mTo - options->mFrom + 1 << " histories played, "
