--- a/testing/platform/calls_test.cc
+++ b/testing/platform/calls_test.cc
@@ -110,6 +110,11 @@
   const auto refused = platform::WriteClientAnswer(
     Fail(error_code::Unavailable, "ask", "none"), milliseconds(1'500));
   CHECK(refused.Find("Retry-After") == "2");
+  // The leader refused the job for 2,500 ms. The header has whole seconds, and
+  // a caller that came back earlier would be refused again.
+  const auto full = platform::WriteClientAnswer(Job(flow::job_reply::Refused),
+                                                milliseconds(1'500));
+  CHECK(full.Find("Retry-After") == "3");
   CHECK(platform::WriteClientAnswer(Job(flow::job_reply::State), {}).mBody ==
         R"({"state":"done"})");
   CHECK(platform::WriteClientAnswer(Job(flow::job_reply::Pending), {}).mBody ==
