--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -100,11 +100,12 @@
   input.mWallMs = mAt.mWallMs;
   input.mScope = aScope;
   if (mOptions.mPlan.mLearnsDurations) {
-    input.mDurations = &mExpectedDurations;
+    input.mExpectedDurations = &mExpectedDurations;
   }
   if (aScope == plan_scope::All && mOptions.mPlan.mCopies) {
     AddRunningTasks(input);
   }
+  input.mDurations = &mDurationModel;
   return input;
 }
 
@@ -130,6 +131,7 @@
   if (*scope == plan_scope::All) {
     LogWaits(plan);
     LogShortage(plan, usable);
+    UpdateLoads(std::move(plan.mLoads));
   }
   mPlanTimer.OnPlanned(*scope, plan.mWaiting, mAt.mNow);
   mNothingToQuery.insert(plan.mNothingToQuery.begin(),
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -81,6 +81,7 @@
 leader_core::RecordEnds(const end_runs& aEnds)
 {
   for (const run_end& end : aEnds.mEnds) {
+    CountFreed(end.mRun);
     mHealth.OnRunEnded(aEnds.mWorker, end.mOutcome, mAt.mNow);
     if (mOptions.mPlan.mLearnsDurations && end.mOutcome == run_outcome::Done) {
       LearnDuration(end.mRun, aEnds.mWorker);
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -23,6 +23,7 @@
 #include <span>
 #include <vector>
 
+#include "oriolewalk/flow/cell_load.h"
 #include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/quota_planner.h"
@@ -39,9 +40,11 @@
   plan_scope mScope = plan_scope::All;
   const suspect_summary* mSuspicions = nullptr;
   quota_planner* mQuotas = nullptr;
-  cell::resources mCapacity{};              // of all workers together
-  expected_durations* mDurations = nullptr; // null: the callers' estimates
-  time_point mNow{};                        // used with mDurations
+  cell::resources mCapacity{}; // of all workers together
+  // Null: the callers' estimates.
+  expected_durations* mDurations = nullptr;
+  time_point mNow{};               // used with mDurations
+  load_collector* mLoad = nullptr; // counts the tasks that run, if any
 };
 
 std::vector<open_step>
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -31,6 +31,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/advice_queries.h"
 #include "oriolewalk/flow/advisors.h"
+#include "oriolewalk/flow/cell_load.h"
 #include "oriolewalk/flow/copy_planner.h"
 #include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/flow_state.h"
@@ -70,13 +71,14 @@
   // Runs that may get a copy; only for a plan of all steps.
   std::vector<running_task> mRunning;
   std::map<step_ref, finished_tasks> mFinished;  // of their steps
-  const duration_model* mDurations = nullptr;    // see copy_input
+  const duration_model* mDurations = nullptr;    // null: the callers' estimates
   std::map<task_ref, std::uint32_t> mCopyCounts; // see copy_input
   time_point mNow{};
   std::int64_t mWallMs = 0;
   plan_policy mPolicy;
   plan_scope mScope = plan_scope::All;
-  expected_durations* mDurations = nullptr; // null: the callers' estimates
+  // Null: slack and order by the callers' estimates.
+  expected_durations* mExpectedDurations = nullptr;
 };
 
 struct planned_start
@@ -116,6 +118,8 @@
   std::size_t mConsideredTasks = 0; // waiting ones of the open steps
   // How often a worker was weighed for a task.
   std::size_t mComparisons = 0;
+  // By service; of a plan of all steps, if jobs may be refused.
+  cell_loads mLoads;
 };
 
 plan_result
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -39,6 +39,8 @@
   // second attempts may fail as well. There are more workers, and tasks are
   // small.
   bool mCopies = false;
+  // Callers submit more than the workers can do, and come back when refused.
+  bool mFull = false;
 };
 
 // Counts of what happened to the jobs of a history.
@@ -50,6 +52,7 @@
   std::size_t mFailedNormalJobs = 0;
   std::size_t mStarts = 0;
   std::size_t mSecondStarts = 0; // beside another run of the same task
+  std::size_t mRefusals = 0;
 };
 
 // Plays up to aMaxActions actions, then heals all faults and waits. Returns the
@@ -68,6 +71,7 @@
 // - An accepted job that was not cancelled ends as done (its tasks fail once at
 //   most), or as failed if two workers have crashed under one of its tasks, and
 //   is never unknown to a leader that answers.
+// - A refused job doesn't run, unless it is submitted again.
 // - A task that crashes its workers isn't started three more times after three
 //   have crashed under it (four more times with copies), and its job ends as
 //   failed.
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -36,7 +36,7 @@
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
   "                 [--crashing] [--shrinking] [--organisations] [--spares]\n"
-  "                 [--copies]\n"
+  "                 [--copies] [--full]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
   "  --holds     orders stand still on their way for seconds\n"
@@ -45,6 +45,7 @@
   "  --organisations jobs belong to organisations, whose keys and maxima\n"
   "              change\n"
   "  --copies    some steps allow copies of their tasks\n"
+  "  --full      callers submit more than the workers can do\n"
   "  --spares    fifteen control processes, of which five vote\n"
   "  --carried   other control processes carry the leader's orders\n";
 
@@ -74,6 +75,7 @@
     option{ "organisations", no_argument, nullptr, 'o' },
     option{ "spares", no_argument, nullptr, 'p' },
     option{ "copies", no_argument, nullptr, 'y' },
+    option{ "full", no_argument, nullptr, 'u' },
     option{ nullptr, 0, nullptr, 0 },
   };
   run_options options;
@@ -121,6 +123,9 @@
       case 'y':
         options.mFaults.mCopies = true;
         break;
+      case 'u':
+        options.mFaults.mFull = true;
+        break;
       default:
         isValid = false;
     }
@@ -139,6 +144,7 @@
   aAll.mFailedNormalJobs += aOne.mFailedNormalJobs;
   aAll.mStarts += aOne.mStarts;
   aAll.mSecondStarts += aOne.mSecondStarts;
+  aAll.mRefusals += aOne.mRefusals;
 }
 
 // Returns how many violated a guarantee.
@@ -189,6 +195,9 @@
     std::cout << counts.mSecondStarts << " of " << counts.mStarts
               << " starts were beside another run of their task\n";
   }
+  if (counts.mRefusals > 0 || options->mFaults.mFull) {
+    std::cout << counts.mRefusals << " submissions refused\n";
+  }
   std::cout << counts.mFailedNormalJobs << " of " << counts.mNormalJobs
             << " jobs without crashing tasks failed\n";
   std::cout << options->mTo - options->mFrom + 1 << " histories played, "
