A leader that falls behind commits the ends of all workers together

Cause: about 1,800 runs end a second, and each worker's answer with an end was an entry of the log of its own. At 120 us an entry that is a fifth of the processor, on top of as much each for the start's and the poll's answer; plans get what is left and come too late.

Change: while ticks come at twice their interval or later, the ends of all workers are held until the next tick and proposed as one command, end_runs_on_workers. They are proposed before anything else that concerns their workers (a removal or registration), so no end is overtaken. A leader that keeps up proposes each worker's ends at once, by the command that it used before.

Ruled out: polling less often, which would merge few ends (1.6 a second and worker) and delay every step.

--- a/oriolewalk/flow/command.h
+++ b/oriolewalk/flow/command.h
@@ -259,8 +259,22 @@
   }
 };
 
+// The ends of several workers in one entry of the log. A leader that falls
+// behind proposes it instead of one end_runs for each worker.
+struct end_runs_on_workers
+{
+  std::vector<end_runs> mWorkers;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWorkers);
+  }
+};
+
 // A process of an earlier version can't read commands that were added later and
-// stops. They are proposed only where a table with organisations needs them.
+// stops. They are proposed only where a table with organisations needs them, or
+// where a leader falls behind.
 using command_body = std::variant<put_table,
                                   submit_job,
                                   cancel_job,
@@ -276,7 +290,8 @@
                                   record_worker_return,
                                   record_worker_crash,
                                   put_table_with_access,
-                                  submit_owned_job>;
+                                  submit_owned_job,
+                                  end_runs_on_workers>;
 
 // An entry of the log. All replicas use the proposer's wall time.
 struct command
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -174,6 +174,7 @@
   apply_outcome On(const record_worker_crash& aCrash, std::int64_t aWallMs);
   apply_outcome On(const put_table_with_access& aPut, std::int64_t aWallMs);
   apply_outcome On(const submit_owned_job& aSubmit, std::int64_t aWallMs);
+  apply_outcome On(const end_runs_on_workers& aEnds, std::int64_t aWallMs);
 
   void PutTable(const put_table& aPut, std::optional<access_rules> aAccess);
   apply_outcome Submit(const submit_job& aSubmit,
--- a/oriolewalk/flow/flow_state_runs.cc
+++ b/oriolewalk/flow/flow_state_runs.cc
@@ -139,6 +139,18 @@
   return outcome;
 }
 
+// The ends of a worker that has gone are skipped; those of the others count.
+apply_outcome
+flow_state::On(const end_runs_on_workers& aEnds, std::int64_t aWallMs)
+{
+  apply_outcome all;
+  for (const end_runs& ends : aEnds.mWorkers) {
+    apply_outcome one = On(ends, aWallMs);
+    std::ranges::move(one.mEndedJobs, std::back_inserter(all.mEndedJobs));
+  }
+  return all;
+}
+
 void
 flow_state::End(worker_number aWorker,
                 const run_end& aEnd,
--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -332,6 +332,7 @@
                       const worker_heartbeat& aHeartbeat,
                       worker_description aDescription)
 {
+  ProposeHeldEnds();
   const worker_number number = mState.NumberOf(aDescription.mId);
   decltype(decision::mFields) fields{
     { "worker", aDescription.mId.Value() },
@@ -435,6 +436,7 @@
         { "born", std::to_string(aDeregistration.mProcessStartMs) } } });
   mSupervisor.SaveCheckpoints(number);
   DrainSupervisor();
+  ProposeHeldEnds();
   ProposeAndAnswer(aCall, remove_worker{ number }, acknowledgement{});
 }
 
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -67,9 +67,12 @@
   } else if (const auto* removed = std::get_if<remove_worker>(&aCommand)) {
     ForgetWorker(removed->mWorker);
   } else if (const auto* ends = std::get_if<end_runs>(&aCommand)) {
-    mSupervisor.OnEndsApplied(ends->mWorker, mAt.mNow);
-    RecordEnds(*ends);
-    LogEnds(*ends);
+    OnEndsApplied(*ends);
+  } else if (const auto* several =
+               std::get_if<end_runs_on_workers>(&aCommand)) {
+    for (const end_runs& one : several->mWorkers) {
+      OnEndsApplied(one);
+    }
   } else if (const auto* dropped = std::get_if<drop_runs>(&aCommand)) {
     mSupervisor.OnRunsDropped(dropped->mWorker);
   } else if (const auto* lost = std::get_if<mark_runs_lost>(&aCommand)) {
@@ -121,13 +124,44 @@
 {
   std::ranges::for_each(mSupervisor.TakeDecisions(), mPort.mLogDecision);
   for (command_body& body : mSupervisor.TakeCommands()) {
-    const auto* ends = std::get_if<end_runs>(&body);
-    const worker_number worker = ends == nullptr ? 0 : ends->mWorker;
-    if (!mPort.mPropose(std::move(body), {}) && worker != 0) {
-      mSupervisor.OnEndsApplied(worker,
-                                mAt.mNow); // the next poll lists the ends again
+    if (auto* ends = std::get_if<end_runs>(&body)) {
+      mHeldEnds.push_back(std::move(*ends));
+    } else {
+      // It may drop runs or remove their worker.
+      ProposeHeldEnds();
+      Propose(std::move(body));
     }
   }
+  // While this process falls behind, each entry of the log delays all other
+  // work, so the ends until the next tick share one.
+  if (!mPlanTimer.IsBehind()) {
+    ProposeHeldEnds();
+  }
+}
+
+void
+leader_core::ProposeHeldEnds()
+{
+  std::vector<end_runs> held = std::exchange(mHeldEnds, {});
+  if (mPlanTimer.IsBehind() && held.size() > 1) {
+    ProposeEnds(end_runs_on_workers{ held }, held);
+    return;
+  }
+  for (const end_runs& ends : held) {
+    ProposeEnds(ends, { &ends, 1 });
+  }
+}
+
+void
+leader_core::ProposeEnds(command_body aBody, std::span<const end_runs> aEnds)
+{
+  if (mPort.mPropose(std::move(aBody), {})) {
+    return;
+  }
+  for (const end_runs& ends : aEnds) {
+    // The next poll lists the ends again.
+    mSupervisor.OnEndsApplied(ends.mWorker, mAt.mNow);
+  }
 }
 
 void
@@ -136,6 +170,7 @@
   mPlanTimer.OnTick(mAt.mNow);
   mSupervisor.Tick(mAt.mNow);
   DrainSupervisor();
+  ProposeHeldEnds();
   if (mAt.mNow >= mSweptAt + kSweepInterval) {
     mSweptAt = mAt.mNow;
     UpdateRelays();
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -25,6 +25,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -192,6 +193,12 @@
   void StopUnwanted();
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
+  void OnEndsApplied(const end_runs& aEnds);
+  // Proposes the ends that were held back to share an entry of the log. To be
+  // called before anything else is proposed that concerns their workers.
+  void ProposeHeldEnds();
+  // aBody: a command with these ends.
+  void ProposeEnds(command_body aBody, std::span<const end_runs> aEnds);
   void RecordEnds(const end_runs& aEnds);
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
@@ -280,6 +287,7 @@
   // Preempted runs that may not have ended yet, and their workers.
   std::map<run_ref, worker_number> mPreemptedRuns;
   preemption_records mPreemptionRecords;
+  std::vector<end_runs> mHeldEnds; // not yet proposed
   suspect_isolation mIsolation;
   std::map<std::string, time_point> mEntries;
   std::map<std::string, time_point> mSpares; // processes that aren't members
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -158,6 +158,9 @@
                  std::ranges::for_each(aStarts.mRuns, invalidateOne);
                },
                [&](const end_runs& aEnds) { invalidateOne(aEnds); },
+               [&](const end_runs_on_workers& aEnds) {
+                 std::ranges::for_each(aEnds.mWorkers, invalidateOne);
+               },
                [&](const drop_runs& aDrop) { invalidateOne(aDrop); },
                [&](const mark_runs_lost& aLost) { invalidateOne(aLost); },
                [&](const remove_worker& aRemoved) { invalidateOne(aRemoved); },
@@ -180,15 +183,19 @@
     return job != nullptr && step != nullptr &&
            IsTopPriority(mState.QueueOf(*job), *step);
   };
+  const auto endsTopPriority = [&](const end_runs& aEnds) {
+    return mTopPriorityWaiting > 0 ||
+           std::ranges::any_of(aEnds.mEnds, isTopPriority, &run_end::mRun);
+  };
   return std::visit(
     overloaded{
       [](const submit_job& aSubmit) { return aSubmit.mQueue.mPriority == 0; },
       [](const submit_owned_job& aSubmit) {
         return aSubmit.mSubmit.mQueue.mPriority == 0;
       },
-      [&](const end_runs& aEnds) {
-        return mTopPriorityWaiting > 0 ||
-               std::ranges::any_of(aEnds.mEnds, isTopPriority, &run_end::mRun);
+      endsTopPriority,
+      [&](const end_runs_on_workers& aEnds) {
+        return std::ranges::any_of(aEnds.mWorkers, endsTopPriority);
       },
       [&](const drop_runs& aDrop) {
         return mTopPriorityWaiting > 0 ||
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -76,6 +76,14 @@
   }
 }
 
+void
+leader_core::OnEndsApplied(const end_runs& aEnds)
+{
+  mSupervisor.OnEndsApplied(aEnds.mWorker, mAt.mNow);
+  RecordEnds(aEnds);
+  LogEnds(aEnds);
+}
+
 void
 leader_core::RecordEnds(const end_runs& aEnds)
 {
--- a/oriolewalk/flow/plan_timer.cc
+++ b/oriolewalk/flow/plan_timer.cc
@@ -62,6 +62,12 @@
   return std::nullopt;
 }
 
+bool
+plan_timer::IsBehind() const
+{
+  return mMeanTickInterval >= 2 * kTickInterval;
+}
+
 void
 plan_timer::OnPlanned(plan_scope aScope, std::size_t aWaiting, time_point aNow)
 {
--- a/oriolewalk/flow/plan_timer.h
+++ b/oriolewalk/flow/plan_timer.h
@@ -38,6 +38,8 @@
   // Returns nullopt if no plan is due yet.
   [[nodiscard]] std::optional<plan_scope> DueScope(std::size_t aLiveJobs,
                                                    time_point aNow) const;
+  // Whether ticks come at twice their interval or later.
+  [[nodiscard]] bool IsBehind() const;
   // The mean time between the last ticks.
   [[nodiscard]] duration TickInterval() const { return mMeanTickInterval; }
   // aWaiting: tasks that could not be placed.
--- a/testing/flow/flow_state_test.cc
+++ b/testing/flow/flow_state_test.cc
@@ -303,4 +303,26 @@
   CHECK(builder.mState.FindJob(job)->mState == job_state::Done);
 }
 
+TEST_CASE("ends of several workers in one entry count like one by one")
+{
+  // Guards against ends that are lost with those of a worker that has gone.
+  state_builder builder;
+  const worker_number gone = builder.AddWorker(Worker("a"));
+  const worker_number other = builder.AddWorker(Worker("bb"));
+  const job_id job = builder.AddJob("j", { Step(2, 1'000) });
+  const run_ref lost = state_builder::Run(job, 1, 0);
+  const run_ref done = state_builder::Run(job, 1, 1);
+  builder.Start(lost, gone);
+  builder.Start(done, other);
+  builder.Apply(remove_worker{ gone });
+  const apply_outcome outcome = builder.Apply(end_runs_on_workers{
+    { { gone, { { lost, run_outcome::Done, {} } }, 1 },
+      { other, { { done, run_outcome::Done, {} } }, 4 } } });
+  CHECK(!outcome.mError);
+  CHECK(builder.mState.FindTask(lost.mTask)->mPhase == task_phase::Waiting);
+  CHECK(builder.mState.FindTask(done.mTask)->mPhase == task_phase::Done);
+  CHECK(builder.mState.FindWorker(other)->mCursor == 4);
+  CHECK(builder.mState.RunsAt(other).empty());
+}
+
 } // namespace oriolewalk::flow
