--- a/oriolewalk/flow/command.h
+++ b/oriolewalk/flow/command.h
@@ -259,6 +259,19 @@
   }
 };
 
+// The ends of several workers in one entry of the log. A leader that falls
+// behind proposes it instead of one end_runs for each worker.
+struct end_runs_on_workers
+{
+  std::vector<end_runs> mWorkers;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWorkers);
+  }
+};
+
 // Second runs of tasks that are in progress; see flow_state_copies.cc.
 // Committed before any start order is sent, like start_runs. Proposed only for
 // steps that allow copies.
@@ -275,7 +288,7 @@
 
 // A process of an earlier version can't read commands that were added later and
 // stops. They are proposed only where a table with organisations or a step that
-// allows copies needs them.
+// allows copies needs them, or where a leader falls behind.
 using command_body = std::variant<put_table,
                                   submit_job,
                                   cancel_job,
@@ -292,6 +305,7 @@
                                   record_worker_crash,
                                   put_table_with_access,
                                   submit_owned_job,
+                                  end_runs_on_workers,
                                   start_copies>;
 
 // An entry of the log. All replicas use the proposer's wall time.
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -210,6 +211,12 @@
   void StopOvertakenRuns();
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
+  void OnEndsApplied(const end_runs& aEnds);
+  // Proposes the ends that were held back to share an entry of the log. To be
+  // called before anything else is proposed that concerns their workers.
+  void ProposeHeldEnds();
+  // aBody: a command with these ends.
+  void ProposeEnds(command_body aBody, std::span<const end_runs> aEnds);
   void RecordEnds(const end_runs& aEnds);
   // Adds the run's duration to what is learned, if it tells something about
   // the task. Its end as done is committed.
@@ -317,6 +324,7 @@
   std::map<run_ref, worker_number> mPreemptedRuns;
   preemption_records mPreemptionRecords;
   std::map<task_ref, std::uint32_t> mCopyCounts; // copies that were started
+  std::vector<end_runs> mHeldEnds; // not yet proposed
   suspect_isolation mIsolation;
   std::map<std::string, time_point> mEntries;
   std::map<std::string, time_point> mSpares; // processes that aren't members
