A plan order that serves jobs without any value left last

plan_order::UsefulFirst orders like LeastSlack, but of one priority the steps whose job can't end within three times its objective any more come last, by learned durations at their tails. Such steps still come before lower priorities.

The default stays LeastSlack.

The benchmark has the callers' estimates and this order as policies.

--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -55,6 +55,10 @@
                 false,
                 false };
   };
+  add("callers_estimates",
+      [](plan_policy& aOne) { aOne.mLearnsDurations = false; });
+  add("useful_first",
+      [](plan_policy& aOne) { aOne.mOrder = plan_order::UsefulFirst; });
   add("no_packing",
       [](plan_policy& aOne) { aOne.mPlacement = placement_rule::Spreading; });
   add("no_asking_ahead", [](plan_policy& aOne) { aOne.mQueriesAhead = false; });
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -59,6 +59,26 @@
   });
 }
 
+// A job has no value to its caller after this many times its objective.
+constexpr std::int64_t kObjectivesOfValue = 3;
+
+std::int64_t
+ObjectiveFor(std::int64_t aLongestChainMs, const queue_row& aQueue)
+{
+  const auto chain = static_cast<double>(aLongestChainMs);
+  return static_cast<std::int64_t>(aQueue.mStretch * chain) + aQueue.mTargetMs;
+}
+
+// Moves the steps whose job can have no more value behind the others of their
+// priority. The order is otherwise kept.
+void
+MovePastValueLast(std::vector<open_step>& aSteps)
+{
+  std::ranges::stable_sort(aSteps, {}, [](const open_step& aStep) {
+    return std::pair(aStep.mQueue->mPriority, aStep.mIsPastValue);
+  });
+}
+
 class collector
 {
 public:
@@ -147,6 +167,12 @@
           {},
           {},
           SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs, durations) });
+      // A step that has time left isn't past its value.
+      open_step& added = aSteps.back();
+      added.mIsPastValue =
+        mInput.mOrder == plan_order::UsefulFirst && added.mSlackMs < 0 &&
+        !MayHaveValue(
+          aJob, queue, aOccurrence, step, mInput.mWallMs, durations);
     }
   }
 
@@ -213,8 +239,7 @@
             const queue_row& aQueue,
             std::span<const duration_estimate> aDurations)
 {
-  const auto chain = static_cast<double>(LongestChainMs(aJob, 0, aDurations));
-  return static_cast<std::int64_t>(aQueue.mStretch * chain) + aQueue.mTargetMs;
+  return ObjectiveFor(LongestChainMs(aJob, 0, aDurations), aQueue);
 }
 
 std::int64_t
@@ -230,6 +255,27 @@
          LongestChainMs(aJob.mSpec, aStep, aDurations);
 }
 
+bool
+MayHaveValue(const job_record& aJob,
+             const queue_row& aQueue,
+             const occurrence_record& aOccurrence,
+             std::uint32_t aStep,
+             std::int64_t aWallMs,
+             std::span<const duration_estimate> aDurations)
+{
+  if (aDurations.empty() ||
+      !std::ranges::all_of(aDurations, &duration_estimate::mIsLearned)) {
+    return true;
+  }
+  const auto tail = [&](std::size_t aAt) {
+    return static_cast<std::int64_t>(aDurations[aAt].mTailMs);
+  };
+  const std::int64_t objective =
+    ObjectiveFor(LongestChainMs(aJob.mSpec, 0, tail), aQueue);
+  return aWallMs + LongestChainMs(aJob.mSpec, aStep, tail) <=
+         aOccurrence.mOpenedWallMs + kObjectivesOfValue * objective;
+}
+
 std::vector<open_step>
 CollectOpenSteps(const flow_state& aState, const open_steps_input& aInput)
 {
@@ -238,14 +284,18 @@
   std::ranges::sort(steps, {}, [&](const open_step& aStep) {
     const int priority =
       aInput.mOrder == plan_order::Arrival ? 0 : aStep.mQueue->mPriority;
-    const std::int64_t next = aInput.mOrder == plan_order::LeastSlack
-                                ? aStep.mSlackMs
-                                : aStep.mJob->mSubmittedWallMs;
-    return std::make_tuple(priority, next, aStep.mRef);
+    const bool bySlack = aInput.mOrder == plan_order::LeastSlack ||
+                         aInput.mOrder == plan_order::UsefulFirst;
+    const std::int64_t next =
+      bySlack ? aStep.mSlackMs : aStep.mJob->mSubmittedWallMs;
+    return std::make_tuple(priority, aStep.mIsPastValue, next, aStep.mRef);
   });
   if (aInput.mOrder != plan_order::Arrival) {
     OrderByShares(steps, aState, aInput.mCapacity, aInput.mShares);
   }
+  if (aInput.mOrder == plan_order::UsefulFirst) {
+    MovePastValueLast(steps); // also of those within their organisation's share
+  }
   collect.ListTasks(steps);
   return steps;
 }
--- a/oriolewalk/flow/open_steps.h
+++ b/oriolewalk/flow/open_steps.h
@@ -10,7 +10,9 @@
 // Steps are ordered by priority, then by least slack. Without the order by
 // slack, large jobs that have time left take the capacity of jobs that must
 // start now. Late steps stay in front, because otherwise the largest jobs of a
-// queue starve.
+// queue starve. With plan_order::UsefulFirst those that are so late that their
+// job can have no more value come last of their priority, and still before all
+// lower ones.
 //
 // Of an organisation that is at its maximum the tasks aren't listed, however
 // many wait.
@@ -64,4 +66,16 @@
         std::int64_t aWallMs,
         std::span<const duration_estimate> aDurations = {});
 
+// Whether the job can still have a value to its caller, which ends at three
+// times its objective, if aStep starts now. True unless all durations are
+// learned. Assumes that each task takes as long as few of its kind do, because
+// that moves the objective by more than the job's end.
+bool
+MayHaveValue(const job_record& aJob,
+             const queue_row& aQueue,
+             const occurrence_record& aOccurrence,
+             std::uint32_t aStep,
+             std::int64_t aWallMs,
+             std::span<const duration_estimate> aDurations);
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/plan_policy.h
+++ b/oriolewalk/flow/plan_policy.h
@@ -14,8 +14,11 @@
 enum class plan_order : std::uint8_t
 {
   LeastSlack, // priority, then least time until it must start
-  Priority,   // priority, then arrival
-  Arrival,    // first come, first served
+  // Like LeastSlack, but of one priority the steps whose job can have no more
+  // value to its caller come last.
+  UsefulFirst,
+  Priority, // priority, then arrival
+  Arrival,  // first come, first served
 };
 
 // Which waiting steps a plan considers.
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -52,6 +52,7 @@
   std::int64_t mSlackMs = 0; // time left until it must start to be in time
   bool mBeyondShare = false; // of its organisation; see organisation_order.h
   bool mAtQuota = false; // its organisation can't start any of its tasks now
+  bool mIsPastValue = false; // its job can have no more value; see UsefulFirst
 };
 
 inline suspicion
--- a/testing/flow/learned_order_test.cc
+++ b/testing/flow/learned_order_test.cc
@@ -92,4 +92,56 @@
   CHECK(cell.First(true) == shortest);
 }
 
+TEST_CASE("a job that can have no more value comes after those that can")
+{
+  // Its tasks would take the room in which others can still be in time. Of
+  // tasks of .5 s, the objective is 1 s, and the value ends after 3 s.
+  full_cell cell;
+  cell.mScene.mPolicy.mOrder = plan_order::UsefulFirst;
+  cell.mScene.mWallMs = 10'000;
+  const job_id past = cell.Add("over", 4'000, 7'200);
+  const job_id late = cell.Add("over", 4'000, 8'000);
+  const job_id inTime = cell.Add("over", 4'000, 9'800);
+  CHECK(cell.First(true) == late);
+  cell.mScene.mPolicy.mOrder = plan_order::LeastSlack;
+  CHECK(cell.First(true) == past);
+  CHECK(cell.First(true) != inTime);
+}
+
+TEST_CASE("a job that can have no more value still runs where there is room")
+{
+  // It must not wait behind work of later queues, or for ever.
+  full_cell cell;
+  cell.mScene.mPolicy.mOrder = plan_order::UsefulFirst;
+  cell.mScene.mWallMs = 100'000;
+  const job_id past = cell.Add("over", 4'000, 1'000);
+  cell.Add("over", 4'000, 99'900, "runs");
+  CHECK(cell.First(true) == past);
+}
+
+TEST_CASE("a job of unknown duration counts as one that can have value")
+{
+  // Callers' estimates don't tell when its value ends.
+  full_cell cell;
+  cell.mScene.mPolicy.mOrder = plan_order::UsefulFirst;
+  cell.mScene.mWallMs = 100'000;
+  const job_id unknown = cell.Add("over", 4'000, 1'000, "runs");
+  cell.Add("over", 4'000, 99'900, "runs");
+  CHECK(cell.First(true) == unknown);
+}
+
+TEST_CASE("the spread of durations decides in favour of a job's value")
+{
+  // Of tasks that take .25 or 1 s, some would still be in time to be of value.
+  full_cell cell;
+  cell.mScene.mPolicy.mOrder = plan_order::UsefulFirst;
+  for (int task = 0; task < 200; ++task) {
+    cell.Learn("uneven", 500, task % 2 == 0 ? 250 : 1'000);
+  }
+  cell.mScene.mWallMs = 10'000;
+  const job_id perhaps = cell.Add("uneven", 500, 7'200);
+  cell.Add("uneven", 500, 9'900);
+  CHECK(cell.First(true) == perhaps);
+}
+
 } // namespace oriolewalk::flow
