Placement by the learned speed of workers

Cause: every step ranked workers by free share and speed alike, so long batch tasks occupied the fast workers and urgent steps got slow ones, on which their work alone takes longer than their objective (1.5 times the work and 250 ms).

Change: a step has a speed preference. Steps of priority 0 weigh speed above free share. Others leave the fast workers while the slow ones keep them in time, or while no worker can; long-running ones always leave them. A step for which only fast workers are in time has no preference, as before. A gang with a slow member is placed on the slowest workers that don't delay it further. Preemption for an urgent step prefers the faster of the workers on which as many runs would be preempted.

--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -87,6 +87,7 @@
             std::to_string(mAt.mWallMs - job->mSubmittedWallMs) } } });
     mAdvice.Forget(id);
     mStragglers.Forget(id);
+    mSpeedSamples.Forget(id);
     mIsolation.Forget(id);
     EraseWhile(mPreemptionRecords, { id, 0, 0, 0 }, [&](const task_ref& aTask) {
       return aTask.mJob == id;
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -42,6 +42,7 @@
 #include "oriolewalk/flow/plan_worker_cache.h"
 #include "oriolewalk/flow/planner.h"
 #include "oriolewalk/flow/relay_assignment.h"
+#include "oriolewalk/flow/speed_samples.h"
 #include "oriolewalk/flow/straggler_detector.h"
 #include "oriolewalk/flow/suspect_isolation.h"
 #include "oriolewalk/flow/waits.h"
@@ -193,6 +194,10 @@
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
   void RecordEnds(const end_runs& aEnds);
+  // The task ended as done after aTookMs, from its beginning or a checkpoint.
+  void LearnSpeeds(const task_ref& aTask,
+                   worker_number aWorker,
+                   double aTookMs);
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
   void LogCrashingTasks(const std::vector<task_ref>& aTasks);
@@ -263,6 +268,7 @@
   advice_cache mAdvice;
   worker_health mHealth;
   straggler_detector mStragglers;
+  speed_samples mSpeedSamples;
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -36,6 +36,7 @@
   planned.mDescription = &worker->mDescription;
   planned.mFree = worker->mDescription.mCapacity - placed.mBooked;
   planned.mSpeed = standing.mSpeed;
+  planned.mIsSpeedKnown = standing.mIsSpeedKnown;
   planned.mAvoided = standing.mAvoided;
   planned.mRunsLatencySensitive = placed.mLatencySensitive > 0;
   planned.mRunsBestEffort = placed.mBestEffort > 0;
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -81,9 +81,41 @@
 {
   for (const run_end& end : aEnds.mEnds) {
     mHealth.OnRunEnded(aEnds.mWorker, end.mOutcome, mAt.mNow);
-    const auto ratio = mStragglers.OnRunEnded(end.mRun, end.mOutcome, mAt.mNow);
-    if (ratio) {
-      mHealth.OnTaskTime(aEnds.mWorker, *ratio);
+    const auto took = mStragglers.ElapsedMs(end.mRun, mAt.mNow);
+    mStragglers.OnRunEnded(end.mRun, end.mOutcome, mAt.mNow);
+    if (took && end.mOutcome == run_outcome::Done) {
+      LearnSpeeds(end.mRun.mTask, aEnds.mWorker, *took);
+    }
+  }
+}
+
+void
+leader_core::LearnSpeeds(const task_ref& aTask,
+                         worker_number aWorker,
+                         double aTookMs)
+{
+  const step_spec* spec = mState.FindStep(aTask);
+  const step_record* record = mState.FindStepRecord(aTask);
+  // The members of a gang wait for the slowest one.
+  if (spec == nullptr || record == nullptr || spec->mGang ||
+      spec->mLongRunning) {
+    return;
+  }
+  const step_ref step{ aTask.mJob, aTask.mOccurrence, aTask.mStep };
+  if (record->mTasks[aTask.mIndex].mCheckpoint.empty()) {
+    mSpeedSamples.OnTaskDone(step, aWorker, aTookMs);
+  }
+  if (!record->IsDone()) {
+    return;
+  }
+  const double mean = mHealth.MeanSpeed();
+  const auto speedOf = [this](worker_number aOne) {
+    return mHealth.Standing(aOne, mAt.mNow).mSpeed;
+  };
+  for (const auto& [worker, ratio] : mSpeedSamples.TakeStep(step, speedOf)) {
+    if (mState.FindWorker(worker) != nullptr) {
+      mHealth.OnTaskTime(worker, ratio * mean);
+      mPlanWorkers.Invalidate(worker);
     }
   }
 }
--- a/oriolewalk/flow/placement.cc
+++ b/oriolewalk/flow/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "oriolewalk/flow/speed_preference.h"
+
 namespace oriolewalk::flow {
 
 namespace {
@@ -76,7 +78,8 @@
   const std::string& rack = aStep.mSpec->mDataRack;
   const bool isNear =
     rack.empty() || aWorker.mDescription->mRack.Value() == rack;
-  return base + (isNear ? kNearDataBonus : 0) -
+  return base + SpeedScore(aStep.mSpeed, aWorker.mSpeed) +
+         (isNear ? kNearDataBonus : 0) -
          (Interferes(aStep, aWorker) ? kInterferencePenalty : 0);
 }
 
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -21,6 +21,20 @@
 
 namespace oriolewalk::flow {
 
+// How a step uses differences in the speed of workers; see speed_preference.h.
+enum class speed_use : std::uint8_t
+{
+  Any,       // counts speed as much as free capacity
+  Fast,      // prefers a fast worker to an emptier slow one
+  LeaveFast, // prefers the slow ones that keep it in time
+};
+
+struct speed_preference
+{
+  speed_use mUse = speed_use::Any;
+  double mMinSpeed = 0; // LeaveFast: a slower worker is the last resort
+};
+
 // A worker's state within a plan.
 struct plan_worker
 {
@@ -30,6 +44,7 @@
   cell::resources mBeingFreed; // booked by runs that are being stopped
   cell::resources mReserved;   // reserved for steps that are served earlier
   double mSpeed = 1; // relative to its peers, learnt; above 1 is faster
+  bool mIsSpeedKnown = false;         // learnt from enough runs to rely on it
   bool mRunsLatencySensitive = false; // runs a task with a tail latency target
   bool mRunsBestEffort = false;
   bool mAvoided = false; // failed or stalled recently; used as a last resort
@@ -52,8 +67,17 @@
   std::int64_t mSlackMs = 0; // time left until it must start to be in time
   bool mBeyondShare = false; // of its organisation; see organisation_order.h
   bool mAtQuota = false; // its organisation can't start any of its tasks now
+  speed_preference mSpeed{};
 };
 
+// Whether the step should use the worker only if there is no faster one.
+inline bool
+IsTooSlow(const open_step& aStep, const plan_worker& aWorker)
+{
+  return aStep.mSpeed.mUse == speed_use::LeaveFast &&
+         aWorker.mSpeed < aStep.mSpeed.mMinSpeed;
+}
+
 inline suspicion
 SuspicionOf(const open_step& aStep, std::uint32_t aTask)
 {
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -1,6 +1,10 @@
 #include "oriolewalk/flow/plan_workers.h"
 
+#include <tuple>
+#include <utility>
+
 #include "oriolewalk/flow/placement.h"
+#include "oriolewalk/flow/speed_preference.h"
 
 namespace oriolewalk::flow {
 
@@ -45,40 +49,89 @@
          aEntry.mCapacity == description.mCapacity;
 }
 
+std::pair<plan_workers::rank, plan_workers::rank>
+plan_workers::RanksOf(const plan_worker& aWorker) const
+{
+  const double score = BaseScore(aWorker, mPlacement);
+  const double leaving =
+    score + SpeedScore({ speed_use::LeaveFast }, aWorker.mSpeed);
+  return { { -score, aWorker.mNumber }, { -leaving, aWorker.mNumber } };
+}
+
+namespace {
+
+void
+Rerank(plan_workers::ranking& aRanking,
+       plan_workers::rank& aRank,
+       const plan_workers::rank& aNew)
+{
+  if (aRank == aNew) {
+    return;
+  }
+  auto node = aRanking.extract(aRank);
+  aRank = aNew;
+  node.key() = aNew;
+  aRanking.insert(std::move(node));
+}
+
+void
+EraseFrom(plan_workers::rankings& aRankings,
+          const cell::resources& aCapacity,
+          const plan_workers::rank& aRank)
+{
+  const auto found = aRankings.find(aCapacity.Amounts());
+  found->second.erase(aRank);
+  if (found->second.empty()) {
+    aRankings.erase(found);
+  }
+}
+
+} // namespace
+
 // Most changes are of what is free, so the indexes' nodes are kept.
 void
 plan_workers::Replace(entry& aEntry, const plan_worker& aWorker)
 {
+  service_index& service = mByService.at(aEntry.mService);
+  if (aEntry.mWorker.mIsSpeedKnown) {
+    service.mSpeeds.Remove(aEntry.mWorker.mSpeed);
+  }
+  if (aWorker.mIsSpeedKnown) {
+    service.mSpeeds.Add(aWorker.mSpeed);
+  }
   mFree += aWorker.mFree - aEntry.mWorker.mFree;
   aEntry.mWorker = aWorker;
-  const rank former = aEntry.mRank;
-  aEntry.mRank.first = -BaseScore(aEntry.mWorker, mPlacement);
-  if (aEntry.mRank != former) {
-    ranking& ranked =
-      mByService.at(aEntry.mService).at(aEntry.mCapacity.Amounts());
-    auto node = ranked.extract(former);
-    node.key() = aEntry.mRank;
-    ranked.insert(std::move(node));
-  }
+  const auto [next, leavingFast] = RanksOf(aWorker);
+  const auto capacity = aEntry.mCapacity.Amounts();
+  Rerank(service.mRankings.at(capacity), aEntry.mRank, next);
+  Rerank(
+    service.mLeavingFast.at(capacity), aEntry.mRankLeavingFast, leavingFast);
 }
 
 void
 plan_workers::Index(entry& aEntry)
 {
-  aEntry.mRank = { -BaseScore(aEntry.mWorker, mPlacement),
-                   aEntry.mWorker.mNumber };
-  mByService[aEntry.mService][aEntry.mCapacity.Amounts()].emplace(
-    aEntry.mRank, &aEntry.mWorker);
+  std::tie(aEntry.mRank, aEntry.mRankLeavingFast) = RanksOf(aEntry.mWorker);
+  service_index& service = mByService[aEntry.mService];
+  const auto capacity = aEntry.mCapacity.Amounts();
+  service.mRankings[capacity].emplace(aEntry.mRank, &aEntry.mWorker);
+  service.mLeavingFast[capacity].emplace(aEntry.mRankLeavingFast,
+                                         &aEntry.mWorker);
+  ++service.mWorkers;
+  if (aEntry.mWorker.mIsSpeedKnown) {
+    service.mSpeeds.Add(aEntry.mWorker.mSpeed);
+  }
 }
 
 void
 plan_workers::Unindex(const entry& aEntry)
 {
-  rankings& service = mByService.at(aEntry.mService);
-  const auto found = service.find(aEntry.mCapacity.Amounts());
-  found->second.erase(aEntry.mRank);
-  if (found->second.empty()) {
-    service.erase(found);
+  service_index& service = mByService.at(aEntry.mService);
+  EraseFrom(service.mRankings, aEntry.mCapacity, aEntry.mRank);
+  EraseFrom(service.mLeavingFast, aEntry.mCapacity, aEntry.mRankLeavingFast);
+  --service.mWorkers;
+  if (aEntry.mWorker.mIsSpeedKnown) {
+    service.mSpeeds.Remove(aEntry.mWorker.mSpeed);
   }
 }
 
@@ -128,14 +181,41 @@
   return found == mEntries.end() ? nullptr : &found->second.mWorker;
 }
 
-const plan_workers::rankings&
-plan_workers::Ranked(const service_id& aService) const
+const plan_workers::service_index&
+plan_workers::IndexOf(const service_id& aService) const
 {
-  static const rankings sNone;
+  static const service_index sNone;
   const auto found = mByService.find(aService);
   return found == mByService.end() ? sNone : found->second;
 }
 
+const plan_workers::rankings&
+plan_workers::Ranked(const service_id& aService, speed_use aUse) const
+{
+  const service_index& service = IndexOf(aService);
+  return aUse == speed_use::LeaveFast ? service.mLeavingFast
+                                      : service.mRankings;
+}
+
+speed_spread
+plan_workers::Speeds(const service_id& aService) const
+{
+  const service_index& service = IndexOf(aService);
+  return service.mSpeeds.Spread(service.mWorkers);
+}
+
+std::size_t
+plan_workers::KnownSpeeds(const service_id& aService) const
+{
+  return IndexOf(aService).mSpeeds.Known();
+}
+
+std::size_t
+plan_workers::CountFrom(const service_id& aService, double aSpeed) const
+{
+  return IndexOf(aService).mSpeeds.CountFrom(aSpeed);
+}
+
 const std::set<worker_number>&
 plan_workers::InRack(const rack_id& aRack) const
 {
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -25,6 +25,7 @@
 
 #include "oriolewalk/flow/plan_policy.h"
 #include "oriolewalk/flow/plan_types.h"
+#include "oriolewalk/flow/speed_spread.h"
 
 namespace oriolewalk::flow {
 
@@ -60,7 +61,13 @@
   [[nodiscard]] const plan_worker* Find(worker_number aWorker) const;
   // The workers of a service, by their capacity, and then by the part of their
   // score that doesn't depend on the task.
-  [[nodiscard]] const rankings& Ranked(const service_id& aService) const;
+  [[nodiscard]] const rankings& Ranked(const service_id& aService,
+                                       speed_use aUse = speed_use::Any) const;
+  [[nodiscard]] speed_spread Speeds(const service_id& aService) const;
+  // Workers of the service of known speed, and those of at least aSpeed.
+  [[nodiscard]] std::size_t KnownSpeeds(const service_id& aService) const;
+  [[nodiscard]] std::size_t CountFrom(const service_id& aService,
+                                      double aSpeed) const;
   [[nodiscard]] const std::set<worker_number>& InRack(
     const rack_id& aRack) const;
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
@@ -77,16 +84,27 @@
     rack_id mRack;
     cell::resources mCapacity;
     rank mRank;
+    rank mRankLeavingFast; // for steps that leave fast workers to others
+  };
+
+  struct service_index
+  {
+    rankings mRankings;
+    rankings mLeavingFast;
+    speed_histogram mSpeeds;
+    std::size_t mWorkers = 0;
   };
 
   static bool HasSameKeys(const entry& aEntry, const plan_worker& aWorker);
   void Replace(entry& aEntry, const plan_worker& aWorker);
   void Index(entry& aEntry);
   void Unindex(const entry& aEntry);
+  [[nodiscard]] std::pair<rank, rank> RanksOf(const plan_worker& aWorker) const;
+  [[nodiscard]] const service_index& IndexOf(const service_id& aService) const;
 
   placement_rule mPlacement;
   std::unordered_map<worker_number, entry> mEntries;
-  std::unordered_map<service_id, rankings> mByService;
+  std::unordered_map<service_id, service_index> mByService;
   std::unordered_map<rack_id, std::set<worker_number>> mByRack;
   std::set<worker_number> mAvoided; // failed or stalled recently
   bool mAvoids = true;              // false: too many of them
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 
@@ -9,6 +10,7 @@
 #include "oriolewalk/flow/placement.h"
 #include "oriolewalk/flow/quota_planner.h"
 #include "oriolewalk/flow/reservations.h"
+#include "oriolewalk/flow/speed_preference.h"
 
 namespace oriolewalk::flow {
 
@@ -23,6 +25,7 @@
     : mInput(std::move(aInput))
     , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
     , mQuotas(*mInput.mState, *mInput.mProposed)
+    , mSpeeds(mInput.mState->Table(), *mInput.mWorkers, mInput.mPolicy)
   {
     for (const auto& [number, pending] : mInput.mPending) {
       if (plan_worker* worker = Find(number)) {
@@ -56,6 +59,7 @@
                       *mInput.mOpenQueries);
     for (open_step& step : steps) {
       mResult.mConsideredTasks += step.mWaiting.size();
+      step.mSpeed = mSpeeds.For(step, mInput.mWallMs);
       const std::size_t beyondQuota = LimitToQuota(step);
       const bool waits = !step.mWaiting.empty() && Serve(step);
       if (beyondQuota > 0 && !waits) {
@@ -219,6 +223,9 @@
     for (const rack_id& rack : RacksFor(aStep, candidates)) {
       const std::size_t before = mResult.mStarts.size();
       if (PlaceSome(aStep, rack, candidates, aPlacement) == all) {
+        if (aStep.mSpec->mGang) {
+          LeaveUselessSpeed(aStep, rack, candidates, before, aPlacement);
+        }
         return all;
       }
       UndoStarts(aStep, before, aPlacement);
@@ -270,6 +277,35 @@
     return placed;
   }
 
+  // A gang is as slow as its slowest member. If the gang that was placed by the
+  // starts from aFrom on includes a slow worker, places it on the slowest ones
+  // that don't delay it further, and leaves the fast ones to others.
+  void LeaveUselessSpeed(const open_step& aStep,
+                         const rack_id& aRack,
+                         const worker_list& aCandidates,
+                         std::size_t aFrom,
+                         step_placement& aPlacement)
+  {
+    if (aStep.mSpeed.mUse == speed_use::LeaveFast ||
+        !mSpeeds.Matter(aStep.mQueue->mService)) {
+      return;
+    }
+    double slowest = std::numeric_limits<double>::max();
+    for (std::size_t index = aFrom; index < mResult.mStarts.size(); ++index) {
+      slowest =
+        std::min(slowest, Find(mResult.mStarts[index].mStart.mWorker)->mSpeed);
+    }
+    const std::size_t all = mResult.mStarts.size() - aFrom;
+    UndoStarts(aStep, aFrom, aPlacement);
+    open_step leaving = aStep;
+    leaving.mSpeed = { speed_use::LeaveFast, slowest };
+    step_placement placement(leaving, *mInput.mProposed, mInput.mPolicy);
+    if (PlaceSome(leaving, aRack, aCandidates, placement) < all) {
+      UndoStarts(leaving, aFrom, placement);
+      PlaceSome(aStep, aRack, aCandidates, aPlacement);
+    }
+  }
+
   void UndoStarts(const open_step& aStep,
                   std::size_t aFrom,
                   step_placement& aPlacement)
@@ -490,7 +526,7 @@
       MaxWorkersToQuery(aStep, aNeed, *mInput.mAdvice) +
       mInput.mAdvice->QueriedCount(aStep.mRef);
     for (const auto& [capacity, ranked] :
-         workers.Ranked(aStep.mQueue->mService)) {
+         workers.Ranked(aStep.mQueue->mService, aStep.mSpeed.mUse)) {
       AddBest(aStep, wanted, ranked, candidates);
     }
     std::ranges::sort(candidates, {}, &plan_worker::mNumber);
@@ -527,7 +563,9 @@
       if ((isFull && full >= aWanted) || !FitsWhenEmpty(aStep, *worker)) {
         continue;
       }
-      const bool isLastResort = worker->mAvoided || Interferes(aStep, *worker);
+      const bool isLastResort = worker->mAvoided ||
+                                Interferes(aStep, *worker) ||
+                                IsTooSlow(aStep, *worker);
       full += isFull ? 1 : 0;
       usable += isFull || isLastResort ? 0 : 1;
       aCandidates.push_back(worker);
@@ -539,6 +577,7 @@
   std::unordered_map<worker_number, plan_worker> mCopies;
   reservation_planner mReservations;
   quota_planner mQuotas;
+  speed_preferences mSpeeds;
   std::optional<advisor_pool> mAdvisors;
   plan_result mResult;
 };
--- a/oriolewalk/flow/reservations.cc
+++ b/oriolewalk/flow/reservations.cc
@@ -11,6 +11,9 @@
 // How many tasks of a service may wait for a worker to drain at a time. Each
 // leaves capacity idle for seconds.
 constexpr std::size_t kMaxDrainingTasks = 2;
+// Speeds are at most 2, so they decide only between workers on which as many
+// runs would be preempted.
+constexpr double kPreemptionSpeedWeight = 0.4;
 
 // The missing capacity as a fraction of the worker's capacity, for the resource
 // with the largest such fraction.
@@ -129,7 +132,10 @@
         return std::nullopt;
       }
       const auto runs = mPreemptionPlanner.RunsToPreempt(aStep, aWorker);
-      return runs ? std::optional<double>(static_cast<double>(runs->size()))
+      const double speed =
+        aStep.mSpeed.mUse == speed_use::Fast ? aWorker.mSpeed : 0;
+      return runs ? std::optional<double>(static_cast<double>(runs->size()) -
+                                          kPreemptionSpeedWeight * speed)
                   : std::nullopt;
     });
   if (worker == nullptr) {
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -57,6 +57,15 @@
   return ratio;
 }
 
+std::optional<double>
+straggler_detector::ElapsedMs(const run_ref& aRun, time_point aNow) const
+{
+  const auto started = mStartedAt.find(aRun);
+  return started == mStartedAt.end()
+           ? std::nullopt
+           : std::optional(ToMs(aNow - started->second));
+}
+
 bool
 straggler_detector::MarkIfStraggler(const run_ref& aRun, time_point aNow)
 {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -36,6 +36,9 @@
   std::optional<double> OnRunEnded(const run_ref& aRun,
                                    run_outcome aOutcome,
                                    time_point aNow);
+  // How long the run has taken; nullopt if this leader didn't start it.
+  [[nodiscard]] std::optional<double> ElapsedMs(const run_ref& aRun,
+                                                time_point aNow) const;
   // Whether the run has taken so long that it should be stopped and
   // rescheduled. If so, the stop counts towards the task's limit.
   bool MarkIfStraggler(const run_ref& aRun, time_point aNow);
