oriole-bench uneven: a cell of workers of two speeds, with the switches taken away

Cause: no scenario showed what uneven workers and waves of arrivals cost.

Change: workers of one kind may have different speeds, tasks a long tail and arrival rates a wave; the other scenarios draw the same numbers as before. 'oriole-bench uneven' plays 120 workers, two thirds of speed .7 and a third 1.7, with each switch of the parts for hard load taken away; 'flow' includes it.

--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -75,6 +75,25 @@
   return all;
 }
 
+// The product's policy, and with one of the mechanisms for uneven workers and
+// demand switched off.
+std::vector<named_policy>
+UnevenPolicies()
+{
+  using flow::plan_policy;
+  std::vector<named_policy> all{ { "own", {} } };
+  const auto add = [&](std::string_view aName, bool plan_policy::*aSwitch) {
+    plan_policy policy;
+    policy.*aSwitch = false;
+    all.push_back({ aName, policy });
+  };
+  add("no_speeds", &plan_policy::mPlacesBySpeed);
+  add("no_forecast", &plan_policy::mForecastsDemand);
+  add("no_learned_durations", &plan_policy::mLearnsDurations);
+  add("no_copies", &plan_policy::mCopies);
+  return all;
+}
+
 double
 Quantile(std::vector<double> aValues, double aShare)
 {
@@ -188,6 +207,15 @@
   for (const flow_scenario& larger : scenarios | std::views::drop(1)) {
     RunScenario(aReport, larger, Policies().front());
   }
+  for (const named_policy& policy : UnevenPolicies()) {
+    RunScenario(aReport, UnevenScenario(), policy);
+  }
+});
+
+const registered_bench kUneven("uneven", [](bench_report& aReport) {
+  for (const named_policy& policy : UnevenPolicies()) {
+    RunScenario(aReport, UnevenScenario(), policy);
+  }
 });
 
 void
--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -224,10 +224,14 @@
     }
     Apply(flow::put_table{ table, "source" }, {});
     StartLeader();
-    for (const flow::worker_description& description : mLoad.mWorkers) {
+    for (std::size_t at = 0; at < mLoad.mWorkers.size(); ++at) {
+      const flow::worker_description& description = mLoad.mWorkers[at];
       worker_slot& slot = mWorkers[description.mId];
-      slot.mWorker = std::make_unique<simulated_worker>(
-        description, mLoad.mSeed, mLoad.mScenario.mSlowShare);
+      slot.mWorker =
+        std::make_unique<simulated_worker>(description,
+                                           mLoad.mSeed,
+                                           mLoad.mScenario.mSlowShare,
+                                           mLoad.mSpeeds[at]);
       At(time_point{}, [this, &slot]() { SendHeartbeat(slot); });
       if (SeededFraction(mLoad.mSeed, "lost", description.mId.Value()) <
           mLoad.mScenario.mLostShare) {
--- a/bench/flow_scenario.cc
+++ b/bench/flow_scenario.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numbers>
 #include <string>
 #include <utility>
 
@@ -200,6 +201,8 @@
                                 aKind.mMemoryMb,
                                 aKind.mAccelerators };
       mLoad.mWorkers.push_back(std::move(description));
+      mLoad.mSpeeds.push_back(
+        aKind.mSpeeds.empty() ? 1 : aKind.mSpeeds[at % aKind.mSpeeds.size()]);
     }
   }
 
@@ -209,7 +212,8 @@
     duration at{};
     while (at < kArrivalSpan) {
       const bool burst = at >= kBurstFrom && at < kBurstTo;
-      const double rate = kind.mPerSecond * (burst ? kind.mBurst : 1);
+      const double rate =
+        kind.mPerSecond * (burst ? kind.mBurst : 1) * WaveAt(at);
       const double pause = -std::log(1 - mRandom.Fraction()) / rate;
       at += std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(pause));
@@ -217,6 +221,14 @@
     }
   }
 
+  [[nodiscard]] double WaveAt(duration aTime) const
+  {
+    const std::chrono::duration<double> time = aTime;
+    const std::chrono::duration<double> period = mLoad.mScenario.mWavePeriod;
+    return 1 + mLoad.mScenario.mWaveAmplitude *
+                 std::sin(2 * std::numbers::pi * (time / period));
+  }
+
   arrival Draw(std::size_t aKind, duration aAt)
   {
     const job_kind& kind = mLoad.mScenario.mKinds[aKind];
@@ -263,7 +275,13 @@
     std::vector<double> tasks;
     for (std::uint32_t task = 0; task < spec.mCount; ++task) {
       constexpr double kUneven = 0.3;
-      tasks.push_back(work * (1 + kUneven * (mRandom.Fraction() - 1)));
+      double taskMs = work * (1 + kUneven * (mRandom.Fraction() - 1));
+      // A kind without a long tail draws no number for it.
+      if (aKind.mLongTailShare > 0 &&
+          mRandom.Fraction() < aKind.mLongTailShare) {
+        taskMs *= 1 + (kLongestTail - 1) * mRandom.Fraction();
+      }
+      tasks.push_back(taskMs);
     }
     aJob.mWorkMs.push_back(std::move(tasks));
     aJob.mSpec.mSteps.push_back(std::move(spec));
@@ -343,6 +361,47 @@
   return { small, large, LargestScenario() };
 }
 
+flow_scenario
+UnevenScenario()
+{
+  constexpr double kLongTailShare = 0.03;
+  job_kind urgent = Urgent({});
+  urgent.mQueue.mAdvice = flow::advice_timing{ 34, 0.5, 2'500 };
+  urgent.mPerSecond = 9.6;
+  urgent.mMeanSteps = 1.6;
+  urgent.mMeanWidth = 10;
+  urgent.mMeanMs = 850;
+  urgent.mMilliProcessors = 4'000;
+  urgent.mMemoryMb = 8'000;
+  urgent.mLongTailShare = kLongTailShare;
+  job_kind batch = Wide({});
+  batch.mQueue = Queue("batch", "plain", 2, 2.2, 1'200, { 500, 7, 2'500 });
+  batch.mPerSecond = 1.7;
+  batch.mMeanWidth = 17;
+  batch.mMeanMs = 4'500;
+  batch.mMilliProcessors = 4'000;
+  batch.mMemoryMb = 8'000;
+  batch.mApprovedShare = 0.35;
+  batch.mLongTailShare = kLongTailShare;
+  job_kind longRunning = LongRunning({});
+  longRunning.mQueue.mAdvice = flow::advice_timing{ 500, 7, 2'500 };
+  longRunning.mPerSecond = 0.08;
+  longRunning.mMeanWidth = 20;
+  longRunning.mMilliProcessors = 4'000;
+  longRunning.mMemoryMb = 8'000;
+  longRunning.mApprovedShare = 0.35;
+  flow_scenario scenario{
+    "uneven",
+    { urgent, batch, longRunning },
+    { { "plain", 120, 16'000, 65'536, 0, 12, { 0.7, 0.7, 1.7 } } },
+    16
+  };
+  scenario.mWaveAmplitude = 0.55;
+  scenario.mLostShare = 0.05;
+  scenario.mLeaderLost = true;
+  return scenario;
+}
+
 std::vector<flow_scenario>
 FleetScenarios()
 {
--- a/bench/flow_scenario.h
+++ b/bench/flow_scenario.h
@@ -34,7 +34,8 @@
   double mFailureShare = 0;    // share of runs, by their own fault
   bool mGang = false;
   bool mLongRunning = false;
-  double mBurst = 1; // rate factor from kBurstFrom to kBurstTo
+  double mBurst = 1;         // rate factor from kBurstFrom to kBurstTo
+  double mLongTailShare = 0; // of the tasks: up to kLongestTail times as long
 };
 
 struct worker_kind
@@ -45,6 +46,8 @@
   std::int64_t mMemoryMb = 262'144;
   std::int64_t mAccelerators = 0;
   std::size_t mRack = 5; // workers in one
+  // Speeds that the kind's workers have in turn; empty: 1.
+  std::vector<double> mSpeeds{};
 };
 
 struct flow_scenario
@@ -58,8 +61,12 @@
   double mInfeasibleShare = 0; // of the jobs: larger than any worker
   double mCancelledShare = 0;  // of the jobs, a second after they were accepted
   bool mLeaderLost = false;    // at kLeaderLostAt; the next one leads 1 s later
+  // Arrival rates rise and fall by this share of their mean in each period.
+  double mWaveAmplitude = 0;
+  seconds mWavePeriod{ 17 };
 };
 
+constexpr double kLongestTail = 7;
 constexpr seconds kArrivalSpan{ 40 };
 constexpr seconds kBurstFrom{ 6 };
 constexpr seconds kBurstTo{ 10 };
@@ -84,6 +91,7 @@
   flow_scenario mScenario;
   std::uint64_t mSeed = 0;
   std::vector<flow::worker_description> mWorkers;
+  std::vector<double> mSpeeds;    // of mWorkers
   std::vector<arrival> mArrivals; // by time
 };
 
@@ -91,6 +99,11 @@
 std::vector<flow_scenario>
 FlowScenarios();
 
+// Two thirds of the workers are slow and a third is fast, and arrivals come in
+// waves.
+flow_scenario
+UnevenScenario();
+
 // The same arrivals on cells of growing size, the smallest one first: what
 // costs more in a larger one grows with the cell and not with its work.
 std::vector<flow_scenario>
--- a/bench/flow_worker.cc
+++ b/bench/flow_worker.cc
@@ -41,11 +41,13 @@
 
 simulated_worker::simulated_worker(const flow::worker_description& aDescription,
                                    std::uint64_t aSeed,
-                                   double aSlowShare)
+                                   double aSlowShare,
+                                   double aSpeed)
   : mDescription(aDescription)
   , mSeed(aSeed)
   , mBecomesSlow(SeededFraction(aSeed, "slow", aDescription.mId.Value()) <
                  aSlowShare)
+  , mSpeed(aSpeed)
   , mFree(aDescription.mCapacity)
 {
 }
@@ -74,8 +76,8 @@
   const bool fails =
     SeededFraction(mSeed, "fails", NameOf(aOrder.mRun)) < aWork.mFailureShare;
   run.mOutcome = fails ? flow::run_outcome::Failed : flow::run_outcome::Done;
-  run.mEndsAt =
-    aNow + FromMs(left * (slow ? kSlowFactor : 1) * (fails ? kFailsAt : 1));
+  run.mEndsAt = aNow + FromMs(left / mSpeed * (slow ? kSlowFactor : 1) *
+                              (fails ? kFailsAt : 1));
   mRuns.emplace(aOrder.mRun, run);
   return flow::order_result::Done;
 }
@@ -93,7 +95,8 @@
 double
 simulated_worker::DoneMs(const live_run& aRun, time_point aNow) const
 {
-  return std::min(aRun.mWork.mMs, aRun.mSavedMs + ToMs(aNow - aRun.mStartedAt));
+  return std::min(aRun.mWork.mMs,
+                  aRun.mSavedMs + mSpeed * ToMs(aNow - aRun.mStartedAt));
 }
 
 void
--- a/bench/flow_worker.h
+++ b/bench/flow_worker.h
@@ -35,7 +35,8 @@
 public:
   simulated_worker(const flow::worker_description& aDescription,
                    std::uint64_t aSeed,
-                   double aSlowShare);
+                   double aSlowShare,
+                   double aSpeed = 1);
 
   // Starts a run with the given work and returns the result of the order.
   flow::order_result Start(const flow::start_order& aOrder,
@@ -72,6 +73,7 @@
   flow::worker_description mDescription;
   std::uint64_t mSeed;
   bool mBecomesSlow;
+  double mSpeed;
   cell::resources mFree;
   std::map<flow::run_ref, live_run> mRuns;
   std::vector<flow::listed_end> mEnded;
