--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -48,6 +48,7 @@
 #include "oriolewalk/flow/plan_worker_cache.h"
 #include "oriolewalk/flow/planner.h"
 #include "oriolewalk/flow/relay_assignment.h"
+#include "oriolewalk/flow/speed_samples.h"
 #include "oriolewalk/flow/straggler_detector.h"
 #include "oriolewalk/flow/suspect_isolation.h"
 #include "oriolewalk/flow/waits.h"
@@ -224,6 +225,10 @@
   // What nearly all tasks like the step's take at most; none if unknown.
   [[nodiscard]] std::optional<double> LearnedTailMs(const job_record& aJob,
                                                     std::uint32_t aStep) const;
+  // The task ended as done after aTookMs, from its beginning or a checkpoint.
+  void LearnSpeeds(const task_ref& aTask,
+                   worker_number aWorker,
+                   double aTookMs);
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
   void LogCrashingTasks(const std::vector<task_ref>& aTasks);
@@ -305,6 +310,7 @@
   straggler_detector mStragglers;
   duration_model mDurationModel;
   expected_durations mExpectedDurations{ mDurationModel, mStragglers };
+  speed_samples mSpeedSamples;
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
@@ -324,7 +330,7 @@
   std::map<run_ref, worker_number> mPreemptedRuns;
   preemption_records mPreemptionRecords;
   std::map<task_ref, std::uint32_t> mCopyCounts; // copies that were started
-  std::vector<end_runs> mHeldEnds; // not yet proposed
+  std::vector<end_runs> mHeldEnds;               // not yet proposed
   suspect_isolation mIsolation;
   std::map<std::string, time_point> mEntries;
   std::map<std::string, time_point> mSpares; // processes that aren't members
