Mends after the review of copies, admission, durations and placement

Cause: reviews of the merged parts found faults by reading.

- Speeds: a step was compared at the first of its last ends in one command, and runs that had saved a checkpoint didn't count.
All ends of a command are recorded first, and a run counts if it began without a checkpoint.
- A step whose prediction is wrong had all of its runs stopped as stragglers: not if most of them exceed it.
Dropped and lost runs no longer count as running.
A task with a copy isn't stopped unless both runs have stalled.
- Copies: none of best-effort tasks; learned durations count by the worker's speed; one query a step and plan; a look-up less for each applied command.
- Speed preference takes the learned chain like the slack that it is compared with.
- Admission: the end of a job's value follows the longest durations that are consistent with what is known; tasks without processors are never refused and can't remove another job's entry; of the job's own priority only steps with less slack are ahead, and steps past their value aren't.
- The oracle of histories is as strict with copies as without: a task isn't started three more times after three workers crashed under it.

--- a/oriolewalk/flow/admission.cc
+++ b/oriolewalk/flow/admission.cc
@@ -35,6 +35,7 @@
 // Workers that fall silent together usually return within this time.
 constexpr milliseconds kCapacitySpan{ 10'000 };
 constexpr double kNegligibleShare = 0.001;
+constexpr std::int64_t kMsPerSecond = 1'000;
 
 double
 LongestChainMs(const job_spec& aSpec,
@@ -51,6 +52,18 @@
   return ends.empty() ? 0 : std::ranges::max(ends);
 }
 
+// The objective grows with the durations, so the longest ones that are
+// consistent with what is known favour the job.
+std::vector<duration_estimate>
+HighDurations(std::span<const duration_estimate> aDurations)
+{
+  std::vector<duration_estimate> high(aDurations.begin(), aDurations.end());
+  for (duration_estimate& one : high) {
+    one.mMeanMs = HighDurationMs(one);
+  }
+  return high;
+}
+
 admission_verdict
 Accept(std::string_view aReason)
 {
@@ -99,8 +112,9 @@
     const step_spec& spec = aSpec.mSteps[step];
     // The figures cover neither what best-effort tasks use nor which workers
     // have a label or free accelerators.
-    const bool isCovered =
-      !spec.mBestEffort && spec.mLabel.empty() && spec.mSize.mAccelerators == 0;
+    const bool isCovered = !spec.mBestEffort && spec.mLabel.empty() &&
+                           spec.mSize.mAccelerators == 0 &&
+                           spec.mSize.mMilliProcessors > 0;
     job.mMayBeRefused = job.mMayBeRefused && isCovered && !spec.mLongRunning &&
                         aDurations[step].mMeanMs > 0;
     const cell::resources booked =
@@ -112,8 +126,15 @@
   }
   job.mDemand.mMilliProcessors = job.mWidest.mMilliProcessors;
   job.mChainMs = LongestChainMs(aSpec, aDurations);
+  const std::int64_t objective = ObjectiveMs(aSpec, aQueue, aDurations);
+  const double chain =
+    aQueue.mStretch > 0
+      ? static_cast<double>(objective - aQueue.mTargetMs) / aQueue.mStretch
+      : 0;
+  job.mSlackMs = objective - static_cast<std::int64_t>(chain);
   job.mEndOfValueMs =
-    kValueObjectives * static_cast<double>(ObjectiveMs(aSpec, aQueue));
+    kValueObjectives *
+    static_cast<double>(ObjectiveMs(aSpec, aQueue, HighDurations(aDurations)));
   return job;
 }
 
@@ -359,6 +380,14 @@
                      bool aBeyondShare) const
 {
   waiting_load ahead;
+  // Steps with more slack than the job come after it.
+  const auto dropLater = [&](const load_by_slack& aLoads) {
+    for (auto later = aLoads.upper_bound(aJob.mSlackMs / kMsPerSecond);
+         later != aLoads.end();
+         ++later) {
+      ahead -= later->second;
+    }
+  };
   for (const auto& [priority, load] : aLoad.mPriorities) {
     if (priority > aJob.mPriority) {
       break;
@@ -367,6 +396,10 @@
     if (priority < aJob.mPriority || aBeyondShare) {
       ahead += load.mBeyondShare;
     }
+    if (priority == aJob.mPriority) {
+      dropLater(aBeyondShare ? load.mBeyondShareBySlackS
+                             : load.mWithinShareBySlackS);
+    }
   }
   for (auto admitted = mAdmitted.lower_bound(
          { aJob.mService, std::numeric_limits<int>::min() });
@@ -382,10 +415,12 @@
 admission::Forget(std::map<job_id, refusal>::iterator aRefusal)
 {
   const auto& [id, refused] = *aRefusal;
-  const auto returning = mReturning.find(refused.mKey);
-  returning->second -= refused.mDemand;
-  if (returning->second.mMilliProcessors <= 0) {
-    mReturning.erase(returning);
+  if (const auto returning = mReturning.find(refused.mKey);
+      returning != mReturning.end()) {
+    returning->second -= refused.mDemand;
+    if (returning->second.mMilliProcessors <= 0) {
+      mReturning.erase(returning);
+    }
   }
   mByEnd.erase({ refused.mUntil, id });
   mRefusals.erase(aRefusal);
--- a/oriolewalk/flow/admission.h
+++ b/oriolewalk/flow/admission.h
@@ -48,8 +48,9 @@
   std::vector<cell::resources> mSizes; // of a task of each step
   cell::resources mWidest;             // of the step that books the most
   waiting_load mDemand;                // of all steps
-  double mChainMs = 0;      // low duration of the longest chain of its steps
-  double mEndOfValueMs = 0; // after its arrival
+  std::int64_t mSlackMs = 0; // until its first step must start to be in time
+  double mChainMs = 0;       // low duration of the longest chain of its steps
+  double mEndOfValueMs = 0;  // after its arrival
 };
 
 // aDurations: of a task of each step.
--- a/oriolewalk/flow/cell_load.cc
+++ b/oriolewalk/flow/cell_load.cc
@@ -10,6 +10,7 @@
 constexpr double kEstimateSpread = 4;
 // A learned mean is of many tasks; what remains is the change since.
 constexpr double kLearnedSpread = 1.5;
+constexpr std::int64_t kMsPerSecond = 1'000;
 
 // Whether processors are what the step's tasks wait for. The figures tell
 // nothing about workers with a certain label or about accelerators.
@@ -29,6 +30,14 @@
          (aEstimate.mIsLearned ? kLearnedSpread : kEstimateSpread);
 }
 
+double
+HighDurationMs(const duration_estimate& aEstimate)
+{
+  return aEstimate.mIsLearned
+           ? std::max(aEstimate.mTailMs, kLearnedSpread * aEstimate.mMeanMs)
+           : kEstimateSpread * aEstimate.mMeanMs;
+}
+
 duration_estimate
 ExpectedDuration(const queue_row& aQueue,
                  const step_spec& aSpec,
@@ -79,7 +88,8 @@
 load_collector::AddWaiting(const open_step& aStep, const waiting_step& aWait)
 {
   const step_spec& spec = *aStep.mSpec;
-  if (aWait.mCause == wait_cause::Quota ||
+  // Steps past their value are served after those that can have some.
+  if (aStep.mIsPastValue || aWait.mCause == wait_cause::Quota ||
       aWait.mCause == wait_cause::Nowhere || !CompetesForProcessors(spec)) {
     return;
   }
@@ -94,9 +104,14 @@
       ? 0
       : LowDurationMs(ExpectedDuration(
           *aStep.mQueue, spec, aStep.mRef.mStep, mDurations, mNow));
+  const waiting_load waiting{ static_cast<double>(booked.mMilliProcessors) *
+                                durationMs,
+                              booked.mMilliProcessors };
   (aStep.mBeyondShare ? priority.mBeyondShare : priority.mWithinShare) +=
-    { static_cast<double>(booked.mMilliProcessors) * durationMs,
-      booked.mMilliProcessors };
+    waiting;
+  (aStep.mBeyondShare
+     ? priority.mBeyondShareBySlackS
+     : priority.mWithinShareBySlackS)[aStep.mSlackMs / kMsPerSecond] += waiting;
   if (!aStep.mJob->mOwner.Value().empty()) {
     organisation_load& organisation = OrganisationOf(*aStep.mJob, load);
     if (organisation.mWaiting == cell::resources{}) {
--- a/oriolewalk/flow/cell_load.h
+++ b/oriolewalk/flow/cell_load.h
@@ -33,6 +33,10 @@
 double
 LowDurationMs(const duration_estimate& aEstimate);
 
+// The longest time, likewise.
+double
+HighDurationMs(const duration_estimate& aEstimate);
+
 // The expected duration of a task of the step, from the model or the caller.
 // aDurations: null without a model.
 duration_estimate
@@ -66,10 +70,16 @@
   }
 };
 
+// By whole seconds of slack.
+using load_by_slack = std::map<std::int64_t, waiting_load>;
+
 struct priority_load
 {
   waiting_load mWithinShare;
   waiting_load mBeyondShare; // of their organisations
+  // The same again. Of each, the steps with the least slack are served first.
+  load_by_slack mWithinShareBySlackS;
+  load_by_slack mBeyondShareBySlackS;
   // Thousandths of a processor that ended runs freed per millisecond, recently.
   double mFreedPerMs = 0;
 };
--- a/oriolewalk/flow/copy_planner.cc
+++ b/oriolewalk/flow/copy_planner.cc
@@ -47,7 +47,7 @@
           mInput.mState->QueueOf(*job).mPriority) {
       return std::nullopt;
     }
-    const auto expected = ExpectedOf(ref, *job, *spec);
+    const auto expected = ExpectedOf(ref, *job, *spec, aTask.mSpeed);
     if (!expected || aTask.mElapsedMs < expected->mSlowFromMs ||
         (!IsNearlyDone(*step) &&
          aTask.mElapsedMs < kFarBehindFactor * expected->mMeanMs)) {
@@ -94,10 +94,10 @@
   }
 
   // None: nothing is known but the caller's estimate, which may be off by far.
-  [[nodiscard]] std::optional<expectation> ExpectedOf(
-    const task_ref& aTask,
-    const job_record& aJob,
-    const step_spec& aSpec) const
+  [[nodiscard]] std::optional<expectation> ExpectedOf(const task_ref& aTask,
+                                                      const job_record& aJob,
+                                                      const step_spec& aSpec,
+                                                      double aSpeed) const
   {
     const auto finished =
       mInput.mFinished->find({ aTask.mJob, aTask.mOccurrence, aTask.mStep });
@@ -115,10 +115,10 @@
     if (!learned.mIsLearned) {
       return std::nullopt;
     }
-    return expectation{
-      learned.mMeanMs,
-      std::max(learned.mTailMs, kSlowFactor * learned.mMeanMs) + kSlowMarginMs
-    };
+    const double mean = learned.mMeanMs / aSpeed;
+    return expectation{ mean,
+                        std::max(learned.mTailMs / aSpeed, kSlowFactor * mean) +
+                          kSlowMarginMs };
   }
 
   [[nodiscard]] static bool IsNearlyDone(const step_record& aStep)
--- a/oriolewalk/flow/copy_planner.h
+++ b/oriolewalk/flow/copy_planner.h
@@ -35,6 +35,7 @@
   run_ref mRun;
   worker_number mWorker = 0;
   double mElapsedMs = 0; // at least, since its start
+  double mSpeed = 1;     // of its worker, relative to the worker's peers
 };
 
 // How long the tasks of a step took that ended as done.
--- a/oriolewalk/flow/leader_copies.cc
+++ b/oriolewalk/flow/leader_copies.cc
@@ -40,11 +40,13 @@
       const auto seen = view->second.mRuns.find(run);
       if (seen != view->second.mRuns.end() && seen->second.mStartedAt &&
           !seen->second.mStopRequested) {
-        aInput.mRunning.push_back({ run,
-                                    task.mWorker,
-                                    std::chrono::duration<double, std::milli>(
-                                      mAt.mNow - *seen->second.mStartedAt)
-                                      .count() });
+        aInput.mRunning.push_back(
+          { run,
+            task.mWorker,
+            std::chrono::duration<double, std::milli>(mAt.mNow -
+                                                      *seen->second.mStartedAt)
+              .count(),
+            mHealth.Standing(task.mWorker, mAt.mNow).mSpeed });
         aInput.mFinished[aStep] = mStragglers.FinishedTasks(aStep);
       }
     }
@@ -126,9 +128,12 @@
 leader_core::StopOvertakenRuns()
 {
   for (const auto& [ref, copy] : mState.Copies()) {
+    if (!copy.IsPlaced()) {
+      continue;
+    }
     const bool isUnwanted = !mState.FindJob(ref.mJob)->IsActive() ||
                             mState.FindTask(ref)->mPhase == task_phase::Done;
-    if (copy.IsPlaced() && isUnwanted) {
+    if (isUnwanted) {
       mSupervisor.RequestStop(copy.mWorker, { ref, copy.mAttempt }, mAt.mNow);
     }
   }
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -77,10 +77,13 @@
     }
   } else if (const auto* dropped = std::get_if<drop_runs>(&aCommand)) {
     mSupervisor.OnRunsDropped(dropped->mWorker);
+    mStragglers.OnRunsDropped(dropped->mRuns);
   } else if (const auto* lost = std::get_if<mark_runs_lost>(&aCommand)) {
     mSupervisor.OnRunsDropped(lost->mWorker);
+    mStragglers.OnRunsDropped(lost->mRuns);
     mIsolation.OnRunsLost(lost->mRuns, mAt.mNow);
   }
+  LearnSpeeds();
   LogCrashingTasks(aOutcome.mAbandonedTasks);
   for (const job_id& id : aOutcome.mEndedJobs) {
     const job_record* job = mState.FindJob(id);
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -225,10 +225,19 @@
   // What nearly all tasks like the step's take at most; none if unknown.
   [[nodiscard]] std::optional<double> LearnedTailMs(const job_record& aJob,
                                                     std::uint32_t aStep) const;
-  // The task ended as done after aTookMs, from its beginning or a checkpoint.
-  void LearnSpeeds(const task_ref& aTask,
-                   worker_number aWorker,
-                   double aTookMs);
+  // The task ended as done, aTookMs after its beginning.
+  void RecordTaskTime(const task_ref& aTask,
+                      worker_number aWorker,
+                      double aTookMs);
+  // From the tasks of the steps that are done.
+  void LearnSpeeds();
+  // Whether most of the step's runs have taken far longer than was learned.
+  [[nodiscard]] bool AreMostStragglers(const step_ref& aStep,
+                                       std::span<const task_record> aTasks,
+                                       std::optional<double> aLearnedMs) const;
+  // Whether the task has a second run that hasn't taken far longer than usual.
+  [[nodiscard]] bool HasUsualCopy(const task_ref& aTask,
+                                  std::optional<double> aLearnedMs) const;
   void LogEnds(const end_runs& aEnds);
   // Logs the tasks whose crashes of workers ended their jobs.
   void LogCrashingTasks(const std::vector<task_ref>& aTasks);
@@ -311,6 +320,7 @@
   duration_model mDurationModel;
   expected_durations mExpectedDurations{ mDurationModel, mStragglers };
   speed_samples mSpeedSamples;
+  std::set<step_ref> mDoneSteps; // by the command that is being applied
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -94,18 +94,18 @@
     if (mOptions.mPlan.mLearnsDurations && end.mOutcome == run_outcome::Done) {
       LearnDuration(end.mRun, aEnds.mWorker);
     }
-    const auto took = mStragglers.ElapsedMs(end.mRun, mAt.mNow);
+    const auto took = mStragglers.WholeRunMs(end.mRun, mAt.mNow);
     mStragglers.OnRunEnded(end.mRun, end.mOutcome, mAt.mNow);
     if (took && end.mOutcome == run_outcome::Done) {
-      LearnSpeeds(end.mRun.mTask, aEnds.mWorker, *took);
+      RecordTaskTime(end.mRun.mTask, aEnds.mWorker, *took);
     }
   }
 }
 
 void
-leader_core::LearnSpeeds(const task_ref& aTask,
-                         worker_number aWorker,
-                         double aTookMs)
+leader_core::RecordTaskTime(const task_ref& aTask,
+                            worker_number aWorker,
+                            double aTookMs)
 {
   const step_spec* spec = mState.FindStep(aTask);
   const step_record* record = mState.FindStepRecord(aTask);
@@ -115,20 +115,26 @@
     return;
   }
   const step_ref step{ aTask.mJob, aTask.mOccurrence, aTask.mStep };
-  if (record->mTasks[aTask.mIndex].mCheckpoint.empty()) {
-    mSpeedSamples.OnTaskDone(step, aWorker, aTookMs);
-  }
-  if (!record->IsDone()) {
-    return;
+  mSpeedSamples.OnTaskDone(step, aWorker, aTookMs);
+  if (record->IsDone()) {
+    mDoneSteps.insert(step);
   }
+}
+
+// One command may hold the last ends of a step on several workers.
+void
+leader_core::LearnSpeeds()
+{
   const double mean = mHealth.MeanSpeed();
   const auto speedOf = [this](worker_number aOne) {
     return mHealth.Standing(aOne, mAt.mNow).mSpeed;
   };
-  for (const auto& [worker, ratio] : mSpeedSamples.TakeStep(step, speedOf)) {
-    if (mState.FindWorker(worker) != nullptr) {
-      mHealth.OnTaskTime(worker, ratio * mean);
-      mPlanWorkers.Invalidate(worker);
+  for (const step_ref& step : std::exchange(mDoneSteps, {})) {
+    for (const auto& [worker, ratio] : mSpeedSamples.TakeStep(step, speedOf)) {
+      if (mState.FindWorker(worker) != nullptr) {
+        mHealth.OnTaskTime(worker, ratio * mean);
+        mPlanWorkers.Invalidate(worker);
+      }
     }
   }
 }
@@ -175,14 +181,15 @@
       if (occurrence.mSteps[step].mDoneTasks == 0 && !learned) {
         continue;
       }
+      if (occurrence.mSteps[step].mDoneTasks == 0 &&
+          AreMostStragglers({ aId, number, step }, tasks, learned)) {
+        continue; // the prediction is wrong
+      }
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
         const run_ref run{ { aId, number, step, index },
                            tasks[index].mAttempt };
-        // A task with a copy is done when the first of its runs is, so neither
-        // needs to be stopped.
         if (tasks[index].mPhase != task_phase::Placed ||
-            mState.FindPlacedCopy(run.mTask) != nullptr ||
-            mProposed.contains(run.mTask) ||
+            mProposed.contains(run.mTask) || HasUsualCopy(run.mTask, learned) ||
             !mStragglers.MarkIfStraggler(run, mAt.mNow, learned)) {
           continue;
         }
@@ -198,6 +205,36 @@
   }
 }
 
+bool
+leader_core::AreMostStragglers(const step_ref& aStep,
+                               std::span<const task_record> aTasks,
+                               std::optional<double> aLearnedMs) const
+{
+  std::size_t placed = 0;
+  std::size_t stragglers = 0;
+  for (std::uint32_t index = 0; index < aTasks.size(); ++index) {
+    if (aTasks[index].mPhase != task_phase::Placed) {
+      continue;
+    }
+    ++placed;
+    const run_ref run{ { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
+                       aTasks[index].mAttempt };
+    stragglers += mStragglers.IsStraggler(run, mAt.mNow, aLearnedMs) ? 1 : 0;
+  }
+  return 2 * stragglers > placed;
+}
+
+// A task with a copy is done when the first of its runs is, so neither needs to
+// be stopped unless both have stalled.
+bool
+leader_core::HasUsualCopy(const task_ref& aTask,
+                          std::optional<double> aLearnedMs) const
+{
+  const copy_record* copy = mState.FindPlacedCopy(aTask);
+  return copy != nullptr && !mStragglers.IsStraggler(
+                              { aTask, copy->mAttempt }, mAt.mNow, aLearnedMs);
+}
+
 std::optional<double>
 leader_core::LearnedTailMs(const job_record& aJob, std::uint32_t aStep) const
 {
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -172,6 +172,7 @@
           .mSuspects = {},
           .mSlackMs =
             SlackMs(aJob, queue, aOccurrence, step, mInput.mWallMs, durations),
+          .mChainMs = LongestChainMs(aJob.mSpec, step, durations),
           .mCopyWorkers = aJob.mSpec.mSteps[step].MayHaveCopies()
                             ? CopyWorkers(mState, ref)
                             : std::vector<worker_number>() });
--- a/oriolewalk/flow/plan_types.h
+++ b/oriolewalk/flow/plan_types.h
@@ -65,6 +65,7 @@
   std::vector<std::uint32_t> mWaiting;
   std::map<std::uint32_t, suspicion> mSuspects;
   std::int64_t mSlackMs = 0; // time left until it must start to be in time
+  std::int64_t mChainMs = 0; // of the longest chain that starts with it
   bool mBeyondShare = false; // of its organisation; see organisation_order.h
   bool mAtQuota = false; // its organisation can't start any of its tasks now
   bool mIsPastValue = false; // its job can have no more value; see UsefulFirst
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -64,7 +64,7 @@
     for (open_step& step : steps) {
       const std::size_t waitsBefore = mResult.mWaits.size();
       mResult.mConsideredTasks += step.mWaiting.size();
-      step.mSpeed = mSpeeds.For(step, mInput.mWallMs);
+      step.mSpeed = mSpeeds.For(step);
       const std::size_t beyondQuota = LimitToQuota(step);
       const bool waits = !step.mWaiting.empty() && Serve(step);
       if (beyondQuota > 0 && !waits) {
@@ -430,7 +430,9 @@
     const step_placement placement(step, *mInput.mProposed, mInput.mPolicy);
     plan_worker* best = WorkerForCopy(step, aCandidate.mWorker, placement);
     if (best == nullptr) {
-      if (step.mQueue->mAdvice && mAdvisors->HasSurplus()) {
+      if (step.mQueue->mAdvice && mAdvisors->HasSurplus() &&
+          std::ranges::find(mResult.mQueries, ref, &advice_query::mStep) ==
+            mResult.mQueries.end()) {
         Query(step, 1, {});
       }
       return false;
--- a/oriolewalk/flow/speed_preference.cc
+++ b/oriolewalk/flow/speed_preference.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <optional>
 
-#include "oriolewalk/flow/open_steps.h"
-
 namespace oriolewalk::flow {
 
 namespace {
@@ -24,16 +22,13 @@
 
 // The speed at which the step's job is in time if the step starts now.
 std::optional<double>
-NeededSpeed(const open_step& aStep, std::int64_t aWallMs)
+NeededSpeed(const open_step& aStep)
 {
-  const std::int64_t opened =
-    aStep.mJob->mOccurrences.at(aStep.mRef.mOccurrence).mOpenedWallMs;
-  const std::int64_t left =
-    opened + ObjectiveMs(aStep.mJob->mSpec, *aStep.mQueue) - aWallMs;
+  const std::int64_t left = aStep.mSlackMs + aStep.mChainMs;
   if (left <= 0) {
     return std::nullopt;
   }
-  return static_cast<double>(left - aStep.mSlackMs) / static_cast<double>(left);
+  return static_cast<double>(aStep.mChainMs) / static_cast<double>(left);
 }
 
 } // namespace
@@ -79,7 +74,7 @@
 }
 
 speed_preference
-speed_preferences::For(const open_step& aStep, std::int64_t aWallMs)
+speed_preferences::For(const open_step& aStep)
 {
   if (!mPolicy.mPlacesBySpeed ||
       mPolicy.mPlacement == placement_rule::FirstFit) {
@@ -98,7 +93,7 @@
   if (aStep.mSpec->mLongRunning) {
     return { speed_use::LeaveFast, unusual };
   }
-  const std::optional<double> needed = NeededSpeed(aStep, aWallMs);
+  const std::optional<double> needed = NeededSpeed(aStep);
   // Fast workers don't help a job that is late on them as well.
   if (!needed || *needed > spread.mFast) {
     return { speed_use::LeaveFast, unusual };
--- a/oriolewalk/flow/speed_preference.h
+++ b/oriolewalk/flow/speed_preference.h
@@ -3,7 +3,7 @@
 // Decides for a step whether it prefers fast workers or leaves them to others.
 //
 //   speed_preferences preferences(table, workers, policy);
-//   step.mSpeed = preferences.For(step, wallMs);
+//   step.mSpeed = preferences.For(step);
 //   score += SpeedScore(step.mSpeed, worker.mSpeed);
 //
 // The objective of an urgent job leaves little more time than its work takes,
@@ -48,8 +48,7 @@
   {
   }
 
-  [[nodiscard]] speed_preference For(const open_step& aStep,
-                                     std::int64_t aWallMs);
+  [[nodiscard]] speed_preference For(const open_step& aStep);
   // Whether the speeds of the service's workers matter to any step.
   [[nodiscard]] bool Matter(const service_id& aService)
   {
--- a/oriolewalk/flow/straggler_detector.cc
+++ b/oriolewalk/flow/straggler_detector.cc
@@ -66,19 +66,10 @@
   return ratio;
 }
 
-std::optional<double>
-straggler_detector::ElapsedMs(const run_ref& aRun, time_point aNow) const
-{
-  const auto started = mStartedAt.find(aRun);
-  return started == mStartedAt.end()
-           ? std::nullopt
-           : std::optional(ToMs(aNow - started->second));
-}
-
 bool
-straggler_detector::MarkIfStraggler(const run_ref& aRun,
-                                    time_point aNow,
-                                    std::optional<double> aLearnedMs)
+straggler_detector::IsStraggler(const run_ref& aRun,
+                                time_point aNow,
+                                std::optional<double> aLearnedMs) const
 {
   const auto started = mRuns.find(aRun);
   if (started == mRuns.end()) {
@@ -91,8 +82,16 @@
   }
   const double usual = step == mSteps.end() ? *aLearnedMs / run.mOrigin.mSpeed
                                             : step->second.mMeanMs;
-  if (ToMs(aNow - run.mStartedAt) <
-      kSlowdownFactor * usual + kSlowdownMarginMs) {
+  return ToMs(aNow - run.mStartedAt) >=
+         kSlowdownFactor * usual + kSlowdownMarginMs;
+}
+
+bool
+straggler_detector::MarkIfStraggler(const run_ref& aRun,
+                                    time_point aNow,
+                                    std::optional<double> aLearnedMs)
+{
+  if (!IsStraggler(aRun, aNow, aLearnedMs)) {
     return false;
   }
   int& stops = mStops[aRun.mTask];
@@ -146,6 +145,14 @@
   return finished;
 }
 
+void
+straggler_detector::OnRunsDropped(std::span<const run_ref> aRuns)
+{
+  for (const run_ref& run : aRuns) {
+    mRuns.erase(run);
+  }
+}
+
 void
 straggler_detector::Forget(const job_id& aJob)
 {
--- a/oriolewalk/flow/straggler_detector.h
+++ b/oriolewalk/flow/straggler_detector.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/flow/advice_cache.h"
@@ -55,11 +56,13 @@
   std::optional<double> OnRunEnded(const run_ref& aRun,
                                    run_outcome aOutcome,
                                    time_point aNow);
-  // How long the run has taken; nullopt if this leader didn't start it.
-  [[nodiscard]] std::optional<double> ElapsedMs(const run_ref& aRun,
-                                                time_point aNow) const;
-  // Whether the run has taken so long that it should be stopped and
-  // rescheduled. If so, the stop counts towards the task's limit.
+  // Whether the run has taken far longer than usual.
+  [[nodiscard]] bool IsStraggler(
+    const run_ref& aRun,
+    time_point aNow,
+    std::optional<double> aLearnedMs = std::nullopt) const;
+  // Whether the run should be stopped and rescheduled for that. If so, the stop
+  // counts towards the task's limit.
   // aLearnedMs: what nearly all tasks of its kind take at most on a worker of
   // speed 1, for steps without a finished task; none if nothing was learned.
   bool MarkIfStraggler(const run_ref& aRun,
@@ -68,6 +71,8 @@
   // How long the step's tasks took that ended as done, of the runs that this
   // leader started.
   [[nodiscard]] finished_tasks FinishedTasks(const step_ref& aStep) const;
+  // The runs ended without an end that their worker reported.
+  void OnRunsDropped(std::span<const run_ref> aRuns);
   void Forget(const job_id& aJob);
 
   // How long a run has taken from the task's beginning. Returns nullopt for
--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -168,11 +168,13 @@
   bool mBestEffort = false;   // uses what other tasks leave
 
   // Whether a task of the step may have two runs in progress. The members of a
-  // gang run together, a long-running task has no end to be first at, and the
-  // tasks of a step in one rack gain nothing from a worker elsewhere.
+  // gang run together, a long-running task has no end to be first at, the tasks
+  // of a step in one rack gain nothing from a worker elsewhere, and a
+  // best-effort task is slow where other tasks leave it little.
   [[nodiscard]] bool MayHaveCopies() const
   {
-    return mAllowsCopies && !mGang && !mLongRunning && !mSameRack;
+    return mAllowsCopies && !mGang && !mLongRunning && !mSameRack &&
+           !mBestEffort;
   }
 
   // What a task books of its worker's capacity. Best-effort tasks book no
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -94,13 +94,13 @@
   }
   mRunning[aRun.mTask][aRun.mAttempt] = aWhere;
   constexpr std::size_t kMaxCrashes = 3;
-  const std::size_t maxStartsAfterCrashes = allowsCopies ? 3 : 2;
+  constexpr std::size_t kMaxStartsAfterCrashes = 2;
   if (mCrashesWorker && mCrashesWorker(aRun.mTask) &&
       CrashCount(aRun.mTask) >= kMaxCrashes &&
-      ++mStartsAfterCrashes[aRun.mTask] > maxStartsAfterCrashes) {
-    mViolations.push_back(Describe(aRun) + " starts at " + aWhere +
-                          (allowsCopies ? ", the fourth" : ", the third") +
-                          " time after three workers crashed under it");
+      ++mStartsAfterCrashes[aRun.mTask] > kMaxStartsAfterCrashes) {
+    mViolations.push_back(
+      Describe(aRun) + " starts at " + aWhere +
+      ", the third time after three workers crashed under it");
   }
   if (mOnStart) {
     mOnStart(aRun);
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -73,8 +73,7 @@
 //   is never unknown to a leader that answers.
 // - A refused job doesn't run, unless it is submitted again.
 // - A task that crashes its workers isn't started three more times after three
-//   have crashed under it (four more times with copies), and its job ends as
-//   failed.
+//   have crashed under it, and its job ends as failed.
 // aOptions configures the group; with mMaxWorkersWithoutRelays = 0 relays make
 // the leader's calls.
 std::optional<std::string>
