--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -23,6 +23,17 @@
   return placed > 0 && placed < std::ssize(aStep.mTasks);
 }
 
+// Whether a run of the step can be compared with others. A gang ends together,
+// and a long-running step has no duration to compare.
+bool
+HasUsualDuration(const step_spec& aSpec,
+                 const step_record& aStep,
+                 bool aIsLearned)
+{
+  return !aSpec.mGang && !aSpec.mLongRunning &&
+         (aStep.mDoneTasks > 0 || aIsLearned);
+}
+
 } // namespace
 
 void
@@ -124,13 +135,9 @@
     for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
       const step_spec& spec = aJob.mSpec.mSteps[step];
       const auto& tasks = occurrence.mSteps[step].mTasks;
-      // A gang ends together, and a long-running step has no duration to
-      // compare.
-      if (spec.mGang || spec.mLongRunning) {
-        continue;
-      }
       const auto learned = LearnedTailMs(aJob, step);
-      if (occurrence.mSteps[step].mDoneTasks == 0 && !learned) {
+      if (!HasUsualDuration(
+            spec, occurrence.mSteps[step], learned.has_value())) {
         continue;
       }
       for (std::uint32_t index = 0; index < tasks.size(); ++index) {
