--- a/oriolewalk/base/id.h
+++ b/oriolewalk/base/id.h
@@ -48,6 +48,8 @@
 using organisation_id = text_id<struct organisation_tag>;
 using data_centre_id = text_id<struct data_centre_tag>;
 using rack_id = text_id<struct rack_tag>;
+// Hardware that runs one worker after another.
+using machine_id = text_id<struct machine_tag>;
 using worker_id = text_id<struct worker_tag>;
 using target_id = text_id<struct target_tag>;
 using service_id = text_id<struct service_tag>;
