Waves of upkeep: committed state, operators' requests, the leader's part

Cause: an acknowledged wave must outlive its leader, and must be carried out.

Requests wave_start and wave_query, with wave_answer. wave_executor shows the planner what runs on the machines, asks the availability budget, and drains workers for the leader alone: their records don't change and the workers aren't told. record_upkeep also says if a machine left the list instead, so that the end of a wave is in the state and an ended wave needs no call to the machine service.

Ruled out: marking drained workers in the state (it would stay after a change of the leader).

--- a/oriolewalk/flow/command.h
+++ b/oriolewalk/flow/command.h
@@ -10,6 +10,7 @@
 
 #include "oriolewalk/base/codec.h"
 #include "oriolewalk/flow/types.h"
+#include "oriolewalk/machines/wave.h"
 
 namespace oriolewalk::flow {
 
@@ -259,8 +260,35 @@
   }
 };
 
+// An operator's order of an upkeep. Acknowledged once it is committed.
+struct put_wave
+{
+  machines::wave_record mWave;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWave);
+  }
+};
+
+// The machine has begun its upkeep for the wave, or has left for good.
+struct record_upkeep
+{
+  std::uint64_t mWave = 0;
+  machine_id mMachine;
+  bool mHasLeft = false; // it left the list of machines before its upkeep
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mWave, mMachine, mHasLeft);
+  }
+};
+
 // A process of an earlier version can't read commands that were added later and
-// stops. They are proposed only where a table with organisations needs them.
+// stops. They are proposed only where a table with organisations or an
+// operator's wave needs them.
 using command_body = std::variant<put_table,
                                   submit_job,
                                   cancel_job,
@@ -276,7 +304,9 @@
                                   record_worker_return,
                                   record_worker_crash,
                                   put_table_with_access,
-                                  submit_owned_job>;
+                                  submit_owned_job,
+                                  put_wave,
+                                  record_upkeep>;
 
 // An entry of the log. All replicas use the proposer's wall time.
 struct command
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -190,6 +190,17 @@
   }
 }
 
+void
+flow_core::OnMachineAnswer(std::uint64_t aCall,
+                           const machines::call_answer& aAnswer,
+                           instant aAt)
+{
+  SetTime(aAt);
+  if (mLeader) {
+    mLeader->OnMachineAnswer(aCall, aAnswer);
+  }
+}
+
 void
 flow_core::OnContacts(const worker_contacts& aContacts, time_point aQueriedAt)
 {
@@ -389,6 +400,7 @@
   if (mLeader && mRaft->MayServe(aAt.mNow)) {
     out.mOrders = mLeader->TakeOrders();
     out.mAdviceCalls = mLeader->TakeAdviceCalls();
+    out.mMachineCalls = mLeader->TakeMachineCalls();
   }
   if (mRaft->Leader() && !mRaft->IsLeader() &&
       aAt.mNow >= mContactsQueriedAt + kContactQueryInterval) {
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -68,6 +68,7 @@
   std::vector<flow_reply> mReplies;
   std::vector<worker_order> mOrders;
   std::vector<advice_call> mAdviceCalls;
+  std::vector<machines::machine_call> mMachineCalls;
   // A contact query for the leader; its answer goes to OnContacts.
   bool mQueriesContacts = false;
   std::vector<decision> mDecisions;
@@ -94,6 +95,9 @@
   void OnAdviceAnswer(std::uint64_t aOrder,
                       const result<approvals>& aAnswer,
                       instant aAt);
+  void OnMachineAnswer(std::uint64_t aCall,
+                       const machines::call_answer& aAnswer,
+                       instant aAt);
   // aQueriedAt: when the query was sent, on this process's clock.
   void OnContacts(const worker_contacts& aContacts, time_point aQueriedAt);
   // Orders could not be forwarded to this control process.
--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -1,6 +1,6 @@
 // The table, the lookups, the snapshots and the indexes of the replicated
 // state. The commands are in flow_state_jobs.cc, flow_state_runs.cc,
-// flow_state_workers.cc and flow_state_organisations.cc.
+// flow_state_workers.cc, flow_state_organisations.cc and flow_state_waves.cc.
 
 #include "oriolewalk/flow/flow_state.h"
 
@@ -32,7 +32,7 @@
   }
 };
 
-// The format of a snapshot.
+// The format of snapshots without waves.
 struct saved_state
 {
   saved_state_without_access mState;
@@ -47,6 +47,19 @@
   }
 };
 
+// The format of a snapshot.
+struct saved_state_with_waves
+{
+  saved_state mState;
+  std::map<std::uint64_t, machines::wave_record> mWaves;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mState, mWaves);
+  }
+};
+
 // The format of snapshots from before crashes were counted.
 struct saved_state_without_crashes
 {
@@ -64,19 +77,25 @@
 };
 
 // Reads a snapshot of this or an earlier version.
-result<saved_state>
+result<saved_state_with_waves>
 ReadSnapshot(std::string_view aBytes)
 {
   constexpr std::string_view kWhat = "restoring the workflow state";
-  auto read = Decode<saved_state>(aBytes, kWhat);
+  auto read = Decode<saved_state_with_waves>(aBytes, kWhat);
   if (read) {
     return read;
   }
+  if (auto plain = Decode<saved_state>(aBytes, kWhat)) {
+    return saved_state_with_waves{ std::move(*plain), {} };
+  }
   if (auto older = Decode<saved_state_without_access>(aBytes, kWhat)) {
-    return saved_state{ std::move(*older), std::nullopt, {}, {} };
+    return saved_state_with_waves{ { std::move(*older), std::nullopt, {}, {} },
+                                   {} };
   }
   if (auto oldest = Decode<saved_state_without_crashes>(aBytes, kWhat)) {
-    return saved_state{ std::move(oldest->mState), std::nullopt, {}, {} };
+    return saved_state_with_waves{
+      { std::move(oldest->mState), std::nullopt, {}, {} }, {}
+    };
   }
   return read;
 }
@@ -239,6 +258,9 @@
     }
   }
   // A process of an earlier version may receive the snapshot.
+  if (!mWaves.empty()) {
+    return Encode(saved_state_with_waves{ std::move(saved), mWaves });
+  }
   const bool hasOrganisations =
     saved.mAccess || !saved.mFormer.empty() || !saved.mOwners.empty();
   return hasOrganisations ? Encode(saved) : Encode(saved.mState);
@@ -251,16 +273,17 @@
   if (!read) {
     return Fail(read.error());
   }
-  saved_state_without_access& state = read->mState;
+  saved_state_without_access& state = read->mState.mState;
   mTable = std::move(state.mTable);
   mTableSource = std::move(state.mTableSource);
   mJobs = std::move(state.mJobs);
   mWorkers = std::move(state.mWorkers);
   mLastWorker = state.mLastWorker;
   mCrashes = std::move(state.mCrashes);
-  mAccess = std::move(read->mAccess);
-  mFormer = std::move(read->mFormer);
-  for (const auto& [id, owner] : read->mOwners) {
+  mAccess = std::move(read->mState.mAccess);
+  mFormer = std::move(read->mState.mFormer);
+  mWaves = std::move(read->mWaves);
+  for (const auto& [id, owner] : read->mState.mOwners) {
     mJobs.at(id).mOwner = owner;
   }
   RebuildIndexes();
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -18,7 +18,8 @@
 // - a task that crashes its workers is abandoned, and its job ends as failed;
 // - a worker_number identifies one incarnation of a worker: a worker that
 //   restarts under its id gets another number, and its placed runs move along
-//   until a poll shows whether they still run.
+//   until a poll shows whether they still run;
+// - a wave's order never changes, and what was recorded of its machines stays.
 //
 // Owned by flow_core; used by the control thread only. No clock, no I/O.
 
@@ -38,6 +39,7 @@
 #include "oriolewalk/flow/crash_tracker.h"
 #include "oriolewalk/flow/records.h"
 #include "oriolewalk/flow/types.h"
+#include "oriolewalk/machines/wave.h"
 #include "oriolewalk/organisations/key_index.h"
 #include "oriolewalk/organisations/quota.h"
 #include "oriolewalk/organisations/usage_report.h"
@@ -116,6 +118,11 @@
   // has been removed since.
   [[nodiscard]] const queue_row& QueueOf(const job_record& aJob) const;
   [[nodiscard]] const crash_tracker& Crashes() const { return mCrashes; }
+  // The operators' waves by number, ended ones too.
+  [[nodiscard]] const std::map<std::uint64_t, machines::wave_record>& Waves() const
+  {
+    return mWaves;
+  }
 
   // None: everybody may use every queue.
   [[nodiscard]] const std::optional<access_rules>& Access() const
@@ -174,6 +181,8 @@
   apply_outcome On(const record_worker_crash& aCrash, std::int64_t aWallMs);
   apply_outcome On(const put_table_with_access& aPut, std::int64_t aWallMs);
   apply_outcome On(const submit_owned_job& aSubmit, std::int64_t aWallMs);
+  apply_outcome On(const put_wave& aPut, std::int64_t aWallMs);
+  apply_outcome On(const record_upkeep& aRecord, std::int64_t aWallMs);
 
   void PutTable(const put_table& aPut, std::optional<access_rules> aAccess);
   apply_outcome Submit(const submit_job& aSubmit,
@@ -256,6 +265,7 @@
   std::optional<access_rules> mAccess;
   // Without keys.
   std::map<organisation_id, organisations::organisation_row> mFormer;
+  std::map<std::uint64_t, machines::wave_record> mWaves;
 
   // Derived from the members above.
   std::map<job_id, const job_record*> mLive; // into mJobs' stable nodes
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -51,6 +51,7 @@
   , mPlanWorkers(aOptions.mPlan.mPlacement)
   , mRelays(aOptions.mMaxWorkersWithoutRelays)
   , mLastQuery(OrderIdBase(aTerm))
+  , mWaves(aState, aOptions, aTerm, aAt.mNow)
 {
 }
 
@@ -75,6 +76,11 @@
   } else if (const auto* lost = std::get_if<mark_runs_lost>(&aCommand)) {
     mSupervisor.OnRunsDropped(lost->mWorker);
     mIsolation.OnRunsLost(lost->mRuns, mAt.mNow);
+  } else if (const auto* upkeep = std::get_if<record_upkeep>(&aCommand)) {
+    if (!aOutcome.mError) {
+      std::ranges::for_each(DescribeUpkeep(*upkeep, mState, mAt.mWallMs),
+                            mPort.mLogDecision);
+    }
   }
   LogCrashingTasks(aOutcome.mAbandonedTasks);
   for (const job_id& id : aOutcome.mEndedJobs) {
@@ -141,6 +147,7 @@
     UpdateRelays();
     OpenDueOccurrences();
     StopUnwanted();
+    StepWaves();
     if (mAt.mNow >= mSlowSweptAt + kSlowSweepInterval) {
       mSlowSweptAt = mAt.mNow;
       ForgetOldJobs();
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -13,8 +13,8 @@
 //
 // leader_core.cc holds the event handlers, leader_calls.cc the answers to
 // requests, leader_plans.cc the plans, leader_runs.cc the life cycle of runs,
-// leader_advice.cc the queries to the policy service, leader_log.cc the
-// decision log.
+// leader_advice.cc the queries to the policy service, leader_waves.cc the
+// operators' waves of upkeep, leader_log.cc the decision log.
 //
 // It acts through `leader_port`: it proposes commands and answers calls. The
 // owner sets the time before each call. Owned by the flow core; control thread
@@ -45,6 +45,7 @@
 #include "oriolewalk/flow/straggler_detector.h"
 #include "oriolewalk/flow/suspect_isolation.h"
 #include "oriolewalk/flow/waits.h"
+#include "oriolewalk/flow/wave_executor.h"
 #include "oriolewalk/flow/worker_health.h"
 #include "oriolewalk/flow/worker_supervisor.h"
 
@@ -114,6 +115,11 @@
   void OnApplied(const command_body& aCommand, const apply_outcome& aOutcome);
   void OnOrderAnswer(std::uint64_t aOrder, const order_answer& aAnswer);
   void OnAdviceAnswer(std::uint64_t aQueryId, const result<approvals>& aAnswer);
+  void OnMachineAnswer(std::uint64_t aCall,
+                       const machines::call_answer& aAnswer)
+  {
+    mWaves.OnAnswer(aCall, aAnswer, mAt.mNow);
+  }
   // Orders could not be handed to the relay at this address.
   void OnRelayFailure(const std::string& aAddress);
   void Tick();
@@ -122,6 +128,10 @@
 
   std::vector<worker_order> TakeOrders();
   std::vector<advice_call> TakeAdviceCalls();
+  std::vector<machines::machine_call> TakeMachineCalls()
+  {
+    return mWaves.TakeCalls();
+  }
 
   // What this leader's decisions have looked at since it leads.
   [[nodiscard]] decision_counts Counts() const;
@@ -152,6 +162,8 @@
   void Handle(call_number aCall, const join_request& aJoin);
   void Handle(call_number aCall, const leader_probe& aProbe);
   void Handle(call_number aCall, const contact_query& aQuery);
+  void Handle(call_number aCall, const wave_start& aStart);
+  void Handle(call_number aCall, const wave_query& aQuery);
 
   void Propose(command_body aBody, leader_port::on_applied aThen = {});
   void FailBusy(call_number aCall);
@@ -231,6 +243,7 @@
   // neither vote nor store.
   [[nodiscard]] std::vector<std::string> OtherControls() const;
   void UpdateRelays();
+  void StepWaves();
   // Whether the cell has so many workers that other control processes take over
   // work that doesn't need the leader.
   [[nodiscard]] bool IsLarge() const;
@@ -295,6 +308,7 @@
   recent_peak mTopPriorityPeak; // concurrent queries
   std::uint64_t mLastQuery;
   std::vector<advice_call> mAdviceCalls;
+  wave_executor mWaves;
 };
 
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -22,7 +22,7 @@
 leader_core::EvaluateWorker(worker_number aWorker) const
 {
   const worker_record* worker = mState.FindWorker(aWorker);
-  if (worker == nullptr || worker->mDraining) {
+  if (worker == nullptr || worker->mDraining || mWaves.IsDraining(aWorker)) {
     return {};
   }
   const worker_usability usability = mSupervisor.Usability(aWorker, mAt.mNow);
--- a/oriolewalk/flow/messages.h
+++ b/oriolewalk/flow/messages.h
@@ -11,6 +11,7 @@
 #include "oriolewalk/base/codec.h"
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/types.h"
+#include "oriolewalk/machines/wave.h"
 
 namespace oriolewalk::flow {
 
@@ -232,6 +233,29 @@
   }
 };
 
+// An operator orders the upkeep of machines.
+struct wave_start
+{
+  machines::wave_order mOrder;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mOrder);
+  }
+};
+
+struct wave_query
+{
+  std::uint64_t mNumber = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mNumber);
+  }
+};
+
 using flow_request = std::variant<entry_heartbeat,
                                   job_submission,
                                   job_query,
@@ -245,7 +269,9 @@
                                   heartbeat_summary,
                                   keyed_request,
                                   table_change_with_access,
-                                  contact_query>;
+                                  contact_query,
+                                  wave_start,
+                                  wave_query>;
 
 struct entry_heartbeat_answer
 {
@@ -351,12 +377,34 @@
   }
 };
 
+enum class wave_reply : std::uint8_t
+{
+  Accepted,
+  Conflict, // another wave has the number
+  NotFound,
+  Running,
+  Done,
+};
+
+// The answer to an operator's order or query of a wave.
+struct wave_answer
+{
+  wave_reply mReply = wave_reply::NotFound;
+
+  template<class Archive>
+  void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
+  {
+    aArchive(mReply);
+  }
+};
+
 using flow_answer = std::variant<entry_heartbeat_answer,
                                  job_answer,
                                  acknowledgement,
                                  table_source,
                                  unknown_workers,
-                                 worker_contacts>;
+                                 worker_contacts,
+                                 wave_answer>;
 
 // A query to the policy service, which the receiver relays.
 struct advice_request
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -8,6 +8,7 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/flow/plan_policy.h"
+#include "oriolewalk/machines/upkeep_planner.h"
 
 namespace oriolewalk::flow {
 
@@ -63,6 +64,11 @@
   // to 4 ms, and half of a core handles this many workers with capacity to
   // spare.
   std::size_t mMaxWorkersWithoutRelays = 400;
+  // How long a task of a long-running step may be away from work before it
+  // counts as unavailable.
+  milliseconds mAvailabilityNotice{ 1'000 };
+  // Rates of calls to the machine service, and how long a machine is down.
+  machines::upkeep_options mUpkeep;
   plan_policy mPlan;
 };
 
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -152,6 +152,9 @@
     for (const worker_order& order : out.mOrders) {
       SendOrder(aNode, order);
     }
+    for (const machines::machine_call& call : out.mMachineCalls) {
+      CallMachineService(aNode, call);
+    }
     for (const decision& note : out.mDecisions) {
       ++mCounts[std::string(note.mEvent)];
       mLog.append(note.mEvent);
@@ -310,6 +313,30 @@
   }
 }
 
+void
+fake_group::CallMachineService(std::size_t aFrom,
+                               const machines::machine_call& aCall)
+{
+  if (!mMachineService) {
+    mOracle.AddViolation("a call to the machine service without a wave");
+    return;
+  }
+  const auto answer = [this,
+                       aFrom,
+                       incarnation = mNodes[aFrom].mIncarnation,
+                       id = aCall.mId](const machines::call_answer& aAnswer) {
+    process& one = mNodes[aFrom];
+    if (one.mCore != nullptr && one.mIncarnation == incarnation) {
+      one.mCore->OnMachineAnswer(id, aAnswer, At());
+    }
+  };
+  At(kTransitTime, [this, answer, body = aCall.mBody]() {
+    const auto said = mMachineService(body, mNow);
+    At(said ? duration(kTransitTime) : duration(machines::kOrderTimeout),
+       [answer, said]() { answer(said.value_or(machines::call_answer{})); });
+  });
+}
+
 order_answer
 fake_group::DeliverOrder(std::size_t aWorker, const worker_order& aOrder)
 {
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -64,6 +64,15 @@
   // their time to be sent is over. This simulates a relay that is suspended.
   void HoldOrders(std::function<bool(const worker_order&)> aWhich);
   void ReleaseOrders();
+  // Sets what the machine service answers; none: the answer is lost. Without
+  // it a call to the service is a violation.
+  using machine_service = std::function<std::optional<machines::call_answer>(
+    const machines::call_body&,
+    time_point)>;
+  void SetMachineService(machine_service aService)
+  {
+    mMachineService = std::move(aService);
+  }
   // Sets how long a write to a disk takes.
   void SetSyncTime(milliseconds aTime) { mSyncTime = aTime; }
 
@@ -130,6 +139,8 @@
   void ForwardEffects(std::size_t aNode);
   void Deliver(std::size_t aFrom, const consensus::message& aMessage);
   void SendOrder(std::size_t aFrom, const worker_order& aOrder);
+  void CallMachineService(std::size_t aFrom,
+                          const machines::machine_call& aCall);
   // Delivers the order to the worker's current process.
   order_answer DeliverOrder(std::size_t aWorker, const worker_order& aOrder);
   // Returns false if the order's relay can't be reached; the leader learns it
@@ -154,6 +165,7 @@
   std::multimap<time_point, std::function<void()>> mEvents;
   run_oracle mOracle;
   std::function<bool(const worker_order&)> mHoldsOrder;
+  machine_service mMachineService;
   // With the index of the worker.
   std::vector<std::pair<std::size_t, worker_order>> mHeldOrders;
   std::optional<milliseconds> mRestartDelay;
