Machine service and operators' waves on the wire

Cause: operators can't order a wave, and the leader can't reach the machine service.

Change: POST /v1/wave-start and GET /v1/wave-get/N with checked input (400 names the field); host::machine_port and platform/machine_calls for the list and the orders, with the two headers; the address is asked at each call, so a changed setting holds at once. Half of dutyPerS and ratePerS is used. A process whose settings name no machine service answers 503 to an order, since nobody would carry it out.

Ruled out: taking a page that can't be read in full as a short one (machines would seem to have left).

Measured: build/testing/test_platform, 30 tests, test_host and test_machines pass.

--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -76,10 +76,12 @@
                            control_options aOptions,
                            worker_port aWorkers,
                            policy_port aPolicy,
+                           machine_port aMachines,
                            observe::decision_log& aLog)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mPolicy(std::move(aPolicy))
+  , mMachines(std::move(aMachines))
   , mLog(aLog)
   , mTimer(aContext)
   , mAddresses(mOptions.mFounders)
@@ -354,6 +356,9 @@
   for (const flow::advice_call& order : aEffects.mAdviceCalls) {
     SendQuestion(order);
   }
+  for (const machines::machine_call& call : aEffects.mMachineCalls) {
+    SendMachineCall(call);
+  }
   if (aEffects.mQueriesContacts) {
     QueryContacts();
   }
@@ -416,6 +421,19 @@
             });
 }
 
+void
+control_host::SendMachineCall(const machines::machine_call& aCall)
+{
+  mMachines(
+    aCall,
+    [this, id = aCall.mId, life = mLife](const machines::call_answer& aAnswer) {
+      if (mCore && life == mLife) {
+        mCore->OnMachineAnswer(id, aAnswer, Now());
+        SchedulePump();
+      }
+    });
+}
+
 void
 control_host::QueryContacts()
 {
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -33,6 +33,7 @@
 #include "oriolewalk/flow/heartbeat_aggregator.h"
 #include "oriolewalk/host/address_book.h"
 #include "oriolewalk/host/leader_link.h"
+#include "oriolewalk/host/machine_port.h"
 #include "oriolewalk/host/order_relay.h"
 #include "oriolewalk/host/policy_port.h"
 #include "oriolewalk/observe/decision_log.h"
@@ -63,6 +64,7 @@
                control_options aOptions,
                worker_port aWorkers,
                policy_port aPolicy,
+               machine_port aMachines,
                observe::decision_log& aLog);
   ~control_host();
   control_host(const control_host&) = delete;
@@ -151,6 +153,7 @@
   void SendToPeer(const consensus::message& aMessage);
   void SendOrder(const flow::worker_order& aOrder);
   void SendQuestion(const flow::advice_call& aOrder);
+  void SendMachineCall(const machines::machine_call& aCall);
   void QueryContacts();
   void ArmTick();
   void AskToJoin();
@@ -165,6 +168,7 @@
   boost::asio::io_context& mContext;
   control_options mOptions;
   policy_port mPolicy;
+  machine_port mMachines;
   observe::decision_log& mLog;
   storage::posix_file_system mFiles;
   std::unique_ptr<flow::flow_core> mCore;
--- a/testing/platform/calls_test.cc
+++ b/testing/platform/calls_test.cc
@@ -268,6 +268,106 @@
                  R"("pathPrefix":"/p/","timeoutMs":1,"service":"s"},)")));
 }
 
+namespace {
+
+constexpr const char* kWave =
+  R"({"wave":1,"machines":["m-0a3f1","m-141e8"],"durationS":20,"maxCount":1})";
+
+http::response
+Wave(flow::wave_reply aReply)
+{
+  return platform::WriteOperatorAnswer(
+    flow::flow_answer(flow::wave_answer{ aReply }));
+}
+
+} // namespace
+
+TEST_CASE("a wave's order is read in full")
+{
+  const http::request call = Call("POST", "/v1/wave-start", kWave);
+  CHECK(platform::IsOperatorCall(call));
+  const auto read = platform::ReadOperatorCall(call);
+  REQUIRE(read);
+  const auto& order = std::get<flow::wave_start>(*read).mOrder;
+  CHECK(order.mNumber == 1);
+  CHECK(order.mMachines == std::vector{ oriolewalk::machine_id("m-0a3f1"),
+                                        oriolewalk::machine_id("m-141e8") });
+  CHECK(order.mDurationMs == 20'000);
+  CHECK(order.mMaxCount == 1);
+}
+
+TEST_CASE("an invalid wave is refused with the field's name")
+{
+  // Guards against an order that is acknowledged with other numbers than the
+  // operator meant.
+  const auto problem = [](const std::string& aBody) {
+    const auto read =
+      platform::ReadOperatorCall(Call("POST", "/v1/wave-start", aBody));
+    REQUIRE(!read);
+    CHECK(read.error().mCode == error_code::InvalidArgument);
+    return read.error().mMessage;
+  };
+  const auto with = [](const std::string& aOld, const std::string& aNew) {
+    std::string text = kWave;
+    return text.replace(text.find(aOld), aOld.size(), aNew);
+  };
+  for (const char* value : { "0", "-1", "1.5", "\"1\"", "null", "[1]" }) {
+    CAPTURE(value);
+    CHECK(problem(with("\"wave\":1", std::string("\"wave\":") + value))
+            .starts_with("wave "));
+    CHECK(
+      problem(with("\"durationS\":20", std::string("\"durationS\":") + value))
+        .starts_with("durationS "));
+    CHECK(problem(with("\"maxCount\":1", std::string("\"maxCount\":") + value))
+            .starts_with("maxCount "));
+  }
+  CHECK(problem(with("\"wave\":1", "\"wave\":18446744073709551615"))
+          .starts_with("wave "));
+  CHECK(problem(with(",\"maxCount\":1", "")).starts_with("maxCount "));
+  const std::string machines = R"(["m-0a3f1","m-141e8"])";
+  for (const char* value :
+       { "[]", "[1]", "[\"\"]", "\"m\"", R"(["m","m"])", "null" }) {
+    CAPTURE(value);
+    CHECK(problem(with(machines, value)).starts_with("machines "));
+  }
+  const std::string whole = kWave;
+  CHECK_FALSE(problem(whole.substr(0, whole.size() / 2)).empty());
+  CHECK_FALSE(problem("[]").empty());
+}
+
+TEST_CASE("a wave is asked for by its number")
+{
+  const http::request call = Call("GET", "/v1/wave-get/17");
+  CHECK(platform::IsOperatorCall(call));
+  const auto read = platform::ReadOperatorCall(call);
+  REQUIRE(read);
+  CHECK(std::get<flow::wave_query>(*read).mNumber == 17);
+  for (const char* number : { "", "x", "1x", "-1", "0", "1/2" }) {
+    CAPTURE(number);
+    const auto wrong = platform::ReadOperatorCall(
+      Call("GET", std::string("/v1/wave-get/") + number));
+    REQUIRE(!wrong);
+    CHECK(wrong.error().mMessage.starts_with("wave "));
+  }
+  CHECK_FALSE(platform::IsOperatorCall(Call("POST", "/v1/wave-get/17")));
+  CHECK_FALSE(platform::IsOperatorCall(Call("GET", "/v1/wave-start")));
+}
+
+TEST_CASE("a wave's answers are told as the operator expects them")
+{
+  CHECK(Wave(flow::wave_reply::Accepted).mStatus == 200);
+  CHECK(Wave(flow::wave_reply::Conflict).mStatus == 409);
+  CHECK(Wave(flow::wave_reply::NotFound).mStatus == 404);
+  CHECK(Wave(flow::wave_reply::Running).mStatus == 200);
+  CHECK(Wave(flow::wave_reply::Running).mBody == R"({"state":"running"})");
+  CHECK(Wave(flow::wave_reply::Done).mBody == R"({"state":"done"})");
+  // A process that can't be sure says so.
+  for (const error_code code :
+       { error_code::NotLeader, error_code::Timeout, error_code::Busy }) {
+    CHECK(platform::WriteOperatorAnswer(Fail(code, "ask", "")).mStatus == 503);
+  }
+}
+
 TEST_CASE("a caller's key comes with its request")
 {
   const auto keyed = [](std::string aHeader) {
--- a/testing/platform/settings_test.cc
+++ b/testing/platform/settings_test.cc
@@ -82,6 +82,29 @@
   CHECK_FALSE(problem("a: [").empty());
 }
 
+TEST_CASE("the machine service's limits are halved")
+{
+  // An earlier leader may have made the other half of the calls in the same
+  // second.
+  std::string text = kCore;
+  text += "cloud:\n  address: \"10.200.1.7:8170\"\n  dutyPerS: 5\n"
+          "  ratePerS: 3\n  maintenanceS: 4.5\n";
+  const auto settings = platform::ParseSettings(text);
+  REQUIRE(settings);
+  CHECK(settings->mMachines.mHost == "10.200.1.7");
+  CHECK(settings->mFlow.mUpkeep.mOrdersPerS == 2.5);
+  CHECK(settings->mFlow.mUpkeep.mPagesPerS == 1.5);
+  CHECK(settings->mFlow.mUpkeep.mMaintenance ==
+        oriolewalk::milliseconds(4'500));
+  const auto plain = platform::ParseSettings(kCore);
+  REQUIRE(plain);
+  CHECK(plain->mMachines.mHost.empty());
+  text.replace(text.find("dutyPerS: 5"), 11, "dutyPerS: 0");
+  const auto wrong = platform::ParseSettings(text);
+  REQUIRE(!wrong);
+  CHECK(wrong.error().mMessage.find("'cloud.dutyPerS'") != std::string::npos);
+}
+
 TEST_CASE("a node's number is its IP number")
 {
   CHECK(platform::NodeNumber("10.1.0.15") == 0x0A01000F);
