--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -1,6 +1,7 @@
 // The table, the lookups, the snapshots and the indexes of the replicated
 // state. The commands are in flow_state_jobs.cc, flow_state_runs.cc,
-// flow_state_workers.cc, flow_state_organisations.cc and flow_state_copies.cc.
+// flow_state_workers.cc, flow_state_organisations.cc, flow_state_copies.cc and
+// flow_state_waves.cc.
 
 #include "oriolewalk/flow/flow_state.h"
 
@@ -47,16 +48,17 @@
   }
 };
 
-// The format of snapshots with copies of tasks.
-struct saved_state_with_copies
+// The format of snapshots with copies of tasks or waves of upkeep.
+struct saved_state_with_additions
 {
   saved_state mState;
   std::map<task_ref, copy_record> mCopies;
+  std::map<std::uint64_t, machines::wave_record> mWaves;
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
-    aArchive(mState, mCopies);
+    aArchive(mState, mCopies, mWaves);
   }
 };
 
@@ -77,17 +79,17 @@
 };
 
 // Reads a snapshot of this or an earlier version.
-result<saved_state_with_copies>
+result<saved_state_with_additions>
 ReadSnapshot(std::string_view aBytes)
 {
   constexpr std::string_view kWhat = "restoring the workflow state";
-  auto read = Decode<saved_state_with_copies>(aBytes, kWhat);
+  auto read = Decode<saved_state_with_additions>(aBytes, kWhat);
   if (read) {
     return read;
   }
-  saved_state_with_copies made;
-  if (auto noCopies = Decode<saved_state>(aBytes, kWhat)) {
-    made.mState = std::move(*noCopies);
+  saved_state_with_additions made;
+  if (auto plain = Decode<saved_state>(aBytes, kWhat)) {
+    made.mState = std::move(*plain);
     return made;
   }
   if (auto older = Decode<saved_state_without_access>(aBytes, kWhat)) {
@@ -264,11 +266,12 @@
     }
   }
   // A process of an earlier version may receive the snapshot.
+  if (!mCopies.empty() || !mWaves.empty()) {
+    return Encode(
+      saved_state_with_additions{ std::move(saved), mCopies, mWaves });
+  }
   const bool hasOrganisations =
     saved.mAccess || !saved.mFormer.empty() || !saved.mOwners.empty();
-  if (!mCopies.empty()) {
-    return Encode(saved_state_with_copies{ std::move(saved), mCopies });
-  }
   return hasOrganisations ? Encode(saved) : Encode(saved.mState);
 }
 
@@ -290,6 +293,7 @@
   mAccess = std::move(saved.mAccess);
   mFormer = std::move(saved.mFormer);
   mCopies = std::move(read->mCopies);
+  mWaves = std::move(read->mWaves);
   for (const auto& [id, owner] : saved.mOwners) {
     mJobs.at(id).mOwner = owner;
   }
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -20,7 +20,8 @@
 // - a task that crashes its workers is abandoned, and its job ends as failed;
 // - a worker_number identifies one incarnation of a worker: a worker that
 //   restarts under its id gets another number, and its placed runs move along
-//   until a poll shows whether they still run.
+//   until a poll shows whether they still run;
+// - a wave's order never changes, and what was recorded of its machines stays.
 //
 // Owned by flow_core; used by the control thread only. No clock, no I/O.
 
@@ -40,6 +41,7 @@
 #include "oriolewalk/flow/crash_tracker.h"
 #include "oriolewalk/flow/records.h"
 #include "oriolewalk/flow/types.h"
+#include "oriolewalk/machines/wave.h"
 #include "oriolewalk/organisations/key_index.h"
 #include "oriolewalk/organisations/quota.h"
 #include "oriolewalk/organisations/usage_report.h"
@@ -127,6 +129,12 @@
   // has been removed since.
   [[nodiscard]] const queue_row& QueueOf(const job_record& aJob) const;
   [[nodiscard]] const crash_tracker& Crashes() const { return mCrashes; }
+  // The operators' waves by number, ended ones too.
+  [[nodiscard]] const std::map<std::uint64_t, machines::wave_record>& Waves()
+    const
+  {
+    return mWaves;
+  }
 
   // None: everybody may use every queue.
   [[nodiscard]] const std::optional<access_rules>& Access() const
@@ -187,6 +195,8 @@
   apply_outcome On(const submit_owned_job& aSubmit, std::int64_t aWallMs);
   apply_outcome On(const end_runs_on_workers& aEnds, std::int64_t aWallMs);
   apply_outcome On(const start_copies& aStart, std::int64_t aWallMs);
+  apply_outcome On(const put_wave& aPut, std::int64_t aWallMs);
+  apply_outcome On(const record_upkeep& aRecord, std::int64_t aWallMs);
 
   void PutTable(const put_table& aPut, std::optional<access_rules> aAccess);
   apply_outcome Submit(const submit_job& aSubmit,
@@ -285,6 +295,7 @@
   // Without keys.
   std::map<organisation_id, organisations::organisation_row> mFormer;
   std::map<task_ref, copy_record> mCopies;
+  std::map<std::uint64_t, machines::wave_record> mWaves;
 
   // Derived from the members above.
   std::map<job_id, const job_record*> mLive; // into mJobs' stable nodes
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -53,6 +53,7 @@
   , mAdmission(aAt.mNow)
   , mFreed(aAt.mNow)
   , mLastQuery(OrderIdBase(aTerm))
+  , mWaves(aState, aOptions, aTerm, aAt.mNow)
 {
 }
 
@@ -82,6 +83,11 @@
     mSupervisor.OnRunsDropped(lost->mWorker);
     mStragglers.OnRunsDropped(lost->mRuns);
     mIsolation.OnRunsLost(lost->mRuns, mAt.mNow);
+  } else if (const auto* upkeep = std::get_if<record_upkeep>(&aCommand)) {
+    if (!aOutcome.mError) {
+      std::ranges::for_each(DescribeUpkeep(*upkeep, mState, mAt.mWallMs),
+                            mPort.mLogDecision);
+    }
   }
   LearnSpeeds();
   LogCrashingTasks(aOutcome.mAbandonedTasks);
@@ -186,6 +192,7 @@
     UpdateRelays();
     OpenDueOccurrences();
     StopUnwanted();
+    StepWaves();
     if (mAt.mNow >= mSlowSweptAt + kSlowSweepInterval) {
       mSlowSweptAt = mAt.mNow;
       ForgetOldJobs();
