--- a/oriolewalk/flow/admission.cc
+++ b/oriolewalk/flow/admission.cc
@@ -69,6 +69,21 @@
   });
 }
 
+// The least time until the work ahead has started, by figures of this age. Of
+// two independent bounds the one that favours the job counts: durations may be
+// wrong, and a rate says little where tasks take longer than its window.
+double
+DelayMs(const admission_verdict& aFigures, duration aAge)
+{
+  double delayMs = aFigures.mAhead.mWork / aFigures.mCapacity;
+  if (aFigures.mFreedPerMs > 0) {
+    delayMs = std::min(delayMs,
+                       static_cast<double>(aFigures.mAhead.mMilliProcessors) /
+                         (kRateSpread * aFigures.mFreedPerMs));
+  }
+  return std::max(0.0, delayMs - static_cast<double>(ToMs(aAge)));
+}
+
 // Spreads callers over the second half of the longest time, in which room
 // becomes free for some of them.
 double
@@ -203,7 +218,7 @@
 admission::Judge(const arrival& aJob,
                  const cell_load& aLoad,
                  bool aReturns,
-                 time_point aNow)
+                 time_point aNow) const
 {
   if (aNow < mStartedAt + kFirstSpan) {
     return Accept("new leader");
@@ -226,42 +241,42 @@
     return Accept("no capacity");
   }
 
+  return JudgeFull(aJob, aLoad, { isBeyondShare, aReturns, capacity }, aNow);
+}
+
+admission_verdict
+admission::JudgeFull(const arrival& aJob,
+                     const cell_load& aLoad,
+                     const standing& aStanding,
+                     time_point aNow) const
+{
   admission_verdict verdict;
-  verdict.mIsBeyondShare = isBeyondShare;
-  verdict.mCapacity = capacity;
+  verdict.mIsBeyondShare = aStanding.mIsBeyondShare;
+  verdict.mCapacity = aStanding.mCapacity;
   verdict.mEndOfValueMs = aJob.mEndOfValueMs;
-  verdict.mAhead = WorkAhead(aJob, aLoad, isBeyondShare);
+  verdict.mAhead = WorkAhead(aJob, aLoad, aStanding.mIsBeyondShare);
   // What more urgent runs free is taken by the next ones of their kind.
   for (auto priority = aLoad.mPriorities.lower_bound(aJob.mPriority);
        priority != aLoad.mPriorities.end();
        ++priority) {
     verdict.mFreedPerMs += priority->second.mFreedPerMs;
   }
-  // Two independent bounds; the one that favours the job counts. Durations may
-  // be wrong, and a rate says little where tasks take longer than its window.
-  double delayMs = verdict.mAhead.mWork / capacity;
-  if (verdict.mFreedPerMs > 0) {
-    delayMs = std::min(delayMs,
-                       static_cast<double>(verdict.mAhead.mMilliProcessors) /
-                         (kRateSpread * verdict.mFreedPerMs));
-  }
-  delayMs =
-    std::max(0.0, delayMs - static_cast<double>(ToMs(aNow - aLoad.mMadeAt)));
   const auto returning = mReturning.find({ aJob.mService, aJob.mPriority });
-  const double returningMs =
-    returning == mReturning.end() ? 0 : returning->second.mWork / capacity;
-  if (!aReturns) {
-    delayMs += std::min(returningMs, kMaxReturningShare * aJob.mEndOfValueMs);
-  }
-  verdict.mExpectedEndMs = delayMs + aJob.mChainMs;
+  const double returningMs = aStanding.mReturns || returning == mReturning.end()
+                               ? 0
+                               : returning->second.mWork / aStanding.mCapacity;
+  verdict.mExpectedEndMs =
+    DelayMs(verdict, aNow - aLoad.mMadeAt) +
+    std::min(returningMs, kMaxReturningShare * aJob.mEndOfValueMs) +
+    aJob.mChainMs;
   if (verdict.mExpectedEndMs <= aJob.mEndOfValueMs) {
     return Accept("in time");
   }
   verdict.mIsAccepted = false;
-  verdict.mReason = isBeyondShare ? "beyond share" : "full";
+  verdict.mReason = aStanding.mIsBeyondShare ? "beyond share" : "full";
   // Its turn comes once the excess is done, after those that return before it.
   const double turnMs =
-    verdict.mExpectedEndMs - aJob.mEndOfValueMs + (aReturns ? 0 : returningMs);
+    verdict.mExpectedEndMs - aJob.mEndOfValueMs + returningMs;
   const double mostMs = std::max(0.0, aJob.mEndOfValueMs - aJob.mChainMs);
   verdict.mRetryAfterMs = std::max<std::int64_t>(
     kMinRetryMs,
--- a/oriolewalk/flow/admission.h
+++ b/oriolewalk/flow/admission.h
@@ -110,6 +110,12 @@
     priority_key mKey;
     waiting_load mDemand;
   };
+  struct standing
+  {
+    bool mIsBeyondShare = false;
+    bool mReturns = false; // was refused before
+    double mCapacity = 0;  // thousandths of a processor
+  };
   struct recent_capacity
   {
     double mMost = 0; // thousandths of a processor
@@ -121,10 +127,15 @@
     time_point mAt{};
   };
 
-  admission_verdict Judge(const arrival& aJob,
-                          const cell_load& aLoad,
-                          bool aReturns,
-                          time_point aNow);
+  [[nodiscard]] admission_verdict Judge(const arrival& aJob,
+                                        const cell_load& aLoad,
+                                        bool aReturns,
+                                        time_point aNow) const;
+  // Whether it can be done in time where it has no room now.
+  [[nodiscard]] admission_verdict JudgeFull(const arrival& aJob,
+                                            const cell_load& aLoad,
+                                            const standing& aStanding,
+                                            time_point aNow) const;
   admission_verdict Refuse(const arrival& aJob,
                            admission_verdict aVerdict,
                            bool aReturns,
