--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -492,7 +492,8 @@
     }
     for (const std::string& id : mRefused) {
       if (const std::string state = StateOf(id); !state.empty()) {
-        return "at the end a refused job is '" + state + "': " + id;
+        std::string violation = "at the end a refused job is '";
+        return violation.append(state).append("': ").append(id);
       }
     }
     for (const auto& [id, cancelled] : mJobs) {
