Upkeep planner, budget: smaller functions, as the linter asks

Change: HasBegun apart from Settle; it looks at the other waves only where the list shows an upkeep. No change of what is decided.

--- a/oriolewalk/flow/availability_budget.cc
+++ b/oriolewalk/flow/availability_budget.cc
@@ -60,17 +60,14 @@
     return { aCandidates.begin(), aCandidates.end() };
   }
   const auto found = mSteps.find(aStep);
-  if (found == mSteps.end()) {
-    return {};
+  if (found == mSteps.end() || found->second.mLastEnded) {
+    return {}; // the last one's successor hasn't been at work yet
   }
   step_state& step = found->second;
   // Unavailable tasks that the step's rows lack count as well: nothing is known
   // of them.
   const std::size_t unknown =
     aSpec.mCount - std::min<std::size_t>(aSpec.mCount, step.mTasks.size());
-  if (step.mLastEnded) {
-    return {}; // its successor hasn't been at work yet
-  }
   std::map<rack_id, std::size_t> unavailableByRack;
   std::size_t unavailable = unknown;
   for (const auto& [index, task] : step.mTasks) {
--- a/oriolewalk/flow/wave_executor.cc
+++ b/oriolewalk/flow/wave_executor.cc
@@ -246,7 +246,7 @@
   });
   for (const machines::settled_machine& settled : aActions.mRecords) {
     if (mProposedRecords.try_emplace(settled, aNow).second) {
-      aStep.mCommands.push_back(
+      aStep.mCommands.emplace_back(
         record_upkeep{ settled.mWave, settled.mMachine, settled.mHasLeft });
     }
   }
--- a/oriolewalk/machines/upkeep_planner.cc
+++ b/oriolewalk/machines/upkeep_planner.cc
@@ -176,10 +176,11 @@
       continue;
     }
     mWaves.try_emplace(number, wave_view{ aInput.mNow, false });
-    std::ranges::copy_if(
-      wave.mOrder.mMachines,
-      std::inserter(machines, machines.end()),
-      [&](const machine_id& aMachine) { return wave.IsOpen(aMachine); });
+    for (const machine_id& machine : wave.mOrder.mMachines) {
+      if (wave.IsOpen(machine)) {
+        machines.insert(machine);
+      }
+    }
   }
   std::erase_if(mHolds, [&](const auto& aEntry) {
     return !machines.contains(aEntry.first);
@@ -234,7 +235,6 @@
   return false;
 }
 
-// Which machines need nothing more for a wave.
 void
 upkeep_planner::Settle(const upkeep_input& aInput, upkeep_actions& aActions)
 {
@@ -244,32 +244,38 @@
       if (!wave.IsOpen(machine)) {
         continue;
       }
-      const auto order = mOrders.find(machine);
-      if (order != mOrders.end()) {
-        if (order->second.mWave == number &&
-            order->second.mPhase == order_phase::Begun) {
-          aActions.mRecords.push_back({ number, machine, false });
-        }
-        continue;
-      }
-      // The upkeep that the list shows is another wave's, if there is another.
-      const bool isOnlyWave =
-        std::ranges::none_of(*aInput.mWaves, [&](const auto& aEntry) {
-          return aEntry.first != number &&
-                 std::ranges::find(aEntry.second.mOrder.mMachines, machine) !=
-                   aEntry.second.mOrder.mMachines.end();
-        });
-      const listed_row* row = mList.Find(machine);
-      if (row != nullptr && row->mState == machine_state::Upkeep &&
-          row->mAskedAt >= view.mFirstSeenAt && isOnlyWave) {
+      if (HasBegun(aInput, wave, machine)) {
         aActions.mRecords.push_back({ number, machine, false });
-      } else if (row == nullptr && mList.HasLeft(machine)) {
+      } else if (!mOrders.contains(machine) && mList.HasLeft(machine)) {
         aActions.mRecords.push_back({ number, machine, true });
       }
     }
   }
 }
 
+bool
+upkeep_planner::HasBegun(const upkeep_input& aInput,
+                         const wave_record& aWave,
+                         const machine_id& aMachine) const
+{
+  const std::uint64_t number = aWave.mOrder.mNumber;
+  if (const auto order = mOrders.find(aMachine); order != mOrders.end()) {
+    return order->second.mWave == number &&
+           order->second.mPhase == order_phase::Begun;
+  }
+  const listed_row* row = mList.Find(aMachine);
+  if (row == nullptr || row->mState != machine_state::Upkeep ||
+      row->mAskedAt < mWaves.at(number).mFirstSeenAt) {
+    return false;
+  }
+  // The upkeep that the list shows may be another wave's, if there is another.
+  return std::ranges::none_of(*aInput.mWaves, [&](const auto& aEntry) {
+    const auto& machines = aEntry.second.mOrder.mMachines;
+    return aEntry.first != number &&
+           std::ranges::find(machines, aMachine) != machines.end();
+  });
+}
+
 bool
 upkeep_planner::IsDown(const wave_record& aWave,
                        const machine_id& aMachine) const
--- a/oriolewalk/machines/upkeep_planner.h
+++ b/oriolewalk/machines/upkeep_planner.h
@@ -186,7 +186,11 @@
   // Whether the machine no longer counts as down because of the order.
   [[nodiscard]] bool IsOver(const machine_id& aMachine,
                             const order_view& aOrder) const;
+  // Records which machines need nothing more for their waves.
   void Settle(const upkeep_input& aInput, upkeep_actions& aActions);
+  [[nodiscard]] bool HasBegun(const upkeep_input& aInput,
+                              const wave_record& aWave,
+                              const machine_id& aMachine) const;
   void PlanWave(const upkeep_input& aInput,
                 const wave_record& aWave,
                 upkeep_actions& aActions);
