--- a/oriolewalk/flow/leader_copies.cc
+++ b/oriolewalk/flow/leader_copies.cc
@@ -20,52 +20,72 @@
 
 } // namespace
 
-// Only runs count that this leader knows to have started. The start order of
-// another one may be in transit, and could arrive after a copy has ended as
-// done.
 void
 leader_core::AddRunningTasks(plan_input& aInput) const
 {
-  const auto addStep = [&](const step_ref& aStep, const step_record& aRecord) {
-    for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
-      const task_record& task = aRecord.mTasks[index];
-      const run_ref run{ { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
-                         task.mAttempt };
-      const auto view = task.mPhase == task_phase::Placed
-                          ? mSupervisor.Views().find(task.mWorker)
-                          : mSupervisor.Views().end();
-      if (view == mSupervisor.Views().end()) {
-        continue;
-      }
-      const auto seen = view->second.mRuns.find(run);
-      if (seen != view->second.mRuns.end() && seen->second.mStartedAt &&
-          !seen->second.mStopRequested) {
-        aInput.mRunning.push_back({ run,
-                                    task.mWorker,
-                                    std::chrono::duration<double, std::milli>(
-                                      mAt.mNow - *seen->second.mStartedAt)
-                                      .count() });
-        aInput.mFinished[aStep] = mStragglers.FinishedTasks(aStep);
+  for (const auto& [id, job] : mState.LiveJobs()) {
+    if (job->IsActive() && job->mPlacedRuns > 0 &&
+        std::ranges::any_of(job->mSpec.mSteps, &step_spec::MayHaveCopies)) {
+      AddRunningTasks(id, *job, aInput);
+    }
+  }
+  if (!aInput.mRunning.empty()) {
+    aInput.mCopyCounts = mCopyCounts;
+  }
+}
+
+void
+leader_core::AddRunningTasks(const job_id& aId,
+                             const job_record& aJob,
+                             plan_input& aInput) const
+{
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      if (aJob.mSpec.mSteps[step].MayHaveCopies() &&
+          !occurrence.mSteps[step].IsDone()) {
+        AddRunningTasks({ aId, number, step }, occurrence.mSteps[step], aInput);
       }
     }
-  };
-  for (const auto& [id, job] : mState.LiveJobs()) {
-    const auto& specs = job->mSpec.mSteps;
-    if (!job->IsActive() || job->mPlacedRuns == 0 ||
-        std::ranges::none_of(specs, &step_spec::MayHaveCopies)) {
+  }
+}
+
+void
+leader_core::AddRunningTasks(const step_ref& aStep,
+                             const step_record& aRecord,
+                             plan_input& aInput) const
+{
+  for (std::uint32_t index = 0; index < aRecord.mTasks.size(); ++index) {
+    const task_record& task = aRecord.mTasks[index];
+    if (task.mPhase != task_phase::Placed) {
       continue;
     }
-    for (const auto& [number, occurrence] : job->mOccurrences) {
-      for (std::uint32_t step = 0; step < specs.size(); ++step) {
-        if (specs[step].MayHaveCopies() && !occurrence.mSteps[step].IsDone()) {
-          addStep({ id, number, step }, occurrence.mSteps[step]);
-        }
-      }
+    const run_ref run{ { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
+                       task.mAttempt };
+    if (const auto elapsedMs = ElapsedMs(run, task.mWorker)) {
+      aInput.mRunning.push_back({ run, task.mWorker, *elapsedMs });
+      aInput.mFinished[aStep] = mStragglers.FinishedTasks(aStep);
     }
   }
-  if (!aInput.mRunning.empty()) {
-    aInput.mCopyCounts = mCopyCounts;
+}
+
+// Only runs count that this leader knows to have started. The start order of
+// another one may be in transit, and could arrive after a copy has ended as
+// done.
+std::optional<double>
+leader_core::ElapsedMs(const run_ref& aRun, worker_number aWorker) const
+{
+  const auto worker = mSupervisor.Views().find(aWorker);
+  if (worker == mSupervisor.Views().end()) {
+    return std::nullopt;
+  }
+  const auto run = worker->second.mRuns.find(aRun);
+  if (run == worker->second.mRuns.end() || !run->second.mStartedAt ||
+      run->second.mStopRequested) {
+    return std::nullopt;
   }
+  return std::chrono::duration<double, std::milli>(mAt.mNow -
+                                                   *run->second.mStartedAt)
+    .count();
 }
 
 void
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -228,8 +228,19 @@
   void StartCopies(std::vector<planned_copy> aCopies);
   void LogCopies(const std::vector<planned_copy>& aCopies,
                  const apply_outcome& aOutcome);
-  // Adds the runs to the input of a plan that may get a copy.
+  // Adds the runs to the input of a plan that may get a copy: of all jobs, of a
+  // job, of a step.
   void AddRunningTasks(plan_input& aInput) const;
+  void AddRunningTasks(const job_id& aId,
+                       const job_record& aJob,
+                       plan_input& aInput) const;
+  void AddRunningTasks(const step_ref& aStep,
+                       const step_record& aRecord,
+                       plan_input& aInput) const;
+  // Since the run's start at least; none if it isn't known to have started, or
+  // is being stopped.
+  [[nodiscard]] std::optional<double> ElapsedMs(const run_ref& aRun,
+                                                worker_number aWorker) const;
   // Books the capacity of starts that are about to be proposed, and keeps their
   // tickets.
   std::vector<run_start> Book(std::vector<planned_start> aStarts);
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -26,6 +26,7 @@
 // As in a deployment of thousands of workers.
 constexpr group_size kWithSpares{ 15, 5, 5 };
 constexpr std::size_t kWorkers = 3;
+constexpr milliseconds kNormalWorkTime{ 300 };
 constexpr std::int64_t kTaskMilliProcessors = 2'000;
 // A few copies fit into the share of the cell that copies may take.
 constexpr std::int64_t kSmallTaskMilliProcessors = 300;
@@ -486,6 +487,9 @@
     Restart();
     for (const std::size_t worker : mWorkers) {
       mGroup.CutWorker(worker, false);
+      if (mFaults.mCopies) {
+        mGroup.Worker(worker).mWorkTime = kNormalWorkTime;
+      }
       if (mFaults.mShrinking) {
         mGroup.Worker(worker).SetCapacity(testing::Worker("w").mCapacity,
                                           mGroup.Now());
