--- a/testing/flow/learned_order_test.cc
+++ b/testing/flow/learned_order_test.cc
@@ -63,7 +63,7 @@
   job_id First(bool aUsesModel)
   {
     plan_input input = mScene.Input();
-    input.mDurations = aUsesModel ? &mDurations : nullptr;
+    input.mExpectedDurations = aUsesModel ? &mDurations : nullptr;
     const plan_result plan = MakePlan(std::move(input));
     return plan.mStarts.empty() ? job_id()
                                 : plan.mStarts[0].mStart.mRun.mTask.mJob;
