Demand forecast: long tasks leave room for urgent work that is expected

Cause: long batch tasks that save no checkpoint filled the cell in the trough of a wave of urgent arrivals and held it through the next peak.

Change: demand_forecast models the arrivals of the queues of priority 0 (level, trend, and a wave of 8 to 20 s where arrivals repeat); kept_capacity holds such tasks of 2 s and more back while the service has less than a quarter of its processors free, the expected growth exceeds chance (two standard errors) and neither free processors nor runs that can be preempted cover it. A plan without expected growth costs a few look-ups per lower-priority step.

--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -14,6 +14,22 @@
 
 constexpr std::size_t kJobIdLength = 16;
 
+// The processor time that the job's tasks take, from the caller's estimates.
+double
+ProcessorMs(const job_spec& aSpec)
+{
+  constexpr double kMilli = 1'000;
+  double sum = 0;
+  for (const step_spec& step : aSpec.mSteps) {
+    if (!step.mLongRunning) {
+      sum += static_cast<double>(step.mCount) *
+             static_cast<double>(step.Booked().mMilliProcessors) / kMilli *
+             static_cast<double>(step.mEstimateMs);
+    }
+  }
+  return sum;
+}
+
 bool
 IsJobId(std::string_view aText)
 {
@@ -170,6 +186,9 @@
     return;
   }
   LogAccepted(id, *queue, aJob.mSpec, *owner);
+  if (mOptions.mPlan.mForecastsDemand && queue->mPriority == 0) {
+    mForecast.OnArrival(queue->mName, ProcessorMs(aJob.mSpec), mAt.mNow);
+  }
   ProposeSubmission(
     aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, *owner);
 }
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -34,6 +34,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
+#include "oriolewalk/flow/demand_forecast.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/interference_control.h"
 #include "oriolewalk/flow/messages.h"
@@ -269,6 +270,7 @@
   worker_health mHealth;
   straggler_detector mStragglers;
   speed_samples mSpeedSamples;
+  demand_forecast mForecast; // of the queues of priority 0
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -87,6 +87,7 @@
     mNothingToQuery.clear();
   }
   input.mNothingToQuery = &mNothingToQuery;
+  input.mForecast = &mForecast;
   input.mPreemptionRecords = mPreemptionRecords;
   input.mSuspicions = mIsolation.Summarize(
     mState,
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -100,6 +100,7 @@
     service.mSpeeds.Add(aWorker.mSpeed);
   }
   mFree += aWorker.mFree - aEntry.mWorker.mFree;
+  service.mFree += aWorker.mFree - aEntry.mWorker.mFree;
   aEntry.mWorker = aWorker;
   const auto [next, leavingFast] = RanksOf(aWorker);
   const auto capacity = aEntry.mCapacity.Amounts();
@@ -118,6 +119,8 @@
   service.mLeavingFast[capacity].emplace(aEntry.mRankLeavingFast,
                                          &aEntry.mWorker);
   ++service.mWorkers;
+  service.mCapacity += aEntry.mCapacity;
+  service.mFree += aEntry.mWorker.mFree;
   if (aEntry.mWorker.mIsSpeedKnown) {
     service.mSpeeds.Add(aEntry.mWorker.mSpeed);
   }
@@ -130,6 +133,8 @@
   EraseFrom(service.mRankings, aEntry.mCapacity, aEntry.mRank);
   EraseFrom(service.mLeavingFast, aEntry.mCapacity, aEntry.mRankLeavingFast);
   --service.mWorkers;
+  service.mCapacity -= aEntry.mCapacity;
+  service.mFree -= aEntry.mWorker.mFree;
   if (aEntry.mWorker.mIsSpeedKnown) {
     service.mSpeeds.Remove(aEntry.mWorker.mSpeed);
   }
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -74,6 +74,16 @@
   // The sums of all workers.
   [[nodiscard]] const cell::resources& Capacity() const { return mCapacity; }
   [[nodiscard]] const cell::resources& Free() const { return mFree; }
+  // The sums of the workers of a service.
+  [[nodiscard]] const cell::resources& Capacity(
+    const service_id& aService) const
+  {
+    return IndexOf(aService).mCapacity;
+  }
+  [[nodiscard]] const cell::resources& Free(const service_id& aService) const
+  {
+    return IndexOf(aService).mFree;
+  }
 
 private:
   // The keys by which a worker is indexed; its description may have changed.
@@ -93,6 +103,8 @@
     rankings mLeavingFast;
     speed_histogram mSpeeds;
     std::size_t mWorkers = 0;
+    cell::resources mCapacity;
+    cell::resources mFree;
   };
 
   static bool HasSameKeys(const entry& aEntry, const plan_worker& aWorker);
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "oriolewalk/flow/kept_capacity.h"
 #include "oriolewalk/flow/open_steps.h"
 #include "oriolewalk/flow/placement.h"
 #include "oriolewalk/flow/quota_planner.h"
@@ -25,11 +26,18 @@
     : mInput(std::move(aInput))
     , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
     , mQuotas(*mInput.mState, *mInput.mProposed)
+    , mKept(*mInput.mState,
+            *mInput.mWorkers,
+            mInput.mForecast,
+            mInput.mPolicy,
+            mInput.mNow)
     , mSpeeds(mInput.mState->Table(), *mInput.mWorkers, mInput.mPolicy)
   {
     for (const auto& [number, pending] : mInput.mPending) {
       if (plan_worker* worker = Find(number)) {
         worker->mFree -= pending.mProposed;
+        mKept.OnBooked(worker->mDescription->mService,
+                       pending.mProposed.mMilliProcessors);
         worker->mBeingFreed += pending.mBeingFreed;
       }
     }
@@ -61,7 +69,8 @@
       mResult.mConsideredTasks += step.mWaiting.size();
       step.mSpeed = mSpeeds.For(step, mInput.mWallMs);
       const std::size_t beyondQuota = LimitToQuota(step);
-      const bool waits = !step.mWaiting.empty() && Serve(step);
+      const bool isKept = KeepForUrgent(step);
+      const bool waits = isKept || (!step.mWaiting.empty() && Serve(step));
       if (beyondQuota > 0 && !waits) {
         mResult.mWaits.push_back(
           { step.mRef, step.mQueue->mName, wait_cause::Quota, beyondQuota });
@@ -74,6 +83,7 @@
     }
     mResult.mVisitedWorkers += mCopies.size();
     mResult.mOpenSteps = steps.size();
+    mResult.mHeldForUrgent = mKept.Held();
     mResult.mComparisons += mReservations.Comparisons();
     return std::move(mResult);
   }
@@ -176,11 +186,30 @@
     return beyond;
   }
 
+  // Removes the waiting tasks whose start would take the room of urgent work
+  // that is expected while they run. Returns whether these are all.
+  bool KeepForUrgent(open_step& aStep)
+  {
+    const std::size_t startable = mKept.Startable(aStep);
+    const std::size_t held = aStep.mWaiting.size() - startable;
+    mResult.mWaiting += held;
+    aStep.mWaiting.resize(startable);
+    if (held == 0 || startable > 0) {
+      return false;
+    }
+    mResult.mWaits.push_back(
+      { aStep.mRef, aStep.mQueue->mName, wait_cause::Room, held });
+    return true;
+  }
+
   // Starts what can start now. Returns whether the step waits for the rest.
   bool Serve(const open_step& aStep)
   {
     step_placement placement(aStep, *mInput.mProposed, mInput.mPolicy);
     const std::size_t placed = PlaceNow(aStep, placement);
+    mKept.OnBooked(aStep.mQueue->mService,
+                   static_cast<std::int64_t>(placed) *
+                     aStep.mSpec->Booked().mMilliProcessors);
     // Users notice each second of a top-priority step's delay, so later steps
     // of its organisation can't use the quota that it waits to use.
     const bool holdsAll = IsTopPriority(*aStep.mQueue, *aStep.mSpec);
@@ -577,6 +606,7 @@
   std::unordered_map<worker_number, plan_worker> mCopies;
   reservation_planner mReservations;
   quota_planner mQuotas;
+  kept_capacity mKept;
   speed_preferences mSpeeds;
   std::optional<advisor_pool> mAdvisors;
   plan_result mResult;
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -30,6 +30,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/advice_queries.h"
 #include "oriolewalk/flow/advisors.h"
+#include "oriolewalk/flow/demand_forecast.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
 #include "oriolewalk/flow/plan_workers.h"
@@ -61,6 +62,7 @@
     nullptr;
   // Steps that recently had nothing to query; this plan skips them.
   const std::set<step_ref>* mNothingToQuery = nullptr;
+  const demand_forecast* mForecast = nullptr; // null: none
   preemption_records mPreemptionRecords;
   suspect_summary mSuspicions;
   advisor_load mAdvisors;
@@ -96,6 +98,7 @@
   cell::resources mFree;           // of all workers, after the starts
   cell::resources mReserved;       // reserved on all workers, out of mFree
   std::size_t mVisitedWorkers = 0; // that the plan looked at
+  std::size_t mHeldForUrgent = 0;  // tasks that leave room for urgent work
   std::size_t mOpenSteps = 0;
   std::size_t mConsideredTasks = 0; // waiting ones of the open steps
   // How often a worker was weighed for a task.
