Operators see learned speeds and the room left for urgent work

Cause: nothing showed whether speeds are known, or how many fast workers other work leaves to urgent steps.

Change: the decision 'workers.speeds' once a second for each service on which speeds decide if urgent work is in time; 'left_for_urgent' in 'plan.short' while long tasks are held back.

--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -228,6 +228,7 @@
   void LogQuotas(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void LogLoad();
+  void LogSpeeds(const plan_workers& aWorkers);
   void Start(std::vector<planned_start> aStarts);
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
   void ForgetEndedPreemptions();
@@ -279,6 +280,7 @@
   decision_counts mLoggedCounts;
   time_point mLoadLoggedAt{};
   time_point mShortageLoggedAt{};
+  time_point mSpeedsLoggedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
   // Starts that are proposed and not yet applied.
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <numeric>
@@ -13,6 +14,7 @@
 
 #include "oriolewalk/flow/leader_core.h"
 #include "oriolewalk/flow/open_steps.h"
+#include "oriolewalk/flow/speed_preference.h"
 #include "oriolewalk/flow/whole_ms.h"
 
 namespace oriolewalk::flow {
@@ -133,6 +135,58 @@
   mLoggedCounts = now;
 }
 
+// Logs once a second, for each service in which the speeds of workers matter,
+// what is known of them and how many fast workers run no work of a lower
+// priority than 0.
+void
+leader_core::LogSpeeds(const plan_workers& aWorkers)
+{
+  if (!mOptions.mPlan.mPlacesBySpeed ||
+      mAt.mNow < mSpeedsLoggedAt + kLoadLogInterval) {
+    return;
+  }
+  mSpeedsLoggedAt = mAt.mNow;
+  std::set<service_id> services;
+  for (const queue_row& queue : mState.Table().mQueues) {
+    services.insert(queue.mService);
+  }
+  const auto runsLowerPriority = [this](worker_number aWorker) {
+    return std::ranges::any_of(
+      mState.RunsAt(aWorker), [this](const run_ref& aRun) {
+        const job_record* job = mState.FindJob(aRun.mTask.mJob);
+        return job != nullptr && mState.QueueOf(*job).mPriority > 0;
+      });
+  };
+  for (const service_id& service : services) {
+    const speed_spread spread = aWorkers.Speeds(service);
+    if (!DoSpeedsMatter(mState.Table(), service, spread)) {
+      continue;
+    }
+    const double middle = std::sqrt(spread.mSlow * spread.mFast);
+    std::size_t fast = 0;
+    std::size_t left = 0;
+    for (const auto& [capacity, ranked] : aWorkers.Ranked(service)) {
+      for (const auto& [rank, worker] : ranked) {
+        const bool isFast = worker->mIsSpeedKnown && worker->mSpeed >= middle;
+        fast += isFast ? 1 : 0;
+        left += isFast && !runsLowerPriority(worker->mNumber) ? 1 : 0;
+      }
+    }
+    const auto percent = [](double aSpeed) {
+      constexpr double kPercent = 100;
+      return std::to_string(std::lround(kPercent * aSpeed));
+    };
+    mPort.mLogDecision(
+      { "workers.speeds",
+        { { "service", service.Value() },
+          { "known", std::to_string(aWorkers.KnownSpeeds(service)) },
+          { "slow_percent", percent(spread.mSlow) },
+          { "fast_percent", percent(spread.mFast) },
+          { "fast_workers", std::to_string(fast) },
+          { "left_to_urgent", std::to_string(left) } } });
+  }
+}
+
 // Logs why work waits, once a second while it does: one line for all work, and
 // one per queue with its waiting tasks by cause.
 void
@@ -143,19 +197,23 @@
     return;
   }
   mShortageLoggedAt = mAt.mNow;
-  mPort.mLogDecision(
-    { "plan.short",
-      { { "waiting", std::to_string(aPlan.mWaiting) },
-        { "urgent", std::to_string(aPlan.mUrgentWaiting) },
-        { "workers", std::to_string(aWorkers) },
-        { "free_processors_m", std::to_string(aPlan.mFree.mMilliProcessors) },
-        { "free_memory_mb", std::to_string(aPlan.mFree.mMemoryMb) },
-        { "free_accelerators", std::to_string(aPlan.mFree.mAccelerators) },
-        { "held_processors_m",
-          std::to_string(aPlan.mReserved.mMilliProcessors) },
-        { "held_accelerators", std::to_string(aPlan.mReserved.mAccelerators) },
-        { "yielding", std::to_string(mPreemptedRuns.size()) },
-        { "asking", std::to_string(mQueriedSteps.size()) } } });
+  log_fields totals{
+    { "waiting", std::to_string(aPlan.mWaiting) },
+    { "urgent", std::to_string(aPlan.mUrgentWaiting) },
+    { "workers", std::to_string(aWorkers) },
+    { "free_processors_m", std::to_string(aPlan.mFree.mMilliProcessors) },
+    { "free_memory_mb", std::to_string(aPlan.mFree.mMemoryMb) },
+    { "free_accelerators", std::to_string(aPlan.mFree.mAccelerators) },
+    { "held_processors_m", std::to_string(aPlan.mReserved.mMilliProcessors) },
+    { "held_accelerators", std::to_string(aPlan.mReserved.mAccelerators) },
+    { "yielding", std::to_string(mPreemptedRuns.size()) },
+    { "asking", std::to_string(mQueriedSteps.size()) }
+  };
+  if (aPlan.mHeldForUrgent > 0) {
+    totals.emplace_back("left_for_urgent",
+                        std::to_string(aPlan.mHeldForUrgent));
+  }
+  mPort.mLogDecision({ "plan.short", std::move(totals) });
   std::map<std::string_view, std::map<wait_cause, std::size_t>> queues;
   for (const waiting_step& step : aPlan.mWaits) {
     queues[step.mQueue][step.mCause] += step.mTasks;
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -113,6 +113,7 @@
   }
   ForgetEndedPreemptions();
   plan_input input = MakeInput(*scope);
+  LogSpeeds(*input.mWorkers);
   const std::size_t usable = input.mWorkers->Size();
   plan_result plan = MakePlan(std::move(input));
   mTopPriorityWaiting = plan.mUrgentWaiting;
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -215,12 +215,6 @@
   return IndexOf(aService).mSpeeds.Known();
 }
 
-std::size_t
-plan_workers::CountFrom(const service_id& aService, double aSpeed) const
-{
-  return IndexOf(aService).mSpeeds.CountFrom(aSpeed);
-}
-
 const std::set<worker_number>&
 plan_workers::InRack(const rack_id& aRack) const
 {
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -64,10 +64,8 @@
   [[nodiscard]] const rankings& Ranked(const service_id& aService,
                                        speed_use aUse = speed_use::Any) const;
   [[nodiscard]] speed_spread Speeds(const service_id& aService) const;
-  // Workers of the service of known speed, and those of at least aSpeed.
+  // Workers of the service of known speed.
   [[nodiscard]] std::size_t KnownSpeeds(const service_id& aService) const;
-  [[nodiscard]] std::size_t CountFrom(const service_id& aService,
-                                      double aSpeed) const;
   [[nodiscard]] const std::set<worker_number>& InRack(
     const rack_id& aRack) const;
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
--- a/oriolewalk/flow/speed_spread.cc
+++ b/oriolewalk/flow/speed_spread.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace oriolewalk::flow {
 
@@ -41,13 +40,4 @@
   return { speedAt(left), speedAt(mKnown - 1 - left) };
 }
 
-std::size_t
-speed_histogram::CountFrom(double aSpeed) const
-{
-  return std::accumulate(mCounts.begin() +
-                           static_cast<std::ptrdiff_t>(BucketOf(aSpeed)),
-                         mCounts.end(),
-                         std::size_t{ 0 });
-}
-
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/speed_spread.h
+++ b/oriolewalk/flow/speed_spread.h
@@ -32,8 +32,6 @@
   // aWorkers: how many there are, of known speed or not.
   [[nodiscard]] speed_spread Spread(std::size_t aWorkers) const;
   [[nodiscard]] std::size_t Known() const { return mKnown; }
-  // How many have at least this speed, up to the width of a bucket.
-  [[nodiscard]] std::size_t CountFrom(double aSpeed) const;
 
 private:
   static constexpr double kBucketsPerUnit = 20;
--- a/testing/flow/speed_preference_test.cc
+++ b/testing/flow/speed_preference_test.cc
@@ -306,7 +306,6 @@
   CHECK(speeds.Spread(12).mFast == Approx(kFast).margin(0.03));
   CHECK(speeds.Spread(25).mFast == 1);
   CHECK(speed_histogram().Spread(0).mFast == 1);
-  CHECK(speeds.CountFrom(1) == 4);
 }
 
 TEST_CASE("speeds matter only where urgent work shares the service")
