--- a/oriolewalk/flow/kept_capacity.cc
+++ b/oriolewalk/flow/kept_capacity.cc
@@ -15,6 +15,25 @@
 constexpr std::int64_t kNearlyFullFraction = 4;
 constexpr double kMilli = 1'000;
 
+// The milliprocessors of the job's runs that save checkpoints.
+std::int64_t
+PreemptibleOf(const job_record& aJob)
+{
+  std::int64_t sum = 0;
+  for (const auto& [number, occurrence] : aJob.mOccurrences) {
+    for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
+      const step_spec& spec = aJob.mSpec.mSteps[step];
+      if (spec.mCheckpoints && !spec.mGang && !spec.mLongRunning) {
+        sum += spec.Booked().mMilliProcessors *
+               std::ranges::count(occurrence.mSteps[step].mTasks,
+                                  task_phase::Placed,
+                                  &task_record::mPhase);
+      }
+    }
+  }
+  return sum;
+}
+
 } // namespace
 
 kept_capacity::kept_capacity(const flow_state& aState,
@@ -96,17 +115,7 @@
         queue.mService != aService) {
       continue;
     }
-    for (const auto& [number, occurrence] : job->mOccurrences) {
-      for (std::size_t step = 0; step < occurrence.mSteps.size(); ++step) {
-        const step_spec& spec = job->mSpec.mSteps[step];
-        if (spec.mCheckpoints && !spec.mGang && !spec.mLongRunning) {
-          found->second += spec.Booked().mMilliProcessors *
-                           std::ranges::count(occurrence.mSteps[step].mTasks,
-                                              task_phase::Placed,
-                                              &task_record::mPhase);
-        }
-      }
-    }
+    found->second += PreemptibleOf(*job);
   }
   return found->second;
 }
