--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -37,6 +37,7 @@
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/command.h"
 #include "oriolewalk/flow/decision.h"
+#include "oriolewalk/flow/demand_forecast.h"
 #include "oriolewalk/flow/duration_model.h"
 #include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/flow_state.h"
@@ -280,6 +281,7 @@
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void LogLoad();
   void LogDurations();
+  void LogSpeeds(const plan_workers& aWorkers);
   void Start(std::vector<planned_start> aStarts);
   void StartCopies(std::vector<planned_copy> aCopies);
   void LogCopies(const std::vector<planned_copy>& aCopies,
@@ -345,6 +347,7 @@
   expected_durations mExpectedDurations{ mDurationModel, mStragglers };
   speed_samples mSpeedSamples;
   std::set<step_ref> mDoneSteps; // by the command that is being applied
+  demand_forecast mForecast;     // of the queues of priority 0
   wait_tracker mWaits;
   interference_control mInterference;
   plan_timer mPlanTimer;
@@ -354,6 +357,7 @@
   time_point mLoadLoggedAt{};
   time_point mShortageLoggedAt{};
   time_point mDurationsLoggedAt{};
+  time_point mSpeedsLoggedAt{};
   time_point mSweptAt{};
   time_point mSlowSweptAt{};
   // Starts that are proposed and not yet applied.
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -87,6 +87,7 @@
     mNothingToQuery.clear();
   }
   input.mNothingToQuery = &mNothingToQuery;
+  input.mForecast = &mForecast;
   input.mPreemptionRecords = mPreemptionRecords;
   input.mSuspicions = mIsolation.Summarize(
     mState,
@@ -119,6 +120,7 @@
   }
   ForgetEndedPreemptions();
   plan_input input = MakeInput(*scope);
+  LogSpeeds(*input.mWorkers);
   const std::size_t usable = input.mWorkers->Size();
   plan_result plan = MakePlan(std::move(input));
   mTopPriorityWaiting = plan.mUrgentWaiting;
--- a/oriolewalk/flow/plan_workers.cc
+++ b/oriolewalk/flow/plan_workers.cc
@@ -189,6 +189,14 @@
   return found == mEntries.end() ? nullptr : &found->second.mWorker;
 }
 
+const plan_workers::service_totals&
+plan_workers::TotalsOf(const service_id& aService) const
+{
+  static const service_totals sNone;
+  const auto found = mTotals.find(aService);
+  return found == mTotals.end() ? sNone : found->second;
+}
+
 const plan_workers::service_index&
 plan_workers::IndexOf(const service_id& aService) const
 {
@@ -218,12 +226,6 @@
   return IndexOf(aService).mSpeeds.Known();
 }
 
-std::size_t
-plan_workers::CountFrom(const service_id& aService, double aSpeed) const
-{
-  return IndexOf(aService).mSpeeds.CountFrom(aSpeed);
-}
-
 const std::set<worker_number>&
 plan_workers::InRack(const rack_id& aRack) const
 {
--- a/oriolewalk/flow/plan_workers.h
+++ b/oriolewalk/flow/plan_workers.h
@@ -70,10 +70,8 @@
   [[nodiscard]] const rankings& Ranked(const service_id& aService,
                                        speed_use aUse = speed_use::Any) const;
   [[nodiscard]] speed_spread Speeds(const service_id& aService) const;
-  // Workers of the service of known speed, and those of at least aSpeed.
+  // Workers of the service of known speed.
   [[nodiscard]] std::size_t KnownSpeeds(const service_id& aService) const;
-  [[nodiscard]] std::size_t CountFrom(const service_id& aService,
-                                      double aSpeed) const;
   [[nodiscard]] const std::set<worker_number>& InRack(
     const rack_id& aRack) const;
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
@@ -86,6 +84,15 @@
   {
     return mTotals;
   }
+  [[nodiscard]] const cell::resources& Capacity(
+    const service_id& aService) const
+  {
+    return TotalsOf(aService).mCapacity;
+  }
+  [[nodiscard]] const cell::resources& Free(const service_id& aService) const
+  {
+    return TotalsOf(aService).mFree;
+  }
 
 private:
   // The keys by which a worker is indexed; its description may have changed.
@@ -113,6 +120,8 @@
   void Unindex(const entry& aEntry);
   [[nodiscard]] std::pair<rank, rank> RanksOf(const plan_worker& aWorker) const;
   [[nodiscard]] const service_index& IndexOf(const service_id& aService) const;
+  [[nodiscard]] const service_totals& TotalsOf(
+    const service_id& aService) const;
 
   placement_rule mPlacement;
   std::unordered_map<worker_number, entry> mEntries;
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -33,6 +33,7 @@
 #include "oriolewalk/flow/advisors.h"
 #include "oriolewalk/flow/cell_load.h"
 #include "oriolewalk/flow/copy_planner.h"
+#include "oriolewalk/flow/demand_forecast.h"
 #include "oriolewalk/flow/expected_durations.h"
 #include "oriolewalk/flow/flow_state.h"
 #include "oriolewalk/flow/plan_types.h"
@@ -65,6 +66,7 @@
     nullptr;
   // Steps that recently had nothing to query; this plan skips them.
   const std::set<step_ref>* mNothingToQuery = nullptr;
+  const demand_forecast* mForecast = nullptr; // null: none
   preemption_records mPreemptionRecords;
   suspect_summary mSuspicions;
   advisor_load mAdvisors;
@@ -114,6 +116,7 @@
   cell::resources mFree;           // of all workers, after the starts
   cell::resources mReserved;       // reserved on all workers, out of mFree
   std::size_t mVisitedWorkers = 0; // that the plan looked at
+  std::size_t mHeldForUrgent = 0;  // tasks that leave room for urgent work
   std::size_t mOpenSteps = 0;
   std::size_t mConsideredTasks = 0; // waiting ones of the open steps
   // How often a worker was weighed for a task.
--- a/oriolewalk/machines/machine_list.cc
+++ b/oriolewalk/machines/machine_list.cc
@@ -14,7 +14,7 @@
 void
 machine_list::Begin(time_point aNow)
 {
-  mReading = reading{ aNow, {}, {} };
+  mReading = reading{ aNow, {}, {}, 0 };
 }
 
 void
@@ -28,6 +28,7 @@
       machine.mMachine,
       listed_row{ machine.mState, machine.mWorker, aAskedAt });
   }
+  ++mReading->mPages;
   mReading->mNextToken = aPage.mNextToken;
   if (!aPage.mNextToken.empty()) {
     return;
--- a/oriolewalk/machines/machine_list.h
+++ b/oriolewalk/machines/machine_list.h
@@ -37,6 +37,11 @@
   void Abandon() { mReading.reset(); }
 
   [[nodiscard]] bool IsReading() const { return mReading.has_value(); }
+  // How many pages the reading in progress has so far.
+  [[nodiscard]] std::size_t Pages() const
+  {
+    return mReading ? mReading->mPages : 0;
+  }
   // The page to ask for next, while a reading is in progress.
   [[nodiscard]] const std::string& NextToken() const
   {
@@ -61,6 +66,7 @@
     time_point mBeganAt;
     std::string mNextToken;
     std::map<machine_id, listed_row> mRows;
+    std::size_t mPages = 0;
   };
   struct absence
   {
--- a/oriolewalk/machines/upkeep_planner.cc
+++ b/oriolewalk/machines/upkeep_planner.cc
@@ -31,6 +31,8 @@
 constexpr milliseconds kRoundOverhead{ 1'500 };
 // After an answer that the machine can't get its upkeep now.
 constexpr seconds kBusyHold{ 1 };
+// Of one reading of the list: a hundred thousand machines at 100 a page.
+constexpr std::size_t kMaxPages = 1'000;
 // The same, where it isn't expected to change soon.
 constexpr seconds kRefusedHold{ 5 };
 
@@ -83,9 +85,10 @@
                              time_point aSentAt,
                              time_point aNow)
 {
-  // A page that names itself as the next one would never end.
+  // Pages that name each other as the next one would never end.
   const bool isEndless = !aAnswer.mPage.mNextToken.empty() &&
-                         aAnswer.mPage.mNextToken == aRequest.mPageToken;
+                         (aAnswer.mPage.mNextToken == aRequest.mPageToken ||
+                          mList.Pages() >= kMaxPages);
   const call_result outcome =
     isEndless ? call_result::NoAnswer : aAnswer.mResult;
   // Only a complete reading ends the back-off.
@@ -122,6 +125,7 @@
       return;
     case call_result::NoAnswer:
       found->second.mPhase = order_phase::Unanswered;
+      found->second.mHadNoAnswer = true;
       return;
     case call_result::Busy:
       mHolds[aRequest.mMachine] = { aNow + kBusyHold, aNow };
@@ -133,6 +137,10 @@
       break;
     case call_result::TooMany:
     case call_result::NotSent:
+      if (found->second.mHadNoAnswer) {
+        found->second.mPhase = order_phase::Unanswered;
+        return; // the earlier order may still take effect
+      }
       break;
   }
   // An earlier order for the machine that got no answer may have made it busy.
@@ -186,6 +194,9 @@
     return !machines.contains(aEntry.first);
   });
   mList.Watch(std::move(machines));
+  if (mWaves.empty()) {
+    mOrders.clear(); // the list isn't read any more, so none would end
+  }
 }
 
 void
@@ -389,11 +400,12 @@
     const auto drain = mDrains.find(machine);
     const bool known = drain != mDrains.end();
     retries += isRetry ? 1 : 0;
-    candidates.push_back({ isRetry,
-                           known && drain->second.mIsBlocked,
-                           known,
-                           aInput.mRunsAt(row->mWorker).size(),
-                           machine });
+    candidates.push_back(
+      { isRetry,
+        mHolds.contains(machine) || (known && drain->second.mIsBlocked),
+        known,
+        aInput.mRunsAt(row->mWorker).size(),
+        machine });
   }
   std::ranges::stable_sort(candidates, {}, [](const candidate& aOne) {
     return std::tuple(
@@ -524,9 +536,13 @@
 {
   const wave_order& order = aPlan.mRecord->mOrder;
   const worker_id worker = mList.Find(aMachine)->mWorker;
+  const auto earlier = mOrders.find(aMachine);
+  const bool hadNoAnswer =
+    earlier != mOrders.end() && earlier->second.mHadNoAnswer;
   mOrders.insert_or_assign(
     aMachine,
-    order_view{ order.mNumber, worker, order_phase::InFlight, aInput.mNow });
+    order_view{
+      order.mNumber, worker, order_phase::InFlight, aInput.mNow, hadNoAnswer });
   mHolds.erase(aMachine);
   mOrderPacer.OnCall(aInput.mNow);
   Call(upkeep_request{ order.mNumber, aMachine, mTerm }, aInput.mNow, aActions);
--- a/oriolewalk/machines/upkeep_planner.h
+++ b/oriolewalk/machines/upkeep_planner.h
@@ -138,7 +138,8 @@
     std::uint64_t mWave = 0;
     worker_id mWorker; // before the upkeep
     order_phase mPhase = order_phase::InFlight;
-    time_point mChangedAt{}; // when the phase began
+    time_point mChangedAt{};   // when the phase began
+    bool mHadNoAnswer = false; // this order or an earlier one for the machine
   };
   struct wave_view
   {
