--- a/testing/flow/copies_test.cc
+++ b/testing/flow/copies_test.cc
@@ -588,7 +588,7 @@
   std::map<worker_number, double> mSpeeds;
   std::set<worker_number> mAvoided;
 
-  explicit plan_scene(step_spec aStep = CopiedStep(5),
+  explicit plan_scene(const step_spec& aStep = CopiedStep(5),
                       std::vector<queue_row> aQueues = { Queue("fees", 0),
                                                          Queue("runs", 2) })
     : plan_fixture(std::move(aQueues))
