--- a/oriolewalk/flow/speed_samples.h
+++ b/oriolewalk/flow/speed_samples.h
@@ -10,8 +10,8 @@
 //   }
 //
 // A step is compared as a whole once it is done. Tasks on fast workers end
-// first; when each was compared with those that had ended before it, workers of
-// speed 1.7 and .7 were learned as 1.2 and .75.
+// first, so that a comparison with the tasks that ended before would make fast
+// and slow workers look more alike than they are.
 //
 // Soft state of the leader. Pure; no clock. Bounded by the tasks of the open
 // steps.
