Admission: a learned mean sets the end of a job's value; the budget's retry goes

The end of a job's value follows the caller's estimate or the learned mean, whichever gives it longer, so that a low estimate doesn't refuse a job that has value. A stop of a long-running task that was lost isn't given again: the test of the budget asks that the task counts as ended while its worker still shows the run.

--- a/oriolewalk/flow/admission.cc
+++ b/oriolewalk/flow/admission.cc
@@ -52,8 +52,7 @@
   return ends.empty() ? 0 : std::ranges::max(ends);
 }
 
-// The objective grows with the durations, so the longest ones that are
-// consistent with what is known favour the job.
+// The objective grows with the durations, so that longer ones favour the job.
 std::vector<duration_estimate>
 HighDurations(std::span<const duration_estimate> aDurations)
 {
@@ -147,9 +146,10 @@
       ? static_cast<double>(objective - aQueue.mTargetMs) / aQueue.mStretch
       : 0;
   job.mSlackMs = objective - static_cast<std::int64_t>(chain);
-  job.mEndOfValueMs =
-    kValueObjectives *
-    static_cast<double>(ObjectiveMs(aSpec, aQueue, HighDurations(aDurations)));
+  const std::int64_t latest =
+    std::max(ObjectiveMs(aSpec, aQueue),
+             ObjectiveMs(aSpec, aQueue, HighDurations(aDurations)));
+  job.mEndOfValueMs = kValueObjectives * static_cast<double>(latest);
   return job;
 }
 
--- a/oriolewalk/flow/availability_budget.cc
+++ b/oriolewalk/flow/availability_budget.cc
@@ -60,21 +60,10 @@
     return { aCandidates.begin(), aCandidates.end() };
   }
   const auto found = mSteps.find(aStep);
-  if (found == mSteps.end()) {
-    return {};
+  if (found == mSteps.end() || found->second.mLastEnded) {
+    return {}; // the last one's successor hasn't been at work yet
   }
   step_state& step = found->second;
-  if (step.mLastEnded) {
-    // The order to end it may have been lost. Otherwise its successor hasn't
-    // been at work yet.
-    const std::uint32_t last = *step.mLastEnded;
-    const task_state& task = step.mTasks[last];
-    const bool goesOn =
-      task.mAttempt != 0 && task.mAttempt == task.mEndedAttempt &&
-      std::ranges::find(aCandidates, last) != aCandidates.end();
-    return goesOn ? std::vector<std::uint32_t>{ last }
-                  : std::vector<std::uint32_t>{};
-  }
   // Unavailable tasks that the step's rows lack count as well: nothing is known
   // of them.
   const std::size_t unknown =
--- a/oriolewalk/flow/cell_load.cc
+++ b/oriolewalk/flow/cell_load.cc
@@ -33,9 +33,8 @@
 double
 HighDurationMs(const duration_estimate& aEstimate)
 {
-  return aEstimate.mIsLearned
-           ? std::max(aEstimate.mTailMs, kLearnedSpread * aEstimate.mMeanMs)
-           : kEstimateSpread * aEstimate.mMeanMs;
+  return aEstimate.mIsLearned ? aEstimate.mMeanMs
+                              : kEstimateSpread * aEstimate.mMeanMs;
 }
 
 duration_estimate
--- a/oriolewalk/flow/cell_load.h
+++ b/oriolewalk/flow/cell_load.h
@@ -33,7 +33,8 @@
 double
 LowDurationMs(const duration_estimate& aEstimate);
 
-// The longest time, likewise.
+// What the task is expected to take where a longer time favours its job: a
+// learned mean, or an estimate that is too low by its known spread.
 double
 HighDurationMs(const duration_estimate& aEstimate);
 
