--- a/oriolewalk/flow/availability_budget.cc
+++ b/oriolewalk/flow/availability_budget.cc
@@ -50,6 +50,24 @@
                }));
 }
 
+availability_budget::unavailable_tasks
+availability_budget::CountUnavailable(const step_state& aStep,
+                                      const step_spec& aSpec,
+                                      time_point aNow) const
+{
+  unavailable_tasks counts;
+  // Tasks that the step's rows lack count as well: nothing is known of them.
+  counts.mAll =
+    aSpec.mCount - std::min<std::size_t>(aSpec.mCount, aStep.mTasks.size());
+  for (const auto& [index, task] : aStep.mTasks) {
+    if (IsUnavailable(task, aNow)) {
+      ++counts.mAll;
+      ++counts.mByRack[task.mRack];
+    }
+  }
+  return counts;
+}
+
 std::vector<std::uint32_t>
 availability_budget::Grant(const step_ref& aStep,
                            const step_spec& aSpec,
@@ -64,18 +82,7 @@
     return {}; // the last one's successor hasn't been at work yet
   }
   step_state& step = found->second;
-  // Unavailable tasks that the step's rows lack count as well: nothing is known
-  // of them.
-  const std::size_t unknown =
-    aSpec.mCount - std::min<std::size_t>(aSpec.mCount, step.mTasks.size());
-  std::map<rack_id, std::size_t> unavailableByRack;
-  std::size_t unavailable = unknown;
-  for (const auto& [index, task] : step.mTasks) {
-    if (IsUnavailable(task, aNow)) {
-      ++unavailable;
-      ++unavailableByRack[task.mRack];
-    }
-  }
+  unavailable_tasks unavailable = CountUnavailable(step, aSpec, aNow);
   std::optional<std::uint32_t> best;
   std::size_t fewest = std::numeric_limits<std::size_t>::max();
   for (const std::uint32_t index : aCandidates) {
@@ -85,8 +92,8 @@
       continue;
     }
     const std::size_t others =
-      unavailable - (IsUnavailable(task->second, aNow) ? 1 : 0);
-    const std::size_t onRack = unavailableByRack[task->second.mRack];
+      unavailable.mAll - (IsUnavailable(task->second, aNow) ? 1 : 0);
+    const std::size_t onRack = unavailable.mByRack[task->second.mRack];
     if (others < aSpec.mMaxMisses && onRack < fewest) {
       best = index;
       fewest = onRack;
--- a/oriolewalk/flow/availability_budget.h
+++ b/oriolewalk/flow/availability_budget.h
@@ -88,6 +88,15 @@
     std::optional<std::uint32_t> mLastEnded;
   };
 
+  struct unavailable_tasks
+  {
+    std::size_t mAll = 0;
+    std::map<rack_id, std::size_t> mByRack;
+  };
+
+  [[nodiscard]] unavailable_tasks CountUnavailable(const step_state& aStep,
+                                                   const step_spec& aSpec,
+                                                   time_point aNow) const;
   [[nodiscard]] bool IsUnavailable(const task_state& aTask,
                                    time_point aNow) const;
 
