--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -225,6 +225,10 @@
   void StopOvertakenRuns();
   void StopAllStragglers();
   void StopStragglers(const job_id& aId, const job_record& aJob);
+  // aLearnedMs: what nearly all tasks like the step's take at most, if known.
+  void StopStragglers(const step_ref& aStep,
+                      const step_record& aRecord,
+                      std::optional<double> aLearnedMs);
   void OnEndsApplied(const end_runs& aEnds);
   // Proposes the ends that were held back to share an entry of the log. To be
   // called before anything else is proposed that concerns their workers.
@@ -282,6 +286,9 @@
   void LogLoad();
   void LogDurations();
   void LogSpeeds(const plan_workers& aWorkers);
+  void LogSpeedsOf(const service_id& aService, const plan_workers& aWorkers);
+  // Whether a run of a queue below priority 0 may be in progress there.
+  [[nodiscard]] bool RunsLowerPriority(worker_number aWorker) const;
   void Start(std::vector<planned_start> aStarts);
   void StartCopies(std::vector<planned_copy> aCopies);
   void LogCopies(const std::vector<planned_copy>& aCopies,
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -174,41 +174,50 @@
   for (const queue_row& queue : mState.Table().mQueues) {
     services.insert(queue.mService);
   }
-  const auto runsLowerPriority = [this](worker_number aWorker) {
-    return std::ranges::any_of(
-      mState.RunsAt(aWorker), [this](const run_ref& aRun) {
-        const job_record* job = mState.FindJob(aRun.mTask.mJob);
-        return job != nullptr && mState.QueueOf(*job).mPriority > 0;
-      });
-  };
   for (const service_id& service : services) {
-    const speed_spread spread = aWorkers.Speeds(service);
-    if (!DoSpeedsMatter(mState.Table(), service, spread)) {
-      continue;
+    if (DoSpeedsMatter(mState.Table(), service, aWorkers.Speeds(service))) {
+      LogSpeedsOf(service, aWorkers);
     }
-    const double middle = std::sqrt(spread.mSlow * spread.mFast);
-    std::size_t fast = 0;
-    std::size_t left = 0;
-    for (const auto& [capacity, ranked] : aWorkers.Ranked(service)) {
-      for (const auto& [rank, worker] : ranked) {
-        const bool isFast = worker->mIsSpeedKnown && worker->mSpeed >= middle;
-        fast += isFast ? 1 : 0;
-        left += isFast && !runsLowerPriority(worker->mNumber) ? 1 : 0;
-      }
+  }
+}
+
+void
+leader_core::LogSpeedsOf(const service_id& aService,
+                         const plan_workers& aWorkers)
+{
+  const speed_spread spread = aWorkers.Speeds(aService);
+  const double middle = std::sqrt(spread.mSlow * spread.mFast);
+  std::size_t fast = 0;
+  std::size_t left = 0;
+  for (const auto& [capacity, ranked] : aWorkers.Ranked(aService)) {
+    for (const auto& [rank, worker] : ranked) {
+      const bool isFast = worker->mIsSpeedKnown && worker->mSpeed >= middle;
+      fast += isFast ? 1 : 0;
+      left += isFast && !RunsLowerPriority(worker->mNumber) ? 1 : 0;
     }
-    const auto percent = [](double aSpeed) {
-      constexpr double kPercent = 100;
-      return std::to_string(std::lround(kPercent * aSpeed));
-    };
-    mPort.mLogDecision(
-      { "workers.speeds",
-        { { "service", service.Value() },
-          { "known", std::to_string(aWorkers.KnownSpeeds(service)) },
-          { "slow_percent", percent(spread.mSlow) },
-          { "fast_percent", percent(spread.mFast) },
-          { "fast_workers", std::to_string(fast) },
-          { "left_to_urgent", std::to_string(left) } } });
   }
+  const auto percent = [](double aSpeed) {
+    constexpr double kPercent = 100;
+    return std::to_string(std::lround(kPercent * aSpeed));
+  };
+  mPort.mLogDecision(
+    { "workers.speeds",
+      { { "service", aService.Value() },
+        { "known", std::to_string(aWorkers.KnownSpeeds(aService)) },
+        { "slow_percent", percent(spread.mSlow) },
+        { "fast_percent", percent(spread.mFast) },
+        { "fast_workers", std::to_string(fast) },
+        { "left_to_urgent", std::to_string(left) } } });
+}
+
+bool
+leader_core::RunsLowerPriority(worker_number aWorker) const
+{
+  return std::ranges::any_of(
+    mState.RunsAt(aWorker), [this](const run_ref& aRun) {
+      const job_record* job = mState.FindJob(aRun.mTask.mJob);
+      return job != nullptr && mState.QueueOf(*job).mPriority > 0;
+    });
 }
 
 // Logs why work waits, once a second while it does: one line for all work, and
--- a/oriolewalk/flow/leader_runs.cc
+++ b/oriolewalk/flow/leader_runs.cc
@@ -181,37 +181,43 @@
 {
   for (const auto& [number, occurrence] : aJob.mOccurrences) {
     for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
-      const step_spec& spec = aJob.mSpec.mSteps[step];
-      const auto& tasks = occurrence.mSteps[step].mTasks;
+      const step_record& record = occurrence.mSteps[step];
       const auto learned = LearnedTailMs(aJob, step);
-      if (!HasUsualDuration(
-            spec, occurrence.mSteps[step], learned.has_value())) {
-        continue;
-      }
-      if (occurrence.mSteps[step].mDoneTasks == 0 &&
-          AreMostStragglers({ aId, number, step }, tasks, learned)) {
-        continue; // the prediction is wrong
-      }
-      for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        const run_ref run{ { aId, number, step, index },
-                           tasks[index].mAttempt };
-        if (tasks[index].mPhase != task_phase::Placed ||
-            mProposed.contains(run.mTask) || HasUsualCopy(run.mTask, learned) ||
-            !mStragglers.MarkIfStraggler(run, mAt.mNow, learned)) {
-          continue;
-        }
-        mPort.mLogDecision({ "run.straggles",
-                             { { "job", aId.Value() },
-                               { "step", std::to_string(step) },
-                               { "task", std::to_string(index) } } });
-        mHealth.OnStall(tasks[index].mWorker, mAt.mNow);
-        mPlanWorkers.Invalidate(tasks[index].mWorker);
-        mSupervisor.RequestStop(tasks[index].mWorker, run, mAt.mNow);
+      if (HasUsualDuration(
+            aJob.mSpec.mSteps[step], record, learned.has_value())) {
+        StopStragglers({ aId, number, step }, record, learned);
       }
     }
   }
 }
 
+void
+leader_core::StopStragglers(const step_ref& aStep,
+                            const step_record& aRecord,
+                            std::optional<double> aLearnedMs)
+{
+  const auto& tasks = aRecord.mTasks;
+  if (aRecord.mDoneTasks == 0 && AreMostStragglers(aStep, tasks, aLearnedMs)) {
+    return; // the prediction is wrong
+  }
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const run_ref run{ { aStep.mJob, aStep.mOccurrence, aStep.mStep, index },
+                       tasks[index].mAttempt };
+    if (tasks[index].mPhase != task_phase::Placed ||
+        mProposed.contains(run.mTask) || HasUsualCopy(run.mTask, aLearnedMs) ||
+        !mStragglers.MarkIfStraggler(run, mAt.mNow, aLearnedMs)) {
+      continue;
+    }
+    mPort.mLogDecision({ "run.straggles",
+                         { { "job", aStep.mJob.Value() },
+                           { "step", std::to_string(aStep.mStep) },
+                           { "task", std::to_string(index) } } });
+    mHealth.OnStall(tasks[index].mWorker, mAt.mNow);
+    mPlanWorkers.Invalidate(tasks[index].mWorker);
+    mSupervisor.RequestStop(tasks[index].mWorker, run, mAt.mNow);
+  }
+}
+
 bool
 leader_core::AreMostStragglers(const step_ref& aStep,
                                std::span<const task_record> aTasks,
--- a/testing/flow/demand_forecast_test.cc
+++ b/testing/flow/demand_forecast_test.cc
@@ -13,7 +13,6 @@
 namespace {
 
 using testing::plan_fixture;
-using testing::Queue;
 using testing::Step;
 using testing::Worker;
 
--- a/testing/flow/speed_preference_test.cc
+++ b/testing/flow/speed_preference_test.cc
@@ -101,14 +101,17 @@
 Decisions(const plan_result& aPlan)
 {
   std::vector<std::tuple<run_ref, worker_number, std::string>> starts;
+  starts.reserve(aPlan.mStarts.size());
   for (const planned_start& start : aPlan.mStarts) {
     starts.emplace_back(start.mStart.mRun, start.mStart.mWorker, start.mTicket);
   }
   std::vector<std::pair<run_ref, worker_number>> preemptions;
+  preemptions.reserve(aPlan.mPreemptions.size());
   for (const planned_preemption& one : aPlan.mPreemptions) {
     preemptions.emplace_back(one.mRun.mRun, one.mRun.mWorker);
   }
   std::vector<std::pair<step_ref, std::vector<worker_number>>> queries;
+  queries.reserve(aPlan.mQueries.size());
   for (const advice_query& query : aPlan.mQueries) {
     queries.emplace_back(query.mStep, query.mWorkers);
   }
