--- a/testing/machines/upkeep_planner_test.cc
+++ b/testing/machines/upkeep_planner_test.cc
@@ -61,7 +61,7 @@
     mPlanner.emplace(mOptions, mTerm, mTerm * 1'000, open, mNow);
   }
 
-  std::int64_t WallMs() const
+  [[nodiscard]] std::int64_t WallMs() const
   {
     return kWallOffsetMs +
            std::chrono::duration_cast<milliseconds>(mNow.time_since_epoch())
--- a/testing/platform/machine_calls_test.cc
+++ b/testing/platform/machine_calls_test.cc
@@ -153,10 +153,11 @@
   const auto port = platform::MakeMachinePort(
     client, [&]() { return address; }, "core-a-1");
   const auto call = [&]() {
-    port({ 1, machines::list_request{} }, [&](machines::call_answer aAnswer) {
-      results.push_back(aAnswer.mResult);
-      context.stop();
-    });
+    port({ 1, machines::list_request{} },
+         [&](const machines::call_answer& aAnswer) {
+           results.push_back(aAnswer.mResult);
+           context.stop();
+         });
   };
   call();
   CHECK(results == std::vector{ call_result::NotSent });
