Sight: the leader's processor time, and what an entry knew of the leader

leader.load says how much processor time plans, the control thread and the process used: it tells a leader that is late by its plans from one that is late by messages, which only sampling did before.

Adds four system calls to a plan. No decision changes.

--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -102,7 +102,8 @@
              [this](decision aDecision) {
                mDecisions.push_back(std::move(aDecision));
              },
-           .mMembers = [this]() { return ReachableMembers(); } };
+           .mMembers = [this]() { return ReachableMembers(); },
+           .mProcessorTimes = mConfig.mProcessorTimes };
 }
 
 std::vector<std::string>
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/processor_time.h"
 #include "oriolewalk/consensus/raft_node.h"
 #include "oriolewalk/flow/decision.h"
 #include "oriolewalk/flow/flow_state.h"
@@ -53,6 +54,7 @@
   // 300 bytes, so the log stays under a few MB, which fits a small disk.
   std::uint64_t mSnapshotEvery = 8'000;
   std::size_t mMaxVoters = 9; // see MaxVoters
+  std::function<processor_times()> mProcessorTimes{}; // see leader_port
 };
 
 struct flow_reply
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -33,6 +33,7 @@
 
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/error.h"
+#include "oriolewalk/base/processor_time.h"
 #include "oriolewalk/flow/admission.h"
 #include "oriolewalk/flow/advice_cache.h"
 #include "oriolewalk/flow/command.h"
@@ -85,6 +86,8 @@
   std::function<void(decision)> mLogDecision;
   // RPC addresses of the live control processes, this one's first.
   std::function<std::vector<std::string>()> mMembers;
+  // What the control thread and the process have used so far; null: unknown.
+  std::function<processor_times()> mProcessorTimes{};
 };
 
 // An entry or a spare that has missed three heartbeats gets no work.
@@ -105,6 +108,7 @@
   std::uint64_t mPlannedSteps = 0;     // open ones
   std::uint64_t mPlannedTasks = 0;     // waiting ones of them
   std::uint64_t mComparisons = 0;      // of a worker with a task, by plans
+  duration mPlanTime{};                // processor time of the plans
 };
 
 class leader_core
@@ -284,6 +288,7 @@
   void LogQuotas(const plan_result& aPlan);
   void LogShortage(const plan_result& aPlan, std::size_t aWorkers);
   void LogLoad();
+  [[nodiscard]] processor_times ProcessorTimes() const;
   void LogDurations();
   void LogSpeeds(const plan_workers& aWorkers);
   void LogSpeedsOf(const service_id& aService, const plan_workers& aWorkers);
@@ -361,6 +366,7 @@
   std::size_t mTopPriorityWaiting = 0; // tasks, in the last plan
   decision_counts mPlanCounts;         // of plans alone
   decision_counts mLoggedCounts;
+  processor_times mLoggedTimes;
   time_point mLoadLoggedAt{};
   time_point mShortageLoggedAt{};
   time_point mDurationsLoggedAt{};
--- a/oriolewalk/flow/leader_log.cc
+++ b/oriolewalk/flow/leader_log.cc
@@ -110,8 +110,9 @@
   }
 }
 
-// Logs how much the plans looked at since the last line, and how late the
-// process is: a leader that can't keep up is told from one that has no work.
+// Logs how much the plans looked at since the last line, the processor time
+// that they, this thread and the process used, and how late the process is: a
+// leader that can't keep up is told from one that has no work.
 void
 leader_core::LogLoad()
 {
@@ -122,6 +123,7 @@
   const auto since = [&](std::uint64_t decision_counts::*aCount) {
     return std::to_string(now.*aCount - mLoggedCounts.*aCount);
   };
+  const processor_times times = ProcessorTimes();
   mPort.mLogDecision(
     { "leader.load",
       { { "plans", since(&decision_counts::mPlans) },
@@ -130,10 +132,17 @@
         { "comparisons", since(&decision_counts::mComparisons) },
         { "workers", since(&decision_counts::mPlannedWorkers) },
         { "evaluated", since(&decision_counts::mEvaluatedWorkers) },
+        { "plan_ms",
+          std::to_string(ToMs(now.mPlanTime - mLoggedCounts.mPlanTime)) },
+        { "control_ms",
+          std::to_string(ToMs(times.mThread - mLoggedTimes.mThread)) },
+        { "process_ms",
+          std::to_string(ToMs(times.mProcess - mLoggedTimes.mProcess)) },
         { "live_jobs", std::to_string(mState.LiveJobs().size()) },
         { "tick_ms", std::to_string(ToMs(mPlanTimer.TickInterval())) } } });
   mLoadLoggedAt = mAt.mNow;
   mLoggedCounts = now;
+  mLoggedTimes = times;
 }
 
 // Logs what is learned of each queue's durations: how they compare with the
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -118,6 +118,7 @@
   if (!scope) {
     return;
   }
+  const processor_times before = ProcessorTimes();
   ForgetEndedPreemptions();
   plan_input input = MakeInput(*scope);
   LogSpeeds(*input.mWorkers);
@@ -149,6 +150,13 @@
   if (!plan.mTaskCopies.empty()) {
     StartCopies(std::move(plan.mTaskCopies));
   }
+  mPlanCounts.mPlanTime += ProcessorTimes().mThread - before.mThread;
+}
+
+processor_times
+leader_core::ProcessorTimes() const
+{
+  return mPort.mProcessorTimes ? mPort.mProcessorTimes() : processor_times{};
 }
 
 decision_counts
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -9,6 +9,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "oriolewalk/base/processor_time.h"
+
 namespace oriolewalk::host {
 
 namespace {
@@ -168,6 +170,7 @@
   config.mFlow = mOptions.mFlow;
   config.mRaft.mMaxInflight = kAppendsUnderWay;
   config.mMaxVoters = mOptions.mMostVoters;
+  config.mProcessorTimes = ReadProcessorTimes;
   auto core = flow::flow_core::Make(
     config, std::move(*restored), std::random_device{}(), runtime_clock::now());
   if (!core) {
--- a/oriolewalk/host/entry_host.h
+++ b/oriolewalk/host/entry_host.h
@@ -62,6 +62,10 @@
   {
     return mLink.ComeBackAfter();
   }
+  // The control process that questions go to, and how long ago a leader last
+  // answered.
+  [[nodiscard]] const std::string& Leader() const { return mLink.Current(); }
+  [[nodiscard]] duration SilentFor() const { return mLink.SilentFor(); }
   // Whether callers are served here: the leader answered of late, and there is
   // a table.
   [[nodiscard]] bool IsReady() const;
--- a/oriolewalk/host/leader_link.cc
+++ b/oriolewalk/host/leader_link.cc
@@ -197,6 +197,12 @@
                                                      : std::string();
 }
 
+duration
+leader_link::SilentFor() const
+{
+  return mOutage.LastedFor(runtime_clock::now());
+}
+
 milliseconds
 leader_link::ComeBackAfter() const
 {
--- a/oriolewalk/host/leader_link.h
+++ b/oriolewalk/host/leader_link.h
@@ -58,6 +58,8 @@
   void Ask(flow::flow_request aRequest, time_point aUntil, flow_callback aDone);
   // When a caller who is refused now should come back.
   [[nodiscard]] milliseconds ComeBackAfter() const;
+  // Since a leader's last answer to this process.
+  [[nodiscard]] duration SilentFor() const;
   // The leader says so itself.
   void Told(const std::string& aLeader);
   // Who answered as the leader of late; empty if nobody did.
