--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -76,6 +76,7 @@
       }
     }
     Evaluate();
+    mOutcome.mPlanShare = ToMs(mPlanTime) / ToMs(end - time_point{});
     if (mLeader) {
       mOutcome.mCounts = mLeader->Counts();
     }
@@ -177,12 +178,15 @@
     const auto cost = [](std::chrono::nanoseconds aEach, std::uint64_t aCount) {
       return aEach * static_cast<std::int64_t>(aCount);
     };
-    Spend(cost(mCosts.mPlannedWorker,
-               now.mPlannedWorkers - aBefore.mPlannedWorkers) +
-          cost(mCosts.mPlan, now.mPlans - aBefore.mPlans) +
-          cost(mCosts.mPlannedStep, now.mPlannedSteps - aBefore.mPlannedSteps) +
-          cost(mCosts.mPlannedTask, now.mPlannedTasks - aBefore.mPlannedTasks) +
-          cost(mCosts.mComparison, now.mComparisons - aBefore.mComparisons));
+    const auto spent =
+      cost(mCosts.mPlannedWorker,
+           now.mPlannedWorkers - aBefore.mPlannedWorkers) +
+      cost(mCosts.mPlan, now.mPlans - aBefore.mPlans) +
+      cost(mCosts.mPlannedStep, now.mPlannedSteps - aBefore.mPlannedSteps) +
+      cost(mCosts.mPlannedTask, now.mPlannedTasks - aBefore.mPlannedTasks) +
+      cost(mCosts.mComparison, now.mComparisons - aBefore.mComparisons);
+    Spend(spent);
+    mPlanTime += std::chrono::duration_cast<duration>(spent);
   }
 
   void Apply(const flow::command_body& aBody,
@@ -604,6 +608,7 @@
   bool mWillServe = false;                        // an event serves the queue
   bool mWillDecide = false;                       // it holds a decision
   time_point mBusyUntil{};
+  duration mPlanTime{};
   flow::flow_options mOptions;
   flow::flow_state mState;
   std::unique_ptr<flow::leader_core> mLeader;
--- a/bench/flow_driver.h
+++ b/bench/flow_driver.h
@@ -48,6 +48,7 @@
   std::map<std::string, double> mActivityMs;
   flow::decision_counts mCounts; // of the last leader
   std::size_t mStarts = 0;
+  double mPlanShare = 0; // of the leader's time, by its counted cost
 };
 
 // What the leader's work costs on its processor. While the processor is busy,
--- a/testing/flow/saturated_leader_test.cc
+++ b/testing/flow/saturated_leader_test.cc
@@ -34,4 +34,17 @@
   CHECK(Earned(outcome.mQueues.at("urgent")) >= kFloor);
 }
 
+TEST_CASE("plans of a late leader leave most of its time to messages")
+{
+  // Guards against plans that make commits and answers late, however dear they
+  // are.
+  constexpr double kMaxShare = 0.25;
+  for (const int pricePercent : { 150, 200 }) {
+    const flow_outcome outcome = SimulateLoad(
+      MakeLoad(FlowScenarios().back(), 11), {}, LeaderCosts(pricePercent));
+    INFO("at " << pricePercent << " percent");
+    CHECK(outcome.mPlanShare <= kMaxShare);
+  }
+}
+
 } // namespace oriolewalk::bench
