A leader that is late says that it is there: entries no longer refuse its callers

What callers saw: 503 within milliseconds, "no leader answered in time", from entries in every data centre while one process led without a break and half of the workers' processors were free.

Cause: an entry asks a leader that it hasn't heard for 150 ms whether it is there, waits 200 ms, and takes no answer for an outage. The question stood in the queue of the control thread, behind all the work that made the leader late; so did the entry's own heartbeat, for which it waited 500 ms. After a second without an answer an entry refuses whoever comes. Each time-out adds questions to the queue.

Change: the RPC's thread answers the question itself as long as the lease lasts that the control thread has published after its last batch of events; a process that doesn't surely lead passes it on as before. An entry waits 1.2 s for its heartbeat's answer, and is still ready for 1.8 s.

Why it works: whether there is a leader no longer depends on how much work it has, and the answer can't be wrong: no other process leads within the lease.

Ruled out: admission (no job.refused line at either share); elections (one leader from 2.9 s on).

--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -118,6 +118,12 @@
     return mLeader ? mLeader->Counts() : decision_counts{};
   }
   [[nodiscard]] const consensus::raft_node& Raft() const { return *mRaft; }
+  // Until when this process leads and answers requests without hearing more
+  // from its group; none if it doesn't.
+  [[nodiscard]] std::optional<time_point> ServesUntil(time_point aNow) const
+  {
+    return mLeader ? mRaft->LeaseEnd(aNow) : std::nullopt;
+  }
   // The leader's RPC address; empty if none is known.
   [[nodiscard]] std::string LeaderAddress() const;
   // Whether this node should request to join: it is not in the group, or it has
--- a/oriolewalk/host/control_calls.cc
+++ b/oriolewalk/host/control_calls.cc
@@ -86,6 +86,12 @@
     aReply(Fail(asked.error()));
     return;
   }
+  // A leader that is late is there all the same: whoever gets no answer to this
+  // refuses its callers.
+  if (std::holds_alternative<flow::leader_probe>(*asked) && IsServing()) {
+    aReply(Encode(flow::flow_answer(flow::acknowledgement{})));
+    return;
+  }
   boost::asio::post(mContext, [this, request = std::move(*asked), aReply]() {
     OnFlowCall(request, aReply);
   });
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -282,6 +282,7 @@
 {
   mLog.Write("storage.failed", { { "problem", aError.Describe() } });
   mReopenAt = runtime_clock::now() + kReopenEvery;
+  mServesUntil = time_point::min();
   mStorage.reset();
   mCore.reset();
   for (auto& [call, done] : std::exchange(mCalls, {})) {
@@ -324,11 +325,25 @@
     Broken("state.unreadable", *out.mFatalError);
     return;
   }
+  PublishServing();
   if (Handle(std::move(out))) {
     SchedulePump(); // applying may have made new proposals
   }
 }
 
+void
+control_host::PublishServing()
+{
+  mServesUntil =
+    mCore->ServesUntil(runtime_clock::now()).value_or(time_point::min());
+}
+
+bool
+control_host::IsServing() const
+{
+  return runtime_clock::now() < mServesUntil.load();
+}
+
 bool
 control_host::Handle(flow::flow_effects aEffects)
 {
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -17,6 +17,7 @@
 // Until then this process answers like one that leads nobody. Ending instead
 // would make the platform restart it many times a second of a full disk.
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -159,6 +160,8 @@
   void AskToJoin();
   void TellBeats();
   void TellSeeds();
+  void PublishServing();
+  [[nodiscard]] bool IsServing() const;
   void Broken(std::string_view aWhat, const error& aError);
   // Drops the core; it is made again from the folder in a while.
   void Halt(const error& aError);
@@ -178,6 +181,9 @@
   flow::call_number mLastCall = 0;
   std::uint64_t mLife = 0; // of mCore: late answers to an older one are dropped
   bool mPumpScheduled = false;
+  // Until when this process certainly leads; for the RPC node's thread, which
+  // says so to whoever asks while the control thread has other work.
+  std::atomic<time_point> mServesUntil{ time_point::min() };
   time_point mJoinAt{};
   time_point mReopenAt{};
   std::function<void()> mOnStopped;
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr milliseconds kBeatEvery{ 500 };
+// A leader that is late answers within this, and the next beat is still sent
+// before callers are sent elsewhere.
+constexpr milliseconds kBeatBound{ 1'200 };
 // After three beats without an answer callers are better served elsewhere.
 constexpr milliseconds kReadyFor{ 1'800 };
 constexpr milliseconds kPeerSilence{ 800 };
@@ -95,7 +98,7 @@
 entry_host::Beat()
 {
   mLink.Ask(flow::entry_heartbeat{ mOptions.mAddress },
-            runtime_clock::now() + kBeatEvery,
+            runtime_clock::now() + kBeatBound,
             [this](const result<flow::flow_answer>& aAnswer) {
               BeatAnswered(aAnswer);
               ArmBeat();
