Plans get a quarter of the leader's time at most, whatever they cost

What callers saw: with control processes at half of their processor first starts of urgent jobs took 1.5 s at the median and 15 s for 95 of 100, while a third of the workers' processors was free.

Cause: pauses between plans follow the live jobs and the waiting tasks, and grow up to four times with late ticks; they were set for one price of the processor. Where a step of a plan costs more, plans take the time of commits, answers and requests, which urgent jobs wait for as well. Sampled, plans were 38 to 42 % of the leader at every price; at .3 of a core 20 plans a second took .40 of its time.

Change: the timer is told how long each plan kept the control thread, and plans of a scope begin no sooner than 6 (top priority) or 12 (all steps) times their mean duration after each other.

Why it works: it holds by what plans take on this processor now, not by a forecast of it, so it neither depends on the price nor on the size of the cell. A leader with time to spare isn't slowed down: there the former pauses are the longer ones.

--- a/bench/flow_driver.cc
+++ b/bench/flow_driver.cc
@@ -171,8 +171,8 @@
       std::max(mBusyUntil, mNow) + std::chrono::duration_cast<duration>(aCost);
   }
 
-  // aBefore: the counts of this leader before the plan.
-  void SpendOnPlan(const flow::decision_counts& aBefore)
+  // aBefore: the counts of this leader before the plan. Returns its cost.
+  duration SpendOnPlan(const flow::decision_counts& aBefore)
   {
     const flow::decision_counts now = mLeader->Counts();
     const auto cost = [](std::chrono::nanoseconds aEach, std::uint64_t aCount) {
@@ -187,6 +187,7 @@
       cost(mCosts.mComparison, now.mComparisons - aBefore.mComparisons);
     Spend(spent);
     mPlanTime += std::chrono::duration_cast<duration>(spent);
+    return std::chrono::duration_cast<duration>(spent);
   }
 
   void Apply(const flow::command_body& aBody,
@@ -381,9 +382,12 @@
     const flow::decision_counts counts = mLeader->Counts();
     const double before = ProcessorMs();
     mLeader->SetTime(Instant());
-    mLeader->PlanIfDue();
+    const bool planned = mLeader->PlanIfDue();
     mOutcome.mDecisionMs += ProcessorMs() - before;
-    SpendOnPlan(counts);
+    const duration took = SpendOnPlan(counts);
+    if (planned) {
+      mLeader->OnPlanTook(took);
+    }
     for (flow::worker_order& order : mLeader->TakeOrders()) {
       At(mNow + kOneWayDelay,
          [this, sent = std::move(order)]() { Deliver(sent); });
--- a/oriolewalk/flow/flow_core.cc
+++ b/oriolewalk/flow/flow_core.cc
@@ -372,16 +372,26 @@
   }
 }
 
+void
+flow_core::Plan(instant aAt)
+{
+  SetTime(aAt);
+  UpdateLeader();
+  if (mLeader && mRaft->MayServe(aAt.mNow) && mLeader->PlanIfDue()) {
+    mPlanBeganAt = aAt.mNow;
+  }
+}
+
 flow_effects
 flow_core::TakeEffects(instant aAt)
 {
   SetTime(aAt);
   flow_effects out;
-  UpdateLeader();
-  const bool mayServe = mLeader && mRaft->MayServe(aAt.mNow);
-  if (mayServe) {
-    mLeader->PlanIfDue();
+  const auto planBeganAt = std::exchange(mPlanBeganAt, std::nullopt);
+  if (mLeader && planBeganAt) {
+    mLeader->OnPlanTook(aAt.mNow - *planBeganAt);
   }
+  UpdateLeader();
   out.mRaft = mRaft->TakeEffects();
   if (out.mRaft.mSnapshot) {
     if (const auto read = mState.Restore(out.mRaft.mSnapshot->mState); !read) {
--- a/oriolewalk/flow/flow_core.h
+++ b/oriolewalk/flow/flow_core.h
@@ -8,6 +8,7 @@
 //   core.HandleRequest(call, request, at);  // a request to the leader
 //   core.OnOrderAnswer(order, answer, at);  // a worker's answer
 //   core.Tick(at);                          // about every 10 ms
+//   core.Plan(at);                          // after each batch of events
 //   flow_effects out = core.TakeEffects(at);
 //
 // It combines the replicated log, the replicated state and, while this node
@@ -53,7 +54,7 @@
   // The number of log entries from one snapshot to the next. An entry is about
   // 300 bytes, so the log stays under a few MB, which fits a small disk.
   std::uint64_t mSnapshotEvery = 8'000;
-  std::size_t mMaxVoters = 9; // see MaxVoters
+  std::size_t mMaxVoters = 9;                         // see MaxVoters
   std::function<processor_times()> mProcessorTimes{}; // see leader_port
 };
 
@@ -107,6 +108,9 @@
   void Tick(instant aAt);
   void Persisted(consensus::ticket_t aTicket, instant aAt);
   void SnapshotStored(const consensus::snapshot& aSnapshot);
+  // Makes a plan if this node leads and one is due. The time until
+  // TakeEffects() counts as the time that the plan took.
+  void Plan(instant aAt);
   flow_effects TakeEffects(instant aAt);
   // Transfers the leadership to the most up-to-date voter, for a planned stop.
   void HandOver(instant aAt);
@@ -164,6 +168,7 @@
   instant mAt;
   time_point mLeaderHeardAt{};
   time_point mMembersCheckedAt{};
+  std::optional<time_point> mPlanBeganAt; // of the plan just made
   struct proposal
   {
     consensus::term_t mTerm = 0;
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -135,8 +135,11 @@
   // Orders could not be handed to the relay at this address.
   void OnRelayFailure(const std::string& aAddress);
   void Tick();
-  // Makes a plan if one is due. To be called after each batch of events.
-  void PlanIfDue();
+  // Makes a plan if one is due, and returns whether it did. To be called after
+  // each batch of events.
+  bool PlanIfDue();
+  // How long the last plan kept the owner from other work.
+  void OnPlanTook(duration aTook) { mPlanTimer.OnPlanTook(aTook); }
 
   std::vector<worker_order> TakeOrders();
   std::vector<advice_call> TakeAdviceCalls();
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -111,12 +111,12 @@
   return input;
 }
 
-void
+bool
 leader_core::PlanIfDue()
 {
   const auto scope = mPlanTimer.DueScope(mState.LiveJobs().size(), mAt.mNow);
   if (!scope) {
-    return;
+    return false;
   }
   const processor_times before = ProcessorTimes();
   ForgetEndedPreemptions();
@@ -151,6 +151,7 @@
     StartCopies(std::move(plan.mTaskCopies));
   }
   mPlanCounts.mPlanTime += ProcessorTimes().mThread - before.mThread;
+  return true;
 }
 
 processor_times
--- a/oriolewalk/flow/plan_timer.cc
+++ b/oriolewalk/flow/plan_timer.cc
@@ -25,6 +25,13 @@
 // makes plans still more expensive.
 constexpr milliseconds kTickInterval{ 10 };
 constexpr std::int64_t kMaxLateness = 4;
+// The shortest intervals between plans of a scope, in times that such a plan
+// takes. All plans together then leave three quarters of the time to commits,
+// answers and callers, which urgent work waits for as well.
+constexpr std::int64_t kMinInterval = 12;
+constexpr std::int64_t kTopPriorityMinInterval = 6;
+// Window of the moving average of what plans take.
+constexpr int kTimeWindow = 4;
 // Maximum interval between two plans, since tickets expire.
 constexpr milliseconds kMaxPlanInterval{ 100 };
 // Window of the moving average of tick intervals, about a sixth of a second.
@@ -48,13 +55,16 @@
   const auto lateness = std::clamp<std::int64_t>(
     mMeanTickInterval / kTickInterval, 1, kMaxLateness);
   const duration since = aNow - mPlannedAt;
-  const duration pause = lateness * (kPlanPause + kPlanPausePerJob * jobs +
-                                     kPlanPausePerWaiting * mWaitingTasks);
+  const duration pause =
+    std::max<duration>(lateness * (kPlanPause + kPlanPausePerJob * jobs +
+                                   kPlanPausePerWaiting * mWaitingTasks),
+                       kMinInterval * mMeanTime);
   if (since >= pause && (mChanged || since >= kMaxPlanInterval)) {
     return plan_scope::All;
   }
   const duration topPriorityPause =
-    lateness * (kPlanPause + kTopPriorityPausePerJob * jobs);
+    std::max<duration>(lateness * (kPlanPause + kTopPriorityPausePerJob * jobs),
+                       kTopPriorityMinInterval * mTopPriorityMeanTime);
   if (mTopPriorityChanged &&
       aNow - std::max(mPlannedAt, mTopPriorityPlannedAt) >= topPriorityPause) {
     return plan_scope::TopPriority;
@@ -71,6 +81,7 @@
 void
 plan_timer::OnPlanned(plan_scope aScope, std::size_t aWaiting, time_point aNow)
 {
+  mLastScope = aScope;
   mTopPriorityChanged = false;
   mTopPriorityPlannedAt = aNow;
   if (aScope == plan_scope::All) {
@@ -80,4 +91,11 @@
   }
 }
 
+void
+plan_timer::OnPlanTook(duration aTook)
+{
+  duration& mean = MeanTime(mLastScope);
+  mean += (aTook - mean) / kTimeWindow;
+}
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/plan_timer.h
+++ b/oriolewalk/flow/plan_timer.h
@@ -8,12 +8,15 @@
 //   timer.OnChange(affectsTopPriority);  // when an input of the plan changes
 //   if (const auto scope = timer.DueScope(liveJobs, now)) {
 //     timer.OnPlanned(*scope, waiting, now);
+//     timer.OnPlanTook(elapsed);
 //   }
 //
 // A plan looks at all live jobs and at the tasks that wait, while callers of
 // urgent work wait for two plans. Pauses between plans bound that cost, and
 // shorter ones for top-priority steps keep their delay low. They don't grow
-// with the workers. Pure; owned by leader_core.
+// with the workers. What a plan takes depends on the processor too, so plans
+// of each scope get a bounded share of the time, whatever they cost. Pure;
+// owned by leader_core.
 
 #include <cstddef>
 #include <cstdint>
@@ -44,12 +47,22 @@
   [[nodiscard]] duration TickInterval() const { return mMeanTickInterval; }
   // aWaiting: tasks that could not be placed.
   void OnPlanned(plan_scope aScope, std::size_t aWaiting, time_point aNow);
+  // How long that plan kept its process from other work.
+  void OnPlanTook(duration aTook);
 
 private:
+  duration& MeanTime(plan_scope aScope)
+  {
+    return aScope == plan_scope::All ? mMeanTime : mTopPriorityMeanTime;
+  }
+
   bool mChanged = true;
   bool mTopPriorityChanged = false;
   time_point mPlannedAt{}; // all steps
   time_point mTopPriorityPlannedAt{};
+  plan_scope mLastScope = plan_scope::All;
+  duration mMeanTime{}; // moving averages of what plans took
+  duration mTopPriorityMeanTime{};
   std::int64_t mWaitingTasks = 0; // in the last plan of all steps
   time_point mTickedAt{};
   duration mMeanTickInterval{}; // moving average of the tick interval
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -320,6 +320,7 @@
   if (!mCore) {
     return;
   }
+  mCore->Plan(Now());
   flow::flow_effects out = mCore->TakeEffects(Now());
   if (out.mFatalError) {
     Broken("state.unreadable", *out.mFatalError);
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -138,6 +138,7 @@
   process& one = mNodes[aNode];
   constexpr int kMaxRounds = 4; // applying entries makes proposals
   for (int round = 0; round < kMaxRounds; ++round) {
+    one.mCore->Plan(At());
     flow_effects out = one.mCore->TakeEffects(At());
     for (const consensus::message& message : out.mRaft.mMessages) {
       Deliver(aNode, message);
--- a/testing/flow/plan_timer_test.cc
+++ b/testing/flow/plan_timer_test.cc
@@ -55,4 +55,27 @@
         plan_scope::All);
 }
 
+TEST_CASE("plans get a bounded share of the time, whatever they cost")
+{
+  // Guards against plans that make commits and answers late on a slow
+  // processor.
+  plan_timer timer;
+  TickEvery(timer, milliseconds(10), kStart);
+  constexpr int kPlans = 40;
+  for (int plan = 0; plan < kPlans; ++plan) {
+    timer.OnPlanned(plan_scope::All, 0, kStart);
+    timer.OnPlanTook(milliseconds(40));
+    timer.OnPlanned(plan_scope::TopPriority, 0, kStart);
+    timer.OnPlanTook(milliseconds(20));
+  }
+  timer.OnChange(true);
+  CHECK_FALSE(timer.DueScope(kLiveJobs, kStart + milliseconds(115)));
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(120)) ==
+        plan_scope::TopPriority);
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(475)) ==
+        plan_scope::TopPriority);
+  CHECK(timer.DueScope(kLiveJobs, kStart + milliseconds(480)) ==
+        plan_scope::All);
+}
+
 } // namespace oriolewalk::flow
