order_relay: orders without an answer are found by their time

Orders that are due now stand at the top of a queue. No decision changes; the tests of the relay pass as they are.

--- a/oriolewalk/host/order_relay.cc
+++ b/oriolewalk/host/order_relay.cc
@@ -62,9 +62,9 @@
     SendToWorker(aOrder, std::move(aDone));
     return;
   }
-  mOpen.insert_or_assign(
-    order_key{ aOrder.mFence, aOrder.mId },
-    open_order{ std::move(aDone), runtime_clock::now() + BoundOf(aOrder) });
+  const order_key key{ aOrder.mFence, aOrder.mId };
+  mOpen.insert_or_assign(key, std::move(aDone));
+  mDue.emplace(runtime_clock::now() + BoundOf(aOrder), key);
   mToHandOver[aOrder.mRelay].push_back(aOrder);
   ArmFlush();
 }
@@ -155,7 +155,7 @@
 order_relay::End(const order_key& aKey, const flow::order_answer& aAnswer)
 {
   if (auto open = mOpen.extract(aKey); !open.empty()) {
-    open.mapped().mDone(aAnswer);
+    open.mapped()(aAnswer);
   }
 }
 
@@ -214,13 +214,9 @@
 void
 order_relay::Tick(time_point aNow)
 {
-  std::vector<order_key> late;
-  for (const auto& [key, open] : mOpen) {
-    if (aNow >= open.mDue) {
-      late.push_back(key);
-    }
-  }
-  for (const order_key& key : late) {
+  while (!mDue.empty() && mDue.top().first <= aNow) {
+    const order_key key = mDue.top().second;
+    mDue.pop();
     End(key, Unanswered(flow::order_result::NoAnswer));
   }
 }
--- a/oriolewalk/host/order_relay.h
+++ b/oriolewalk/host/order_relay.h
@@ -22,8 +22,10 @@
 //
 // Owned by the control host; the io_context's thread.
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
@@ -64,11 +66,6 @@
 private:
   // Fence and number: no other order has both.
   using order_key = std::pair<std::uint64_t, std::uint64_t>;
-  struct open_order
-  {
-    order_callback mDone;
-    time_point mDue{};
-  };
 
   [[nodiscard]] duration BoundOf(const flow::worker_order& aOrder) const;
   void SendToWorker(const flow::worker_order& aOrder, order_callback aDone);
@@ -95,7 +92,12 @@
   bool mFlushArmed = false;
   std::map<std::string, std::vector<flow::worker_order>> mToHandOver;
   std::map<std::string, std::vector<flow::answered_order>> mToGiveBack;
-  std::map<order_key, open_order> mOpen;
+  std::map<order_key, order_callback> mOpen;
+  // When orders are due, the next one first; answered ones too, until then.
+  std::priority_queue<std::pair<time_point, order_key>,
+                      std::vector<std::pair<time_point, order_key>>,
+                      std::greater<>>
+    mDue;
   std::map<std::string, flow::transit_delay> mTransitDelays; // by leader
 };
 
