advice_cache: a step's tickets lie in a row

Every plan visits all tickets of each waiting step. An answer also compared each queried worker's id with each approved one's. No decision changes.

--- a/oriolewalk/flow/advice_cache.cc
+++ b/oriolewalk/flow/advice_cache.cc
@@ -1,8 +1,10 @@
 #include "oriolewalk/flow/advice_cache.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <ranges>
 #include <string_view>
+#include <unordered_map>
 
 #include "oriolewalk/flow/erase_while.h"
 
@@ -29,19 +31,36 @@
   if (aQueried.empty()) {
     return;
   }
-  auto& tickets = mTickets[aStep];
+  std::unordered_map<worker_id, const std::string*> approved;
+  for (const approval& row : aApproved) {
+    approved.try_emplace(row.mWorker, &row.mTicket);
+  }
+  step_tickets& tickets = mTickets[aStep];
+  const std::size_t knownCount = tickets.size();
   std::size_t newVerdicts = 0;
   std::size_t newApprovals = 0;
   for (const auto& [number, id] : aQueried) {
-    const auto row = std::ranges::find(aApproved, id, &approval::mWorker);
-    const bool approved = row != aApproved.end();
-    const bool known = tickets.contains(number);
-    tickets[number] = { approved,
-                        approved ? row->mTicket : std::string(),
-                        aValidUntil };
-    newVerdicts += known ? 0 : 1;
-    newApprovals += !known && approved ? 1 : 0;
+    const auto row = approved.find(id);
+    const bool isApproved = row != approved.end();
+    ticket told{ isApproved,
+                 isApproved ? *row->second : std::string(),
+                 aValidUntil };
+    const auto known = std::ranges::lower_bound(
+      tickets.begin(),
+      tickets.begin() + static_cast<std::ptrdiff_t>(knownCount),
+      number,
+      {},
+      &step_tickets::value_type::first);
+    if (known != tickets.begin() + static_cast<std::ptrdiff_t>(knownCount) &&
+        known->first == number) {
+      known->second = std::move(told);
+      continue;
+    }
+    tickets.emplace_back(number, std::move(told));
+    ++newVerdicts;
+    newApprovals += isApproved ? 1 : 0;
   }
+  std::ranges::sort(tickets, {}, &step_tickets::value_type::first);
   if (newVerdicts > 0) {
     auto [rate, isNew] = mRates.try_emplace(std::string(aQueue), kInitialRate);
     const double observed =
@@ -66,28 +85,34 @@
   return step_verdicts(step == mTickets.end() ? nullptr : &step->second);
 }
 
+const advice_cache::ticket*
+advice_cache::Find(const step_tickets& aTickets, worker_number aWorker)
+{
+  const auto found = std::ranges::lower_bound(
+    aTickets, aWorker, {}, &step_tickets::value_type::first);
+  return found == aTickets.end() || found->first != aWorker ? nullptr
+                                                            : &found->second;
+}
+
 verdict
 step_verdicts::For(worker_number aWorker, time_point aNow) const
 {
-  if (mTickets == nullptr) {
+  const advice_cache::ticket* found =
+    mTickets == nullptr ? nullptr : advice_cache::Find(*mTickets, aWorker);
+  if (found == nullptr) {
     return verdict::Unknown;
   }
-  const auto found = mTickets->find(aWorker);
-  if (found == mTickets->end()) {
-    return verdict::Unknown;
-  }
-  if (!found->second.mApproved) {
+  if (!found->mApproved) {
     return verdict::Refused;
   }
-  return aNow < found->second.mValidUntil ? verdict::Approved
-                                          : verdict::Expired;
+  return aNow < found->mValidUntil ? verdict::Approved : verdict::Expired;
 }
 
 duration
 step_verdicts::RemainingValidity(worker_number aWorker, time_point aNow) const
 {
   return For(aWorker, aNow) == verdict::Approved
-           ? mTickets->at(aWorker).mValidUntil - aNow
+           ? advice_cache::Find(*mTickets, aWorker)->mValidUntil - aNow
            : duration::zero();
 }
 
@@ -126,15 +151,20 @@
   if (VerdictFor(aStep, aWorker, aNow) != verdict::Approved) {
     return {};
   }
-  return mTickets.at(aStep).at(aWorker).mText;
+  return Find(mTickets.at(aStep), aWorker)->mText;
 }
 
 void
 advice_cache::Expire(const step_ref& aStep, worker_number aWorker)
 {
   const auto step = mTickets.find(aStep);
-  if (step != mTickets.end() && step->second.contains(aWorker)) {
-    step->second[aWorker].mValidUntil = {};
+  if (step == mTickets.end()) {
+    return;
+  }
+  const auto found = std::ranges::lower_bound(
+    step->second, aWorker, {}, &step_tickets::value_type::first);
+  if (found != step->second.end() && found->first == aWorker) {
+    found->second.mValidUntil = {};
   }
 }
 
--- a/oriolewalk/flow/advice_cache.h
+++ b/oriolewalk/flow/advice_cache.h
@@ -116,7 +116,14 @@
     time_point mValidUntil{};
   };
 
-  std::map<step_ref, std::map<worker_number, ticket>> mTickets;
+  // By worker, in ascending order: plans visit all of a step's tickets much
+  // more often than an answer adds some.
+  using step_tickets = std::vector<std::pair<worker_number, ticket>>;
+
+  static const ticket* Find(const step_tickets& aTickets,
+                            worker_number aWorker);
+
+  std::map<step_ref, step_tickets> mTickets;
   std::map<std::string, double, std::less<>> mRates; // approval, by queue
 };
 
@@ -130,14 +137,12 @@
 
 private:
   friend class advice_cache;
-  using tickets = std::map<worker_number, advice_cache::ticket>;
-
-  explicit step_verdicts(const tickets* aTickets)
+  explicit step_verdicts(const advice_cache::step_tickets* aTickets)
     : mTickets(aTickets)
   {
   }
 
-  const tickets* mTickets; // null if there are none
+  const advice_cache::step_tickets* mTickets; // null if there are none
 };
 
 } // namespace oriolewalk::flow
