--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -121,8 +121,14 @@
 const job_record*
 flow_state::FindJob(const job_id& aId) const
 {
-  const auto found = mJobs.find(aId);
-  return found == mJobs.end() ? nullptr : &found->second;
+  return FindJobRecord(aId);
+}
+
+job_record*
+flow_state::FindJobRecord(const job_id& aId) const
+{
+  const auto found = mJobIndex.find(aId);
+  return found == mJobIndex.end() ? nullptr : found->second;
 }
 
 const worker_record*
@@ -142,12 +148,8 @@
 const task_record*
 flow_state::FindTask(const task_ref& aTask) const
 {
-  const auto found = mJobs.find(aTask.mJob);
-  // The const_cast avoids a second copy of the lookup; FindTaskRecord() changes
-  // nothing.
-  return found == mJobs.end()
-           ? nullptr
-           : FindTaskRecord(const_cast<job_record&>(found->second), aTask);
+  job_record* job = FindJobRecord(aTask.mJob);
+  return job == nullptr ? nullptr : FindTaskRecord(*job, aTask);
 }
 
 const step_spec*
@@ -304,6 +306,7 @@
 void
 flow_state::RebuildIndexes()
 {
+  mJobIndex.clear();
   mLive.clear();
   mNumbers.clear();
   mPlaced.clear();
@@ -314,9 +317,10 @@
   for (const auto& [number, worker] : mWorkers) {
     mNumbers[worker.mDescription.mId] = number;
   }
-  for (const auto& [id, job] : mJobs) {
+  for (auto& [id, job] : mJobs) {
+    mJobIndex.emplace(id, &job);
     UpdateLive(id, job);
-    organisations::quota_account* account = AccountOf(mJobs.at(id));
+    organisations::quota_account* account = AccountOf(job);
     for (const auto& [number, occurrence] : job.mOccurrences) {
       for (std::uint32_t step = 0; step < occurrence.mSteps.size(); ++step) {
         IndexPlacedTasks(
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -284,6 +284,8 @@
                         const step_record& aStep,
                         organisations::quota_account* aAccount);
   [[nodiscard]] std::uint32_t MaxAttempts(const job_record& aJob) const;
+  // Null for an unknown one.
+  [[nodiscard]] job_record* FindJobRecord(const job_id& aId) const;
 
   queue_table mTable;
   bytes mTableSource;
@@ -297,8 +299,10 @@
   std::map<task_ref, copy_record> mCopies;
   std::map<std::uint64_t, machines::wave_record> mWaves;
 
-  // Derived from the members above.
-  std::map<job_id, const job_record*> mLive; // into mJobs' stable nodes
+  // Derived from the members above. Into mJobs' stable nodes, since several
+  // lookups of a job belong to each run.
+  std::unordered_map<job_id, job_record*> mJobIndex;
+  std::map<job_id, const job_record*> mLive;
   std::map<worker_id, worker_number> mNumbers;
   std::unordered_map<std::string, std::size_t> mQueueIndexes; // index by name
   std::unordered_map<worker_number, placed_runs> mPlaced;
--- a/oriolewalk/flow/flow_state_jobs.cc
+++ b/oriolewalk/flow/flow_state_jobs.cc
@@ -57,6 +57,7 @@
     OpenOccurrence(job, 0, aWallMs);
   }
   const auto placed = mJobs.emplace(aSubmit.mId, std::move(job)).first;
+  mJobIndex.emplace(aSubmit.mId, &placed->second);
   mLive.emplace(aSubmit.mId, &placed->second);
   return {};
 }
@@ -163,7 +164,7 @@
       FindTask(aTask)->mPhase == task_phase::Done) {
     return;
   }
-  job_record& job = mJobs.at(aTask.mJob);
+  job_record& job = *FindJobRecord(aTask.mJob);
   if (job.IsActive()) {
     aOutcome.mAbandonedTasks.push_back(aTask);
     EndJob(aTask.mJob, job, job_state::Failed, aWallMs, aOutcome);
@@ -176,6 +177,7 @@
   for (const job_id& id : aForget.mJobs) {
     const auto found = mJobs.find(id);
     if (found != mJobs.end() && !mLive.contains(id)) {
+      mJobIndex.erase(id);
       mJobs.erase(found);
       mCrashes.ForgetJob(id);
     }
--- a/oriolewalk/flow/flow_state_runs.cc
+++ b/oriolewalk/flow/flow_state_runs.cc
@@ -57,13 +57,13 @@
 flow_state::Start(const run_start& aStart)
 {
   const task_ref& ref = aStart.mRun.mTask;
-  const auto found = mJobs.find(ref.mJob);
+  job_record* known = FindJobRecord(ref.mJob);
   const worker_record* worker = FindWorker(aStart.mWorker);
-  if (found == mJobs.end() || !found->second.IsActive() || worker == nullptr ||
+  if (known == nullptr || !known->IsActive() || worker == nullptr ||
       worker->mDraining || mCrashes.HasCrashed(aStart.mWorker)) {
     return false;
   }
-  job_record& job = found->second;
+  job_record& job = *known;
   task_record* task = FindTaskRecord(job, ref);
   if (task == nullptr || task->mPhase != task_phase::Waiting ||
       aStart.mRun.mAttempt <= LastAttempt(ref)) {
@@ -103,7 +103,7 @@
 void
 flow_state::Release(const run_ref& aRun, worker_number aWorker)
 {
-  job_record& job = mJobs.at(aRun.mTask.mJob);
+  job_record& job = *FindJobRecord(aRun.mTask.mJob);
   task_record* task = FindTaskRecord(job, aRun.mTask);
   const step_record& step =
     job.mOccurrences.at(aRun.mTask.mOccurrence).mSteps[aRun.mTask.mStep];
@@ -164,7 +164,7 @@
     return; // reported again, or its attempt was withdrawn
   }
   const task_ref& ref = aEnd.mRun.mTask;
-  job_record& job = mJobs.at(ref.mJob);
+  job_record& job = *FindJobRecord(ref.mJob);
   Release(aEnd.mRun, aWorker);
   step_record& step = job.mOccurrences.at(ref.mOccurrence).mSteps[ref.mStep];
   // The task may be done by its other run.
