--- a/oriolewalk/flow/leader_advice.cc
+++ b/oriolewalk/flow/leader_advice.cc
@@ -47,7 +47,6 @@
            busy.contains(aAddress);
   });
   // Entries come first because the control processes have other work.
-  std::ranges::reverse(all);
   return all;
 }
 
@@ -55,7 +54,8 @@
 leader_core::AdvisorLoad()
 {
   advisor_load load;
-  load.mFree = FreeAdvisors().size();
+  mFreeAdvisors = FreeAdvisors();
+  load.mFree = mFreeAdvisors.size();
   load.mTotal = load.mFree + mOpenQueries.size();
   std::size_t topPriority = 0;
   for (const auto& [id, open] : mOpenQueries) {
@@ -69,17 +69,17 @@
 void
 leader_core::QueryPolicy(const advice_query& aQuery)
 {
-  const auto advisors = FreeAdvisors();
   const job_record* job = mState.FindJob(aQuery.mStep.mJob);
-  if (advisors.empty() || job == nullptr) {
+  if (mFreeAdvisors.empty() || job == nullptr) {
     return;
   }
+  const std::string advisor = std::move(mFreeAdvisors.back());
+  mFreeAdvisors.pop_back();
   const queue_row& queue = mState.QueueOf(*job);
   const advice_timing timing = queue.mAdvice.value_or(advice_timing{});
-  open_query open{ advisors.front(),    aQuery.mStep, queue.mName,
-                   timing.mValidMs,     {},           mAt.mNow,
-                   queue.mPriority == 0 };
-  advice_call call{ ++mLastQuery, advisors.front(), {} };
+  open_query open{ advisor, aQuery.mStep, queue.mName,         timing.mValidMs,
+                   {},      mAt.mNow,     queue.mPriority == 0 };
+  advice_call call{ ++mLastQuery, advisor, {} };
   call.mRequest.mStep = aQuery.mStep;
   for (const worker_number number : aQuery.mWorkers) {
     const worker_id& id = mState.FindWorker(number)->mDescription.mId;
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -320,6 +320,7 @@
   void Preempt(const std::vector<planned_preemption>& aPreemptions);
   void ForgetEndedPreemptions();
   void QueryPolicy(const advice_query& aQuery);
+  // The next one to ask last.
   [[nodiscard]] std::vector<std::string> FreeAdvisors() const;
   // The live control processes except this one. Spares come first, since they
   // neither vote nor store.
@@ -397,7 +398,8 @@
   // Steps without workers to query, since mNothingToQueryClearedAt.
   std::set<step_ref> mNothingToQuery;
   time_point mNothingToQueryClearedAt{};
-  recent_peak mTopPriorityPeak; // concurrent queries
+  recent_peak mTopPriorityPeak;           // concurrent queries
+  std::vector<std::string> mFreeAdvisors; // for the present plan
   admission mAdmission;
   cell_loads mLoads; // of the last plan of all steps
   freed_rate mFreed;
--- a/oriolewalk/flow/leader_plans.cc
+++ b/oriolewalk/flow/leader_plans.cc
@@ -88,7 +88,7 @@
   }
   input.mNothingToQuery = &mNothingToQuery;
   input.mForecast = &mForecast;
-  input.mPreemptionRecords = mPreemptionRecords;
+  input.mPreemptionRecords = &mPreemptionRecords;
   input.mSuspicions = mIsolation.Summarize(
     mState,
     mProposed,
--- a/oriolewalk/flow/open_steps.cc
+++ b/oriolewalk/flow/open_steps.cc
@@ -297,7 +297,8 @@
                          aInput.mOrder == plan_order::UsefulFirst;
     const std::int64_t next =
       bySlack ? aStep.mSlackMs : aStep.mJob->mSubmittedWallMs;
-    return std::make_tuple(priority, aStep.mIsPastValue, next, aStep.mRef);
+    return std::tuple<int, bool, std::int64_t, const step_ref&>(
+      priority, aStep.mIsPastValue, next, aStep.mRef);
   });
   if (aInput.mOrder != plan_order::Arrival) {
     OrderByShares(steps, aState, aInput.mCapacity, aInput.mShares);
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -19,12 +19,20 @@
 
 using worker_list = std::vector<plan_worker*>;
 
+const preemption_records&
+RecordsOf(const plan_input& aInput)
+{
+  static const preemption_records sNone;
+  return aInput.mPreemptionRecords == nullptr ? sNone
+                                              : *aInput.mPreemptionRecords;
+}
+
 class plan_maker
 {
 public:
   explicit plan_maker(plan_input aInput)
     : mInput(std::move(aInput))
-    , mReservations(*mInput.mState, mInput.mPreemptionRecords, mInput.mPolicy)
+    , mReservations(*mInput.mState, RecordsOf(mInput), mInput.mPolicy)
     , mQuotas(*mInput.mState, *mInput.mProposed)
     , mLoad(*mInput.mState, mInput.mDurations, mInput.mNow)
     , mKept(*mInput.mState,
--- a/oriolewalk/flow/planner.h
+++ b/oriolewalk/flow/planner.h
@@ -66,8 +66,8 @@
     nullptr;
   // Steps that recently had nothing to query; this plan skips them.
   const std::set<step_ref>* mNothingToQuery = nullptr;
-  const demand_forecast* mForecast = nullptr; // null: none
-  preemption_records mPreemptionRecords;
+  const demand_forecast* mForecast = nullptr;             // null: none
+  const preemption_records* mPreemptionRecords = nullptr; // null: none
   suspect_summary mSuspicions;
   advisor_load mAdvisors;
   // Runs that may get a copy; only for a plan of all steps.
--- a/oriolewalk/flow/preemption.cc
+++ b/oriolewalk/flow/preemption.cc
@@ -42,9 +42,9 @@
 } // namespace
 
 preemption_planner::preemption_planner(const flow_state& aState,
-                                       preemption_records aRecords)
+                                       const preemption_records& aRecords)
   : mState(aState)
-  , mRecords(std::move(aRecords))
+  , mRecords(aRecords)
 {
   for (const queue_row& queue : mState.Table().mQueues) {
     const auto [lowest, isNew] =
@@ -62,6 +62,9 @@
 bool
 preemption_planner::MayPreempt(const task_ref& aTask) const
 {
+  if (mPreempted.contains(aTask)) {
+    return false;
+  }
   const auto found = mRecords.find(aTask);
   return found == mRecords.end() ||
          (!found->second.mInProgress && found->second.mCount < kMaxPreemptions);
@@ -127,7 +130,7 @@
                             plan_worker& aWorker)
 {
   for (const run_ref& run : aRuns) {
-    mRecords[run.mTask].mInProgress = true;
+    mPreempted.insert(run.mTask);
     aWorker.mBeingFreed += mState.FindStep(run.mTask)->Booked();
   }
 }
@@ -135,7 +138,7 @@
 void
 preemption_planner::CancelPreemption(const run_ref& aRun, plan_worker& aWorker)
 {
-  mRecords[aRun.mTask].mInProgress = false;
+  mPreempted.erase(aRun.mTask);
   aWorker.mBeingFreed -= mState.FindStep(aRun.mTask)->Booked();
 }
 
--- a/oriolewalk/flow/preemption.h
+++ b/oriolewalk/flow/preemption.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "oriolewalk/flow/plan_types.h"
@@ -41,7 +42,9 @@
 class preemption_planner
 {
 public:
-  preemption_planner(const flow_state& aState, preemption_records aRecords);
+  // aRecords: of the plans before; it must outlive the planner.
+  preemption_planner(const flow_state& aState,
+                     const preemption_records& aRecords);
 
   // Returns nullopt if not enough runs may be preempted there, and an empty
   // list if none needs to be.
@@ -69,7 +72,8 @@
   [[nodiscard]] bool MayPreempt(const task_ref& aTask) const;
 
   const flow_state& mState;
-  preemption_records mRecords;
+  const preemption_records& mRecords;
+  std::set<task_ref> mPreempted; // by this plan
   std::map<worker_number, std::vector<candidate>> mCandidates;
   std::map<service_id, int> mLowestPriority;
 };
--- a/oriolewalk/flow/reservations.cc
+++ b/oriolewalk/flow/reservations.cc
@@ -66,9 +66,9 @@
 } // namespace
 
 reservation_planner::reservation_planner(const flow_state& aState,
-                                         preemption_records aPreemptionRecords,
+                                         const preemption_records& aRecords,
                                          const plan_policy& aPolicy)
-  : mPreemptionPlanner(aState, std::move(aPreemptionRecords))
+  : mPreemptionPlanner(aState, aRecords)
   , mPolicy(aPolicy)
 {
 }
--- a/oriolewalk/flow/reservations.h
+++ b/oriolewalk/flow/reservations.h
@@ -47,7 +47,7 @@
 {
 public:
   reservation_planner(const flow_state& aState,
-                      preemption_records aPreemptionRecords,
+                      const preemption_records& aRecords,
                       const plan_policy& aPolicy);
 
   // Reserves capacity on the candidates for as many of aTasks as possible; for
--- a/testing/flow/plan_fixture.h
+++ b/testing/flow/plan_fixture.h
@@ -56,7 +56,7 @@
     }
     input.mWorkers = &mWorkers;
     input.mNothingToQuery = &mNothingToQuery;
-    input.mPreemptionRecords = mPreemptionRecords;
+    input.mPreemptionRecords = &mPreemptionRecords;
     input.mPolicy = mPolicy;
     input.mProposed = &mProposed;
     input.mOpenQueries = &mOpenQueries;
