--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -49,6 +49,7 @@
   , mAt(aAt)
   , mSupervisor(aState, aOptions, aTerm, aAt.mNow, aHeard)
   , mPlanWorkers(aOptions.mPlan.mPlacement)
+  , mLoggedTimes(ProcessorTimes())
   , mRelays(aOptions.mMaxWorkersWithoutRelays)
   , mAdmission(aAt.mNow)
   , mFreed(aAt.mNow)
