--- a/bench/flow_bench.cc
+++ b/bench/flow_bench.cc
@@ -267,6 +267,34 @@
     AddOutcome(aReport, name, one);
     AddCounts(aReport, name, one.mCounts);
     AddQueues(aReport, name, one.mQueues);
+    aReport.Add(name + ".plan_share", one.mPlanShare, "share");
+  }
+});
+
+// What each optional part of a plan adds to its cost, in a full cell.
+const registered_bench kParts("parts", [](bench_report& aReport) {
+  const flow_load load = MakeLoad(FlowScenarios().back(), kSeeds.front());
+  std::vector<named_policy> policies = UnevenPolicies();
+  flow::plan_policy noRefusals;
+  noRefusals.mRefusesHopeless = false;
+  policies.push_back({ "no_refusals", noRefusals });
+  flow::plan_policy none = noRefusals;
+  none.mPlacesBySpeed = false;
+  none.mForecastsDemand = false;
+  none.mLearnsDurations = false;
+  none.mCopies = false;
+  policies.push_back({ "none", none });
+  for (const named_policy& policy : policies) {
+    constexpr double kMicroseconds = 1'000;
+    const flow_outcome one = SimulateLoad(load, policy.mPolicy);
+    const std::string name(policy.mName);
+    aReport.Add(name + ".plan",
+                kMicroseconds * one.mDecisionMs /
+                  static_cast<double>(one.mCounts.mPlans),
+                "processor us");
+    aReport.Add(
+      name + ".applied", one.mActivityMs.at("applied"), "processor ms");
+    AddQueues(aReport, name, one.mQueues);
   }
 });
 
