The plans' share of the time follows the leader's lateness

The shortest intervals are now 3 and 8 times a plan's duration at the usual interval of ticks and grow with it, so that plans take 46 % of the time at most of a leader that keeps up, and 23 % at twice the usual interval.

--- a/oriolewalk/flow/plan_timer.cc
+++ b/oriolewalk/flow/plan_timer.cc
@@ -26,10 +26,12 @@
 constexpr milliseconds kTickInterval{ 10 };
 constexpr std::int64_t kMaxLateness = 4;
 // The shortest intervals between plans of a scope, in times that such a plan
-// takes. All plans together then leave three quarters of the time to commits,
-// answers and callers, which urgent work waits for as well.
-constexpr std::int64_t kMinInterval = 12;
-constexpr std::int64_t kTopPriorityMinInterval = 6;
+// takes, at the usual interval of ticks; they grow with it. All plans together
+// leave half of the time of a leader that keeps up, and three quarters at twice
+// the usual interval, to commits, answers and callers, which urgent work waits
+// for as well.
+constexpr std::int64_t kMinInterval = 8;
+constexpr std::int64_t kTopPriorityMinInterval = 3;
 // Window of the moving average of what plans take.
 constexpr int kTimeWindow = 4;
 // Maximum interval between two plans, since tickets expire.
@@ -58,13 +60,13 @@
   const duration pause =
     std::max<duration>(lateness * (kPlanPause + kPlanPausePerJob * jobs +
                                    kPlanPausePerWaiting * mWaitingTasks),
-                       kMinInterval * mMeanTime);
+                       MinInterval(kMinInterval * mMeanTime));
   if (since >= pause && (mChanged || since >= kMaxPlanInterval)) {
     return plan_scope::All;
   }
-  const duration topPriorityPause =
-    std::max<duration>(lateness * (kPlanPause + kTopPriorityPausePerJob * jobs),
-                       kTopPriorityMinInterval * mTopPriorityMeanTime);
+  const duration topPriorityPause = std::max<duration>(
+    lateness * (kPlanPause + kTopPriorityPausePerJob * jobs),
+    MinInterval(kTopPriorityMinInterval * mTopPriorityMeanTime));
   if (mTopPriorityChanged &&
       aNow - std::max(mPlannedAt, mTopPriorityPlannedAt) >= topPriorityPause) {
     return plan_scope::TopPriority;
@@ -72,6 +74,16 @@
   return std::nullopt;
 }
 
+duration
+plan_timer::MinInterval(duration aOnTime) const
+{
+  return aOnTime / kTickInterval.count() *
+         std::clamp(std::chrono::duration_cast<milliseconds>(mMeanTickInterval),
+                    kTickInterval,
+                    kMaxLateness * kTickInterval)
+           .count();
+}
+
 bool
 plan_timer::IsBehind() const
 {
--- a/oriolewalk/flow/plan_timer.h
+++ b/oriolewalk/flow/plan_timer.h
@@ -51,6 +51,9 @@
   void OnPlanTook(duration aTook);
 
 private:
+  // The shortest interval between two plans, which is aOnTime while ticks come
+  // in time.
+  [[nodiscard]] duration MinInterval(duration aOnTime) const;
   duration& MeanTime(plan_scope aScope)
   {
     return aScope == plan_scope::All ? mMeanTime : mTopPriorityMeanTime;
