Queries weigh fewer workers of last resort; reservations copy only workers with room

It keeps as many as a query takes, as with full ones. For steps with a query in flight a plan copied all queried workers, also those without room, which can't be reserved.

--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -567,8 +567,9 @@
     }
     worker_list workers;
     for (const worker_number number : QueriedWorkers(aStep)) {
-      if (plan_worker* worker = Find(number)) {
-        workers.push_back(worker);
+      const plan_worker* shared = mInput.mWorkers->Find(number);
+      if (shared != nullptr && FitsNow(aStep, Current(*shared))) {
+        workers.push_back(Find(number));
       }
     }
     for (const std::uint32_t task : aTasks) {
@@ -723,7 +724,8 @@
   }
 
   // Adds the best workers until aWanted of them could run a task now without
-  // harm, and up to aWanted full ones among them.
+  // harm. Of those that are full, and of those that are a last resort, it adds
+  // no more than a query takes.
   // aRanked: workers of one capacity.
   void AddBest(const open_step& aStep,
                std::size_t aWanted,
@@ -736,6 +738,7 @@
     }
     std::size_t usable = 0;
     std::size_t full = 0;
+    std::size_t lastResorts = 0;
     for (const auto& [rank, worker] : aRanked) {
       if (usable >= aWanted) {
         break;
@@ -749,7 +752,11 @@
       const bool isLastResort = worker->mAvoided ||
                                 Interferes(aStep, *worker) ||
                                 IsTooSlow(aStep, *worker);
+      if (!isFull && isLastResort && lastResorts >= aWanted) {
+        continue;
+      }
       full += isFull ? 1 : 0;
+      lastResorts += !isFull && isLastResort ? 1 : 0;
       usable += isFull || isLastResort ? 0 : 1;
       aCandidates.push_back(worker);
     }
