--- a/oriolewalk/flow/plan_timer.cc
+++ b/oriolewalk/flow/plan_timer.cc
@@ -77,11 +77,9 @@
 duration
 plan_timer::MinInterval(duration aOnTime) const
 {
-  return aOnTime / kTickInterval.count() *
-         std::clamp(std::chrono::duration_cast<milliseconds>(mMeanTickInterval),
-                    kTickInterval,
-                    kMaxLateness * kTickInterval)
-           .count();
+  const duration interval = std::clamp<duration>(
+    mMeanTickInterval, kTickInterval, kMaxLateness * kTickInterval);
+  return aOnTime * interval.count() / duration(kTickInterval).count();
 }
 
 bool
--- a/oriolewalk/flow/planner.cc
+++ b/oriolewalk/flow/planner.cc
@@ -1,6 +1,8 @@
 #include "oriolewalk/flow/planner.h"
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -736,32 +738,43 @@
           aRanked.begin()->second->mDescription->mCapacity)) {
       return;
     }
-    std::size_t usable = 0;
-    std::size_t full = 0;
-    std::size_t lastResorts = 0;
+    std::array<std::size_t, 3> found{}; // by availability
+    const std::size_t& usable =
+      found[static_cast<std::size_t>(availability::Usable)];
     for (const auto& [rank, worker] : aRanked) {
       if (usable >= aWanted) {
         break;
       }
       ++mResult.mComparisons;
-      const bool isFull =
-        !FitsNow(aStep, *worker) || !FitsNow(aStep, Current(*worker));
-      if ((isFull && full >= aWanted) || !FitsWhenEmpty(aStep, *worker)) {
-        continue;
+      std::size_t& known =
+        found.at(static_cast<std::size_t>(AvailabilityOf(aStep, *worker)));
+      if (known < aWanted && FitsWhenEmpty(aStep, *worker)) {
+        ++known;
+        aCandidates.push_back(worker);
       }
-      const bool isLastResort = worker->mAvoided ||
-                                Interferes(aStep, *worker) ||
-                                IsTooSlow(aStep, *worker);
-      if (!isFull && isLastResort && lastResorts >= aWanted) {
-        continue;
-      }
-      full += isFull ? 1 : 0;
-      lastResorts += !isFull && isLastResort ? 1 : 0;
-      usable += isFull || isLastResort ? 0 : 1;
-      aCandidates.push_back(worker);
     }
   }
 
+  // Whether a task of the step could run on a worker now.
+  enum class availability : std::uint8_t
+  {
+    Usable,
+    LastResort, // with harm
+    Full,
+  };
+
+  [[nodiscard]] availability AvailabilityOf(const open_step& aStep,
+                                            const plan_worker& aWorker) const
+  {
+    if (!FitsNow(aStep, aWorker) || !FitsNow(aStep, Current(aWorker))) {
+      return availability::Full;
+    }
+    return aWorker.mAvoided || Interferes(aStep, aWorker) ||
+               IsTooSlow(aStep, aWorker)
+             ? availability::LastResort
+             : availability::Usable;
+  }
+
   plan_input mInput;
   // Workers that this plan has looked at, with what it booked there.
   std::unordered_map<worker_number, plan_worker> mCopies;
