--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O1 -pthread -o target/review/standin review/standin/standin.cc
+g++ -std=c++20 -O1 -pthread -o target/review/standin review/standin/standin.cpp
--- a/review/standin/standin.cc
+++ b/review/standin/standin.cpp
@@ -152,8 +152,8 @@
 {
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
-    const auto wrote = ::send(
-      aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    const auto wrote =
+      ::send(aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (wrote <= 0) {
       return false;
     }
@@ -195,12 +195,11 @@
     if (mSocket < 0 && !Connect(aAddress)) {
       return 0;
     }
-    const std::string request = aMethod + " " + aPath + " HTTP/1.1\r\n" +
-                                aHeaders +
-                                "Content-Type: application/json\r\n"
-                                "Content-Length: " +
-                                std::to_string(aBody.size()) + "\r\n\r\n" +
-                                aBody;
+    const std::string request =
+      aMethod + " " + aPath + " HTTP/1.1\r\n" + aHeaders +
+      "Content-Type: application/json\r\n"
+      "Content-Length: " +
+      std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
     message answer;
     if (!WriteAll(mSocket, request) ||
         !ReadMessage(mSocket, mBuffer, answer, until, aHold)) {
@@ -218,8 +217,8 @@
   bool Connect(const std::string& aAddress)
   {
     const auto colon = aAddress.find(':');
-    const sockaddr_in there = Endpoint(aAddress.substr(0, colon),
-                                       std::atoi(&aAddress[colon + 1]));
+    const sockaddr_in there =
+      Endpoint(aAddress.substr(0, colon), std::atoi(&aAddress[colon + 1]));
     mSocket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(mSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -408,8 +407,9 @@
     const int on = 1;
     ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in here = Endpoint(mIp, mPort);
-    if (::bind(listener, reinterpret_cast<const sockaddr*>(&here), sizeof here)
-          != 0 ||
+    if (::bind(listener,
+               reinterpret_cast<const sockaddr*>(&here),
+               sizeof here) != 0 ||
         ::listen(listener, 128) != 0) {
       return false;
     }
@@ -551,10 +551,8 @@
     ::setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     while (!gOver) {
       message request;
-      const bool whole =
-        ReadMessage(aSocket, buffer, request, NowMs() + 500, [this] {
-          return IsCut();
-        });
+      const bool whole = ReadMessage(
+        aSocket, buffer, request, NowMs() + 500, [this] { return IsCut(); });
       bool dark = false;
       bool ended = false;
       {
@@ -570,7 +568,8 @@
       }
       if (!whole) {
         char byte = 0;
-        if (!IsCut() && ::recv(aSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+        if (!IsCut() &&
+            ::recv(aSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
           break;
         }
         continue;
@@ -656,10 +655,9 @@
     if (number <= mHighest[task]) {
       return Answer(409, { { "reason", "old" } }, aAnswer);
     }
-    mRunning[task] = { number,
-                       NowMs(),
-                       gWorkMs == 0 ? 0 : NowMs() + gWorkMs,
-                       0 };
+    mRunning[task] = {
+      number, NowMs(), gWorkMs == 0 ? 0 : NowMs() + gWorkMs, 0
+    };
     gEvents.push_back({ NowMs(), task, number, mId, "start" });
     Note("minion %s: %s run %lld starts",
          mId.c_str(),
@@ -697,8 +695,7 @@
       ended.emplace_back(
         json::array{ number, one.mTask, one.mRun, one.mHow, "" });
     }
-    return Answer(
-      200, { { "running", running }, { "ended", ended } }, aAnswer);
+    return Answer(200, { { "running", running }, { "ended", ended } }, aAnswer);
   }
 
   void Beats()
@@ -763,15 +760,14 @@
       std::string answer;
       if (farewell) {
         Note("minion %s sends its farewell to %s", id.c_str(), to.c_str());
-        const int status = line.Call(
-          to,
-          "POST",
-          "/v1/instances/" + id + "/deregister",
-          "Host: control\r\n",
-          "",
-          answer,
-          1000,
-          [this] { return IsCut(); });
+        const int status = line.Call(to,
+                                     "POST",
+                                     "/v1/instances/" + id + "/deregister",
+                                     "Host: control\r\n",
+                                     "",
+                                     answer,
+                                     1000,
+                                     [this] { return IsCut(); });
         Note("minion %s: farewell answered %d", id.c_str(), status);
         if (status == 0) {
           SleepMs(2500); // ends anyway, some seconds later
@@ -920,11 +916,7 @@
     }
     SleepMs(200);
   }
-  Note("client: %s %s -> %d %s",
-       aMethod,
-       aId.c_str(),
-       status,
-       aAnswer.c_str());
+  Note("client: %s %s -> %d %s", aMethod, aId.c_str(), status, aAnswer.c_str());
   return status;
 }
 
@@ -1144,11 +1136,10 @@
   for (int attempt = 0; attempt < 50; ++attempt) {
     gNet = static_cast<int>(30 + draw() % 190);
     bool free = true;
-    for (const auto& [ip, port] :
-         { std::pair{ Ip(1, 1), kControlPort },
-           std::pair{ Ip(1, 1), 7720 },
-           std::pair{ Ip(2, 1), kEntryPort },
-           std::pair{ Ip(5, 1), 20000 } }) {
+    for (const auto& [ip, port] : { std::pair{ Ip(1, 1), kControlPort },
+                                    std::pair{ Ip(1, 1), 7720 },
+                                    std::pair{ Ip(2, 1), kEntryPort },
+                                    std::pair{ Ip(5, 1), 20000 } }) {
       const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
       const sockaddr_in here = Endpoint(ip, port);
       free = free && ::bind(probe,
