A deregistered worker's runs are released only once they have ended

What callers saw: a worker that had drained sent its deregistration and did not hear the answer.

Cause: the leader proposed to remove the worker as soon as the deregistration came, and the state releases all runs of a removed worker. A deregistration announces the end of a process and proves nothing; the worker held a lease that was renewed just before. Evidence: between the two run.start lines stands worker.left alone, no run.given_up and no worker.over.

Change: a worker that deregisters gets no more leases and is polled at once. What the poll shows is stopped. If no poll is answered its runs wait for the lapse of all leases, so leases on workers that drain are 2 s instead of 4 s. Why it works: a run is released only by its end, by a poll that doesn't show it, or by the lapse. A leader that takes over waits for the longest lease as for any worker. No command and no message changed.

--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -431,41 +431,6 @@
   return mState.Workers().size() > mOptions.mMaxWorkersWithoutRelays;
 }
 
-// A delayed deregistration must not end the next incarnation: its tasks would
-// start a second time while they run. A deregistration without a process start
-// time counts for a worker that drains, as workers do before they leave; for
-// any other worker the next poll shows whether it restarted.
-bool
-leader_core::IsFromEarlierIncarnation(
-  const worker_deregistration& aDeregistration,
-  const worker_record& aKnown)
-{
-  if (aDeregistration.mProcessStartMs == 0) {
-    return aKnown.mDescription.mProcessStartMs != 0 && !aKnown.mDraining;
-  }
-  return aDeregistration.mProcessStartMs < aKnown.mDescription.mProcessStartMs;
-}
-
-void
-leader_core::Handle(call_number aCall,
-                    const worker_deregistration& aDeregistration)
-{
-  const worker_number number = mState.NumberOf(aDeregistration.mId);
-  if (number == 0 ||
-      IsFromEarlierIncarnation(aDeregistration, *mState.FindWorker(number))) {
-    mPort.mAnswer(aCall, acknowledgement{});
-    return;
-  }
-  mPort.mLogDecision(
-    { "worker.left",
-      { { "worker", aDeregistration.mId.Value() },
-        { "born", std::to_string(aDeregistration.mProcessStartMs) } } });
-  mSupervisor.SaveCheckpoints(number);
-  DrainSupervisor();
-  ProposeHeldEnds();
-  ProposeAndAnswer(aCall, remove_worker{ number }, acknowledgement{});
-}
-
 void
 leader_core::Handle(call_number aCall, const table_change& aChange)
 {
--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -122,6 +122,7 @@
   mHealth.Forget(aWorker);
   mPlanWorkers.Invalidate(aWorker);
   mInterference.Forget(aWorker);
+  AnswerDeregistrations(aWorker);
 }
 
 void
@@ -187,6 +188,7 @@
   mPlanTimer.OnTick(mAt.mNow);
   mSupervisor.Tick(mAt.mNow);
   DrainSupervisor();
+  AnswerOverdueDeregistrations();
   ProposeHeldEnds();
   if (mAt.mNow >= mSweptAt + kSweepInterval) {
     mSweptAt = mAt.mNow;
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -12,10 +12,11 @@
 //   core.PlanIfDue();
 //
 // leader_core.cc holds the event handlers, leader_calls.cc the answers to
-// requests, leader_plans.cc the plans, leader_runs.cc the life cycle of runs,
-// leader_copies.cc the copies of tasks, leader_admission.cc the admission of
-// jobs, leader_advice.cc the queries to the policy service, leader_waves.cc the
-// operators' waves of upkeep, leader_log.cc the decision log.
+// requests, leader_deregistrations.cc the workers that leave, leader_plans.cc
+// the plans, leader_runs.cc the life cycle of runs, leader_copies.cc the copies
+// of tasks, leader_admission.cc the admission of jobs, leader_advice.cc the
+// queries to the policy service, leader_waves.cc the operators' waves of
+// upkeep, leader_log.cc the decision log.
 //
 // It acts through `leader_port`: it proposes commands and answers calls. The
 // owner sets the time before each call. Owned by the flow core; control thread
@@ -163,6 +164,12 @@
     bool mTopPriority = false; // from a top-priority queue
   };
 
+  struct open_deregistration
+  {
+    call_number mCall = 0;
+    time_point mAnswerAt{}; // at the latest
+  };
+
   void Handle(call_number aCall, const entry_heartbeat& aHeartbeat);
   void Handle(call_number aCall, const job_submission& aJob);
   void Handle(call_number aCall, const job_query& aQuery);
@@ -339,6 +346,8 @@
   [[nodiscard]] static bool IsFromEarlierIncarnation(
     const worker_deregistration& aDeregistration,
     const worker_record& aKnown);
+  void AnswerDeregistrations(worker_number aWorker);
+  void AnswerOverdueDeregistrations();
   [[nodiscard]] bool IsWorkerChanged(const worker_description& aDescription,
                                      bool aDraining,
                                      worker_number aNumber) const;
@@ -356,6 +365,8 @@
   instant mAt;
   worker_supervisor mSupervisor;
   plan_worker_cache mPlanWorkers;
+  // Calls of workers that are being removed.
+  std::map<worker_number, std::vector<open_deregistration>> mDeregistrations;
   advice_cache mAdvice;
   worker_health mHealth;
   straggler_detector mStragglers;
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -20,6 +20,10 @@
   // with a second one right after it; short enough that work on a lost worker
   // soon starts elsewhere.
   milliseconds mLease{ 4'000 };
+  // The lease on a worker that drains. It may end at any time, and its tasks
+  // start elsewhere only once the lease has expired, unless it has shown that
+  // they ended. Long enough for one lost poll.
+  milliseconds mDrainingLease{ 2'000 };
   // The share by which a worker's clock may be slow (the platform's bound).
   double mMaxClockDrift = 0.02;
   // How long a worker holds a poll open until a run ends. Short enough that two
--- a/oriolewalk/flow/worker_supervisor.cc
+++ b/oriolewalk/flow/worker_supervisor.cc
@@ -170,6 +170,18 @@
   mViews.erase(found);
 }
 
+void
+worker_supervisor::OnDeregistered(worker_number aWorker)
+{
+  if (const auto found = mViews.find(aWorker); found != mViews.end()) {
+    worker_view& view = found->second;
+    view.mHasDeregistered = true;
+    view.mShortPollRequested = view.mShortPollRequested || !view.mRuns.empty();
+    mChanged.insert(aWorker);
+    Wake(aWorker);
+  }
+}
+
 void
 worker_supervisor::IndexAddress(worker_number aWorker, worker_view& aView)
 {
@@ -217,13 +229,14 @@
   order.mFence = FenceOf(mTerm, aWorker);
   if (aWithLease && view.mHasClock) {
     const duration age = aNow - view.mClockAt;
-    order.mLeaseClockMs = view.mClockMs + ToMs(age) +
-                          aShorterLease.value_or(mOptions.mLease).count();
+    const milliseconds usual =
+      record->mDraining ? mOptions.mDrainingLease : mOptions.mLease;
+    order.mLeaseClockMs =
+      view.mClockMs + ToMs(age) + aShorterLease.value_or(usual).count();
     // The worker's clock may have advanced less than the local one since its
     // answer.
-    const duration lease =
-      mOptions.mLease +
-      std::chrono::duration_cast<duration>(age * mOptions.mMaxClockDrift);
+    const duration lease = usual + std::chrono::duration_cast<duration>(
+                                     age * mOptions.mMaxClockDrift);
     view.mLeasesExpireAt =
       std::max(view.mLeasesExpireAt,
                aNow + Stretch(lease, mOptions.mMaxClockDrift) + kClockRounding);
@@ -406,7 +419,12 @@
     return;
   }
   SaveCheckpoints(aWorker);
-  MarkRunsLost(aWorker, aView);
+  if (aView.mHasDeregistered) { // it has ended as planned
+    const std::set<run_ref>& placed = mState.RunsAt(aWorker);
+    DropRuns(aWorker, { placed.begin(), placed.end() }, "lapsed");
+  } else {
+    MarkRunsLost(aWorker, aView);
+  }
   aView.mNextExpiryCheckAt = aNow + mOptions.mAnswerMargin;
 }
 
@@ -426,7 +444,8 @@
     aView.mShouldSendCursor ? mState.FindWorker(aWorker)->mCursor : 0;
   // A worker that doesn't answer gets no lease: one that may have reached it
   // would delay the time at which its runs may start elsewhere.
-  const bool lease = aView.mFailedPolls == 0 && !aView.mHasNewerIncarnation;
+  const bool lease = aView.mFailedPolls == 0 && !aView.mHasNewerIncarnation &&
+                     !aView.mHasDeregistered;
   return Send(aWorker, poll_order{ cursor, aWait.count() }, lease, aNow);
 }
 
@@ -612,8 +631,7 @@
   if (aView.mHasRunsToResolve) {
     return time_point::min();
   }
-  time_point next = std::max(
-    aView.mLeasesExpireAt, aView.mLastContactAt + mOptions.mWorkerRemovalDelay);
+  time_point next = RemovalAt(aView);
   const bool pollIsDue = NeedsShortPoll(aView)
                            ? aView.mShortPoll == 0
                            : NeedsLongPoll(aView) && aView.mLongPoll == 0 &&
@@ -628,6 +646,16 @@
   return next;
 }
 
+time_point
+worker_supervisor::RemovalAt(const worker_view& aView) const
+{
+  if (aView.mHasDeregistered) {
+    return aView.mRuns.empty() ? aView.mNextRemovalAt : time_point::max();
+  }
+  return std::max(aView.mLeasesExpireAt,
+                  aView.mLastContactAt + mOptions.mWorkerRemovalDelay);
+}
+
 void
 worker_supervisor::Visit(worker_number aWorker,
                          worker_view& aView,
@@ -636,12 +664,11 @@
   ResolveRuns(aWorker, aView, aNow);
   DropExpiredRuns(aWorker, aView, aNow);
   SendDuePolls(aWorker, aView, aNow);
-  const time_point removeAt = std::max(
-    aView.mLeasesExpireAt, aView.mLastContactAt + mOptions.mWorkerRemovalDelay);
-  if (aView.mRuns.empty() && aNow >= removeAt) {
+  if (aView.mRuns.empty() && aNow >= RemovalAt(aView)) {
     mCommands.emplace_back(remove_worker{ aWorker });
-    aView.mLastContactAt =
-      aNow; // proposes it again after this delay until it is applied
+    // Proposes it again after a delay until it is applied.
+    aView.mLastContactAt = aNow;
+    aView.mNextRemovalAt = aNow + mOptions.mAnswerMargin;
   }
 }
 
@@ -654,7 +681,8 @@
   }
   const worker_view& view = found->second;
   if (!view.mSynced || !view.mHasClock || view.mFailedPolls > 0 ||
-      view.mHasNewerIncarnation || view.mHasUncommittedUpdate) {
+      view.mHasNewerIncarnation || view.mHasUncommittedUpdate ||
+      view.mHasDeregistered) {
     return {};
   }
   if (aNow < view.mUnhealthyUntil) {
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -25,11 +25,16 @@
 // - the worker listed its end, or refused the start before doing anything;
 // - a poll that was sent after the start or the stop was answered shows neither
 //   the run nor its end;
-// - the worker's incarnation is over;
+// - the worker's incarnation is over, which a later incarnation's answer shows;
 // - every lease that this or an earlier leader granted the worker has certainly
 //   expired, and the worker is unreachable. While this process is delayed, a
 //   worker that still makes contact counts as reachable.
 //
+// A deregistration only says that the worker is about to end: its runs go on
+// until it does, for seconds if it doesn't receive the answer. It gets no more
+// leases, and the runs that it still shows are stopped. It is removed once none
+// is placed there.
+//
 // The cost of a tick grows with the workers of which something is due, not with
 // all workers: nearly all have a poll in flight or nothing to wait for.
 //
@@ -97,6 +102,7 @@
   time_point mFailingSince{};     // when the first of them was sent
   time_point mLastContactAt{};
   time_point mUnhealthyUntil{};
+  time_point mNextRemovalAt{}; // when its removal may be proposed again
   std::int64_t mHeartbeatNumber = -1; // of the newest heartbeat; -1: none
   // When the last heartbeat arrived, here or at the earlier leader that told
   // so. Nothing starts there before: the capacity may have shrunk unheard.
@@ -115,6 +121,7 @@
   // A poll was answered by a later incarnation, whose heartbeat hasn't arrived
   // yet.
   bool mHasNewerIncarnation = false;
+  bool mHasDeregistered = false; // it is about to end
   // A run must be stopped, or its start is unconfirmed. Otherwise a visit skips
   // the runs.
   bool mHasRunsToResolve = false;
@@ -161,6 +168,9 @@
   // The worker was added to the state or changed in it.
   void OnRegistered(worker_number aWorker, time_point aNow);
   void OnRemoved(worker_number aWorker);
+  // The worker is about to end, and nothing starts there any more by the
+  // replicated state. Proposes to remove it once nothing can run there.
+  void OnDeregistered(worker_number aWorker);
   // A start was committed in this term: orders it from the worker. aTicket is
   // empty unless the queue requires one.
   void OnStartCommitted(const run_start& aStart,
@@ -306,6 +316,8 @@
   // When something is due there, unless an answer, a commit or a request
   // changes it before.
   [[nodiscard]] time_point NextVisitAt(const worker_view& aView) const;
+  // When the worker may be removed, if nothing is placed there.
+  [[nodiscard]] time_point RemovalAt(const worker_view& aView) const;
   void IndexAddress(worker_number aWorker, worker_view& aView);
   void ForgetAddress(worker_number aWorker, const worker_view& aView);
   // Whether its last poll may have failed only because this process was
--- a/oriolewalk/flow/worker_supervisor_answers.cc
+++ b/oriolewalk/flow/worker_supervisor_answers.cc
@@ -229,6 +229,11 @@
       run->second.mCheckpoint = listed.mCheckpoint;
       run->second.mPercent = listed.mPercent;
       run->second.mLoad = listed.mLoad;
+      if (aView.mHasDeregistered) {
+        // Its checkpoint is saved, and its end is proved without waiting for
+        // the lease to expire.
+        RequestStop(aWorker, listed.mRun, aNow);
+      }
     } else if (!mState.IsPlaced(listed.mRun, aWorker)) {
       // The state doesn't hold this run: its start arrived late, after the
       // attempt was dropped.
--- a/testing/flow/fake_group.cc
+++ b/testing/flow/fake_group.cc
@@ -173,7 +173,7 @@
       QueryContacts(aNode);
     }
     for (flow_reply& reply : out.mReplies) {
-      if (!PassContacts(aNode, reply)) {
+      if (!PassContacts(aNode, reply) && !PassDeregistration(reply)) {
         one.mReplies.push_back(std::move(reply));
       }
     }
@@ -222,6 +222,47 @@
   return true;
 }
 
+void
+fake_group::Deregister(std::size_t aWorker, duration aEndsAnyway)
+{
+  worker_place& place = mWorkers[aWorker];
+  if (!place.mWorker->IsUp() || place.mHasDeregistered) {
+    return;
+  }
+  place.mHasDeregistered = true;
+  const worker_description& own = place.mWorker->Description();
+  const deregistration_call call{ aWorker, own.mProcessStartMs };
+  At(aEndsAnyway, [this, call]() { EndProcess(call); });
+  if (const auto leader = Leader()) {
+    mDeregistrationCalls[++mLastCall] = call;
+    mNodes[*leader].mCore->HandleRequest(
+      mLastCall, worker_deregistration{ own.mId, own.mProcessStartMs }, At());
+  }
+}
+
+bool
+fake_group::PassDeregistration(const flow_reply& aReply)
+{
+  const auto call = mDeregistrationCalls.extract(aReply.mCall);
+  if (call.empty()) {
+    return false;
+  }
+  if (aReply.mAnswer && !mWorkers[call.mapped().mWorker].mCut) {
+    At(kTransitTime, [this, left = call.mapped()]() { EndProcess(left); });
+  }
+  return true;
+}
+
+void
+fake_group::EndProcess(const deregistration_call& aCall)
+{
+  fake_worker& worker = *mWorkers[aCall.mWorker].mWorker;
+  if (worker.IsUp() &&
+      worker.Description().mProcessStartMs == aCall.mProcessStartMs) {
+    worker.Leave(mNow);
+  }
+}
+
 void
 fake_group::Deliver(std::size_t aFrom, const consensus::message& aMessage)
 {
@@ -406,7 +447,8 @@
 fake_group::SendHeartbeats()
 {
   for (worker_place& place : mWorkers) {
-    if (place.mCut || !place.mWorker->IsUp() || mNow < place.mNextHeartbeatAt) {
+    if (place.mCut || place.mHasDeregistered || !place.mWorker->IsUp() ||
+        mNow < place.mNextHeartbeatAt) {
       continue;
     }
     place.mNextHeartbeatAt = mNow + kHeartbeatInterval;
@@ -479,6 +521,7 @@
 {
   worker_place& place = mWorkers[aWorker];
   place.mWorker->Restart(mNow);
+  place.mHasDeregistered = false;
   place.mLastHeartbeat = 0;
   place.mNextHeartbeatAt = mNow + aSilence;
 }
--- a/testing/flow/fake_group.h
+++ b/testing/flow/fake_group.h
@@ -52,6 +52,9 @@
   // Partitions the node from the other control processes, not from the workers.
   void Cut(std::size_t aNode, bool aCut);
   void CutWorker(std::size_t aWorker, bool aCut);
+  // The worker deregisters, also if it is cut off. Its process ends when it
+  // receives the answer, and after aEndsAnyway without one.
+  void Deregister(std::size_t aWorker, duration aEndsAnyway);
   // Sets the share of orders that get no answer and are executed up to 12 s
   // later.
   void SetLateShare(double aShare) { mLateShare = aShare; }
@@ -120,12 +123,19 @@
   {
     std::unique_ptr<fake_worker> mWorker;
     bool mCut = false;
+    bool mHasDeregistered = false; // it sends no more heartbeats
     std::int64_t mLastHeartbeat = 0;
     time_point mNextHeartbeatAt{};
     std::optional<time_point> mRestartAt{};
     int mIncarnations = 1;
   };
 
+  struct deregistration_call
+  {
+    std::size_t mWorker = 0;
+    std::int64_t mProcessStartMs = 0;
+  };
+
   struct contact_call
   {
     std::size_t mNode = 0;
@@ -152,6 +162,10 @@
   void QueryContacts(std::size_t aNode);
   // Returns whether the reply answers a contact query.
   bool PassContacts(std::size_t aLeader, const flow_reply& aReply);
+  // Returns whether the reply answers a deregistration.
+  bool PassDeregistration(const flow_reply& aReply);
+  // Ends the worker's process, unless it has ended.
+  void EndProcess(const deregistration_call& aCall);
   void At(duration aAfter, std::function<void()> aDo);
   static consensus::node_id Id(std::size_t aNode);
 
@@ -175,6 +189,7 @@
   milliseconds mSyncTime{ 9 };
   call_number mLastCall = 0;
   std::map<call_number, contact_call> mContactCalls;
+  std::map<call_number, deregistration_call> mDeregistrationCalls;
   std::map<std::string, std::size_t> mCounts;
   std::string mLog;
 };
--- a/testing/flow/fake_worker.cc
+++ b/testing/flow/fake_worker.cc
@@ -339,6 +339,16 @@
   Die();
 }
 
+void
+fake_worker::Leave(time_point aNow)
+{
+  Advance(aNow);
+  mIsUp = false;
+  for (const auto& [run, live] : std::exchange(mRuns, {})) {
+    mOracle.OnEnded(run, run_outcome::Lapsed);
+  }
+}
+
 void
 fake_worker::SetCapacity(const cell::resources& aCapacity, time_point aNow)
 {
--- a/testing/flow/fake_worker.h
+++ b/testing/flow/fake_worker.h
@@ -105,6 +105,8 @@
   void Advance(time_point aNow);
   // Its process dies: all its runs are over, and their ends are not listed.
   void Crash(time_point aNow);
+  // Its process ends as planned: the same, but nothing crashed.
+  void Leave(time_point aNow);
   // Starts a new process under the same id, without the state of the former
   // one. Its sequence numbers and its clock start from zero.
   void Restart(time_point aNow);
--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -52,6 +52,10 @@
       mActions.push_back(&player::RestartWorker);
       mActions.push_back(&player::RestartWorker);
     }
+    if (mFaults.mLeaving) {
+      mActions.insert(mActions.end(), 3, &player::Drain);
+      mActions.insert(mActions.end(), 4, &player::Deregister);
+    }
     if (mFaults.mHolds) {
       mActions.push_back(&player::HoldOrders);
       mActions.push_back(&player::ReleaseOrders);
@@ -287,7 +291,7 @@
   void AddWorker()
   {
     const std::size_t made = mGroup.AddWorker(
-      "w" + std::to_string(mWorkers.size()), Choose(2) == 0 ? 0 : 0.02);
+      "w" + std::to_string(mAddedWorkers++), Choose(2) == 0 ? 0 : 0.02);
     mGroup.Worker(made).mTaskSize =
       testing::Step(1, mTaskMilliProcessors).mSize;
     constexpr std::uint64_t kTenthsWhenFull = 3;
@@ -459,6 +463,27 @@
     }
   }
 
+  // A worker that drains, if there is one. It may be cut off just before.
+  void Deregister()
+  {
+    constexpr std::uint64_t kMaxTenthsOfSecond = 60;
+    const auto drains = [this](std::size_t aWorker) {
+      const fake_worker& worker = mGroup.Worker(aWorker);
+      return worker.IsUp() && worker.mDraining;
+    };
+    const auto chosen = std::ranges::find_if(mWorkers, drains);
+    if (chosen == mWorkers.end()) {
+      return;
+    }
+    if (Choose(3) == 0) {
+      mGroup.CutWorker(*chosen, true);
+      mGroup.Run(milliseconds(10 * Choose(40)));
+    }
+    mGroup.Deregister(*chosen,
+                      milliseconds(100 * (1 + Choose(kMaxTenthsOfSecond))));
+    mWorkers.erase(chosen);
+  }
+
   std::optional<std::string> CheckEnd(const std::string& aId, bool aCancelled)
   {
     if (mOrganisations && mOrganisations->OwnerOf(aId).empty()) {
@@ -594,7 +619,8 @@
   std::int64_t mTaskMilliProcessors;
   fake_group mGroup;
   std::optional<organisation_oracle> mOrganisations;
-  std::vector<std::size_t> mWorkers;
+  std::vector<std::size_t> mWorkers; // except those that deregistered
+  std::size_t mAddedWorkers = 0;
   std::map<std::string, bool> mJobs; // whether a cancel was sent
   std::map<std::string, job_submission> mSubmissions;
   std::set<std::string> mRefused; // by the last answer
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -25,6 +25,9 @@
   bool mBusy = false;
   // Workers restart under their ids.
   bool mRestarts = false;
+  // Workers drain, deregister and end: when they receive the answer, or seconds
+  // later without one.
+  bool mLeaving = false;
   // Orders are held in transit for seconds and then delivered.
   bool mHolds = false;
   // Fifteen control processes, of which five vote and ten are spares.
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -76,6 +76,17 @@
   PlaySeeds(75, {}, { .mOrganisations = true, .mFull = true });
 }
 
+TEST_CASE("random histories violate no guarantee while workers leave")
+{
+  // Guards against tasks that start elsewhere while the worker that
+  // deregistered still runs them.
+  PlaySeeds(75, {}, { .mLeaving = true });
+  PlaySeeds(75, {}, { .mBusy = true, .mRestarts = true, .mLeaving = true });
+  flow_options options;
+  options.mMaxWorkersWithoutRelays = 0;
+  PlaySeeds(75, options, { .mLeaving = true, .mHolds = true });
+}
+
 TEST_CASE("random histories violate no guarantee while workers restart")
 {
   // Workers restart under their ids, amid all other faults. What the leader
--- a/testing/histories/main.cc
+++ b/testing/histories/main.cc
@@ -36,9 +36,10 @@
   "oriole-histories [--from SEED] [--to SEED] [--threads N] [--actions N]\n"
   "                 [--busy] [--restarts] [--holds] [--carried]\n"
   "                 [--crashing] [--shrinking] [--organisations] [--spares]\n"
-  "                 [--copies] [--full]\n"
+  "                 [--copies] [--full] [--leaving]\n"
   "  --busy      orders, answers and commits are slow at times\n"
   "  --restarts  workers start again under their ids\n"
+  "  --leaving   workers drain, deregister and end, with or without an answer\n"
   "  --holds     orders stand still on their way for seconds\n"
   "  --crashing  some tasks crash each worker that starts them\n"
   "  --shrinking workers' capacities shrink and grow again\n"
@@ -68,6 +69,7 @@
     option{ "actions", required_argument, nullptr, 'a' },
     option{ "busy", no_argument, nullptr, 'b' },
     option{ "restarts", no_argument, nullptr, 'r' },
+    option{ "leaving", no_argument, nullptr, 'l' },
     option{ "holds", no_argument, nullptr, 'h' },
     option{ "carried", no_argument, nullptr, 'c' },
     option{ "crashing", no_argument, nullptr, 'x' },
@@ -102,6 +104,9 @@
       case 'r':
         options.mFaults.mRestarts = true;
         break;
+      case 'l':
+        options.mFaults.mLeaving = true;
+        break;
       case 'h':
         options.mFaults.mHolds = true;
         break;
