A crash counts only for runs that were started in the incarnation that crashed

What callers saw: a sound job was shown as failed.

Cause: at a restart under the same id the state moved the runs of the former process to the new one, until a poll would show which of them run. If the new process crashed before it was polled, all runs placed at it counted as having crashed it, and with five crashes a task is given up. Evidence: run.lost with ran_ms=unknown five times for one attempt that has one run.start.

Change: the leader drops the runs of the former process in the log before it registers the next one. The later start proves that the former process is over, and its orders name it and reach it or none, so nothing of it can run in the next one. What is placed at an incarnation was therefore started there, for the next leader too. Where the former process told no start, runs move as before.

--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -19,8 +19,8 @@
 // - an end counts only for the attempt that is in progress, and only once;
 // - a task that crashes its workers is abandoned, and its job ends as failed;
 // - a worker_number identifies one incarnation of a worker: a worker that
-//   restarts under its id gets another number, and its placed runs move along
-//   until a poll shows whether they still run;
+//   restarts under its id gets another number, and runs that are still placed
+//   there move along until a poll shows whether they still run;
 // - a wave's order never changes, and what was recorded of its machines stays.
 //
 // Owned by flow_core; used by the control thread only. No clock, no I/O.
--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -320,8 +320,7 @@
   }
   if (aHeartbeat.mDescription.mProcessStartMs > processStartMs) {
     LogRestart(number);
-    mSupervisor.SaveCheckpoints(number);
-    mSupervisor.OnIncarnationEnded(number, "restart", mAt.mNow);
+    mSupervisor.OnRestarted(number, mAt.mNow);
     DrainSupervisor();
     Register(aCall, aHeartbeat, aHeartbeat.mDescription);
     return;
--- a/oriolewalk/flow/worker_supervisor.h
+++ b/oriolewalk/flow/worker_supervisor.h
@@ -17,9 +17,11 @@
 //   process or none. If the worker reports its process start time, all orders
 //   name it, except polls that renew no lease and send no cursor.
 //
-// A new incarnation of a worker under its id is treated as a new leader treats
-// a worker: it gets a higher fence, and all runs that were placed there are
-// inherited until a poll shows which of them run.
+// A new incarnation of a worker under its id gets a higher fence. The runs of
+// the former one are dropped before it is registered, so that its own crash is
+// evidence only against tasks that were started there. If the former one didn't
+// report its process start time, its orders named no process: the runs are then
+// inherited, as by a new leader, until a poll shows which of them run.
 //
 // A run is dropped (so that its task may start elsewhere) only if
 // - the worker listed its end, or refused the start before doing anything;
@@ -102,7 +104,7 @@
   time_point mFailingSince{};     // when the first of them was sent
   time_point mLastContactAt{};
   time_point mUnhealthyUntil{};
-  time_point mNextRemovalAt{}; // when its removal may be proposed again
+  time_point mNextRemovalAt{};        // when its removal may be proposed again
   std::int64_t mHeartbeatNumber = -1; // of the newest heartbeat; -1: none
   // When the last heartbeat arrived, here or at the earlier leader that told
   // so. Nothing starts there before: the capacity may have shrunk unheard.
@@ -181,6 +183,9 @@
   // Proposes to save its runs' latest checkpoints; called before they are
   // dropped.
   void SaveCheckpoints(worker_number aWorker);
+  // A later incarnation, which is about to be registered, has replaced the
+  // worker under its id.
+  void OnRestarted(worker_number aWorker, time_point aNow);
   // A later incarnation has replaced the worker. Proposes to count a crash for
   // the runs there, unless the worker was draining. aKnownBy, for the log, says
   // what showed it.
--- a/oriolewalk/flow/worker_supervisor_losses.cc
+++ b/oriolewalk/flow/worker_supervisor_losses.cc
@@ -135,6 +135,19 @@
   mCommands.emplace_back(std::move(crash));
 }
 
+void
+worker_supervisor::OnRestarted(worker_number aWorker, time_point aNow)
+{
+  SaveCheckpoints(aWorker);
+  OnIncarnationEnded(aWorker, "restart", aNow);
+  const std::set<run_ref>& placed = mState.RunsAt(aWorker);
+  const bool isNamed =
+    mState.FindWorker(aWorker)->mDescription.mProcessStartMs != 0;
+  if (isNamed && !placed.empty()) {
+    DropRuns(aWorker, { placed.begin(), placed.end() }, "restart");
+  }
+}
+
 void
 worker_supervisor::LogIncarnationEnd(worker_number aWorker,
                                      const worker_view& aView,
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -186,6 +186,21 @@
   PlaySeed(855, 60, carried, { .mBusy = true, .mCrashing = true });
 }
 
+TEST_CASE("a worker that crashes again before it is polled fails no sound job")
+{
+  // Guards against crashes that count for runs which the worker's former
+  // process started.
+  flow_options carried;
+  carried.mMaxWorkersWithoutRelays = 0;
+  PlaySeed(1'204'201'087,
+           60,
+           carried,
+           { .mBusy = true,
+             .mRestarts = true,
+             .mHolds = true,
+             .mOrganisations = true });
+}
+
 TEST_CASE("a cursor in flight while its worker restarts acknowledges no end")
 {
   // Guards against a task that starts a second time: a poll with the cursor of
