Soak: a worker that deregisters goes on until it has the answer

Cause: the soak's workers ended in the moment in which they deregistered, so no run could go on after it, and the fault that a deregistration was taken for the end of a process could not show. Change: a worker ends with the answer, or 3.5 s later without one; one answer in three is lost on its way. It sends no more heartbeats in between.

--- a/testing/soak/worker_house.cc
+++ b/testing/soak/worker_house.cc
@@ -22,6 +22,10 @@
 
 constexpr milliseconds kTick{ 10 };
 constexpr milliseconds kBeatBound{ 1'000 };
+// A worker goes on for so long if its deregistration gets no answer.
+constexpr milliseconds kEndsAnyway{ 3'500 };
+// One answer to a deregistration in so many is lost.
+constexpr std::uint64_t kLostAnswerOneIn = 3;
 // A life that left begins anew so much later.
 constexpr milliseconds kBetweenLives{ 500 };
 constexpr cell::resources kCapacity{ 8'000, 8'000, 0 };
@@ -144,18 +148,25 @@
   one.mBeats = 0;
   one.mBeatAt = {};
   one.mLeavesAt.reset();
+  one.mEndsAt.reset();
   one.mRebornAt.reset();
 }
 
 void
 worker_house::Crash(std::size_t aWorker, milliseconds aDownFor)
+{
+  mPlaces[aWorker].mWorker->Crash(runtime_clock::now());
+  EndProcess(aWorker, aDownFor);
+}
+
+void
+worker_house::EndProcess(std::size_t aWorker, milliseconds aDownFor)
 {
   place& one = mPlaces[aWorker];
-  const time_point now = runtime_clock::now();
-  one.mWorker->Crash(now);
   one.mWaiting.clear();
   one.mLeavesAt.reset();
-  one.mRebornAt = now + aDownFor;
+  one.mEndsAt.reset();
+  one.mRebornAt = runtime_clock::now() + aDownFor;
   one.mLink->Reset();
 }
 
@@ -254,7 +265,8 @@
       AnswerWaiting(one, now);
       TickDrain(worker, now);
     }
-    if (one.mWorker->IsUp() && now >= one.mBeatAt && !one.mBeatUnderWay) {
+    if (one.mWorker->IsUp() && now >= one.mBeatAt && !one.mBeatUnderWay &&
+        !one.mEndsAt) {
       Beat(worker, now);
     }
   }
@@ -270,12 +282,22 @@
 worker_house::TickDrain(std::size_t aWorker, time_point aNow)
 {
   place& one = mPlaces[aWorker];
-  if (one.mLeavesAt && aNow >= *one.mLeavesAt) {
+  if (one.mLeavesAt && aNow >= *one.mLeavesAt && !one.mEndsAt) {
+    one.mEndsAt = aNow + kEndsAnyway;
     Farewell(aWorker);
-    Crash(aWorker, kBetweenLives);
+  }
+  if (one.mEndsAt && aNow >= *one.mEndsAt) {
+    Leave(aWorker);
   }
 }
 
+void
+worker_house::Leave(std::size_t aWorker)
+{
+  mPlaces[aWorker].mWorker->Leave(runtime_clock::now());
+  EndProcess(aWorker, kBetweenLives);
+}
+
 void
 worker_house::Beat(std::size_t aWorker, time_point aNow)
 {
@@ -304,11 +326,20 @@
 worker_house::Farewell(std::size_t aWorker)
 {
   const place& one = mPlaces[aWorker];
+  const bool isAnswerLost = mRandom.Below(kLostAnswerOneIn) == 0;
   mClient.Send(mOptions.mControls[one.mControl],
                WriteFarewell(one.mWorker->Description()),
                { .mConnectTimeout = kBeatBound, .mTotalTimeout = kBeatBound },
-               [](const http::send_outcome& /*aOutcome*/) {
-                 // It ends anyway.
+               [this, aWorker, isAnswerLost, life = one.mLives](
+                 const http::send_outcome& aOutcome) {
+                 const place& here = mPlaces[aWorker];
+                 const auto* answer = std::get_if<http::answered>(&aOutcome);
+                 const bool isAcknowledged = !isAnswerLost &&
+                                             answer != nullptr &&
+                                             answer->mResponse.mStatus == 200;
+                 if (isAcknowledged && here.mLives == life && here.mEndsAt) {
+                   Leave(aWorker);
+                 }
                });
 }
 
--- a/testing/soak/worker_house.h
+++ b/testing/soak/worker_house.h
@@ -55,8 +55,9 @@
   // The life ends at once; the next one begins at the same address, every
   // second one under the same id.
   void Crash(std::size_t aWorker, milliseconds aDownFor);
-  // It says that it leaves, serves on for aLinger, says farewell and ends; the
-  // next life begins a moment later.
+  // It says that it leaves, serves on for aLinger and says farewell. It ends
+  // with the answer, or seconds later without one; the next life begins a
+  // moment after that.
   void Drain(std::size_t aWorker, milliseconds aLinger);
   [[nodiscard]] link_proxy& Link(std::size_t aWorker)
   {
@@ -85,6 +86,8 @@
     bool mBeatUnderWay = false;
     // Of a drain: farewell then.
     std::optional<time_point> mLeavesAt;
+    // After its farewell: at the latest.
+    std::optional<time_point> mEndsAt;
     std::optional<time_point> mRebornAt;
   };
 
@@ -97,6 +100,8 @@
   void Tick();
   void Beat(std::size_t aWorker, time_point aNow);
   void Farewell(std::size_t aWorker);
+  void Leave(std::size_t aWorker);
+  void EndProcess(std::size_t aWorker, milliseconds aDownFor);
   void TickDrain(std::size_t aWorker, time_point aNow);
 
   boost::asio::io_context& mContext;
