--- a/testing/flow/flow_history.cc
+++ b/testing/flow/flow_history.cc
@@ -329,23 +329,23 @@
     first.mGang = Choose(4) == 0;
     step_spec second = testing::Step(2, mTaskMilliProcessors);
     second.mDependsOn = { 0 };
-    if (first.mGang) {
-      mGangs.insert(id);
-    }
     if (mFaults.mCopies) {
       first.mAllowsCopies = Choose(3) != 0;
       second.mAllowsCopies = Choose(3) != 0;
-      // A gang has no copies, whatever its step says.
-      if (first.MayHaveCopies()) {
-        mCopied[id].insert(0);
-      }
-      if (second.MayHaveCopies()) {
-        mCopied[id].insert(1);
-      }
     }
     if (mFaults.mFull) {
       Widen(first, second);
     }
+    if (first.mGang) {
+      mGangs.insert(id);
+    }
+    // A gang has no copies, whatever its step says.
+    if (first.MayHaveCopies()) {
+      mCopied[id].insert(0);
+    }
+    if (second.MayHaveCopies()) {
+      mCopied[id].insert(1);
+    }
     constexpr std::uint64_t kCrashingOneIn = 5; // one job in five
     if (mFaults.mCrashing && Choose(kCrashingOneIn) == 0) {
       // The members of a gang end together, so all of them crash.
@@ -495,6 +495,11 @@
       mGroup.RunUntil(
         [&]() { return state() == "failed" || state() == "cancelled"; },
         seconds(60));
+    } else if (mFaults.mFull && mFaults.mCrashing) {
+      // A hundred tasks that crash keep the workers down for most of the time.
+      mGroup.RunUntil(
+        [&]() { return state() != "queued" && state() != "running"; },
+        seconds(60));
     }
     const std::string last = state();
     Count(aId, last);
@@ -524,12 +529,22 @@
             (MaxCrashCount(aId) >= 2 || HasFailedTwice(aId)));
   }
 
+  [[nodiscard]] std::vector<task_ref> TasksOf(const std::string& aId) const
+  {
+    std::vector<task_ref> tasks;
+    const std::vector<step_spec>& steps = mSubmissions.at(aId).mSpec.mSteps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      for (std::uint32_t task = 0; task < steps[step].mCount; ++task) {
+        tasks.push_back({ job_id(aId), 0, step, task });
+      }
+    }
+    return tasks;
+  }
+
   [[nodiscard]] std::size_t MaxCrashCount(const std::string& aId)
   {
     std::size_t max = 0;
-    constexpr std::uint32_t kMaxTasks = 100; // of a step
-    for (std::uint32_t at = 0; at < 2 * kMaxTasks; ++at) {
-      const task_ref task{ job_id(aId), 0, at / kMaxTasks, at % kMaxTasks };
+    for (const task_ref& task : TasksOf(aId)) {
       max = std::max(max, mGroup.Oracle().CrashCount(task));
     }
     return max;
@@ -539,12 +554,10 @@
   // attempts fail only with copies.
   [[nodiscard]] bool HasFailedTwice(const std::string& aId)
   {
-    constexpr std::uint32_t kMaxTasks = 6;
     // The members of a gang that fail in one attempt count once.
     std::set<attempt_t> gangFailures;
     std::size_t most = 0;
-    for (std::uint32_t at = 0; at < 2 * kMaxTasks; ++at) {
-      const task_ref task{ job_id(aId), 0, at / kMaxTasks, at % kMaxTasks };
+    for (const task_ref& task : TasksOf(aId)) {
       const std::set<attempt_t> failures = mGroup.Oracle().FailedAttempts(task);
       if (mGangs.contains(aId) && task.mStep == 0) {
         gangFailures.insert(failures.begin(), failures.end());
--- a/testing/flow/flow_history.h
+++ b/testing/flow/flow_history.h
@@ -43,6 +43,7 @@
   // small.
   bool mCopies = false;
   // Callers submit more than the workers can do, and come back when refused.
+  // Jobs have steps of fifty tasks or more and no gangs.
   bool mFull = false;
 };
 
--- a/testing/flow/flow_history_test.cc
+++ b/testing/flow/flow_history_test.cc
@@ -87,6 +87,26 @@
   PlaySeeds(75, options, { .mLeaving = true, .mHolds = true });
 }
 
+TEST_CASE("random histories violate no guarantee in full cells with faults")
+{
+  // Guards against faults that show only together: wide jobs whose tasks have
+  // copies, crash their workers or lose them.
+  PlaySeeds(20, {}, { .mCopies = true, .mFull = true });
+  PlaySeeds(20, {}, { .mCrashing = true, .mFull = true });
+  PlaySeeds(20, {}, { .mRestarts = true, .mLeaving = true, .mFull = true });
+}
+
+TEST_CASE("random histories violate no guarantee with two kinds of faults")
+{
+  // Guards against faults that show only together with others.
+  PlaySeeds(20, {}, { .mCrashing = true, .mCopies = true });
+  PlaySeeds(20, {}, { .mHolds = true, .mCopies = true });
+  PlaySeeds(20, {}, { .mLeaving = true, .mCopies = true });
+  PlaySeeds(20, {}, { .mLeaving = true, .mCrashing = true });
+  PlaySeeds(20, {}, { .mLeaving = true, .mShrinking = true });
+  PlaySeeds(20, {}, { .mLeaving = true, .mOrganisations = true });
+}
+
 TEST_CASE("random histories violate no guarantee while workers restart")
 {
   // Workers restart under their ids, amid all other faults. What the leader
