Endless parts of a request or an answer are bounded

What callers saw: a process ran out of memory and ended, after trailers without end behind a chunked body.

Cause: the parser's header limit holds only for the field that it is waiting for. A chunk's line, its extension and all trailers have to be in the buffer whole, and no limit counted what the buffer held; fields that came in pieces were each within the limit. The client read answers by the same parser, and interim answers without end until its time-out.

message_feed gives the parser its bytes for both: the header as a whole, and whatever the parser leaves waiting after it, stay below the header's limit, and a message has 128 fields at most, trailers among them. Beyond: 431 and a close, or an unknown outcome.

--- a/oriolewalk/http/client.h
+++ b/oriolewalk/http/client.h
@@ -82,7 +82,9 @@
   // The request isn't written from this time on; it is never_started then.
   std::optional<time_point> mStartBefore{};
   std::size_t mMaxAnswerBytes = 1024UL * 1024;
+  // Of the start line with all fields; of a chunk's line; of all trailers.
   std::size_t mMaxAnswerHeaderBytes = 16UL * 1024;
+  std::size_t mMaxAnswerFields = 128; // trailers count
   // Headers that must have this value in the answer, if it has them at all.
   // A faulty peer that answers one request twice would otherwise have its
   // second answer taken for the next request's.
--- a/oriolewalk/http/connection.cc
+++ b/oriolewalk/http/connection.cc
@@ -43,6 +43,8 @@
 constexpr std::size_t kReadBytes = 16UL * 1024;
 constexpr unsigned kVersion11 = 11;
 constexpr unsigned kFirstFinalStatus = 200;
+// 100 and the like, before the answer itself.
+constexpr std::size_t kMaxInterimAnswers = 16;
 
 bool
 IsOurs(const header& aHeader)
@@ -183,6 +185,7 @@
 {
   mState = state::Sending;
   mBytesWritten = false;
+  mInterimAnswers = 0;
   mWriting = true;
   mDeadline.Set(mCall->mDue);
   StartAnswer();
@@ -280,6 +283,8 @@
     static_cast<std::uint32_t>(mCall->mOptions.mMaxAnswerHeaderBytes));
   mParser->body_limit(mCall->mOptions.mMaxAnswerBytes);
   mParser->skip(mCall->mRequest.mMethod == "HEAD");
+  mFeed.emplace(feed_limits{ mCall->mOptions.mMaxAnswerHeaderBytes,
+                             mCall->mOptions.mMaxAnswerFields });
 }
 
 // Gives the parser what has come. need_more is no error here.
@@ -287,20 +292,24 @@
 connection::Feed()
 {
   using beast::http::error;
-  system_code wrong;
-  while (mBuffer.size() > 0 && !mParser->is_done() && !wrong) {
-    mBuffer.consume(mParser->put(mBuffer.data(), wrong));
-    if (mParser->is_done() && mParser->get().result_int() < kFirstFinalStatus) {
-      StartAnswer(); // 100 and the like: the answer itself is still to come
+  while (mBuffer.size() > 0 && !mParser->is_done()) {
+    if (const system_code wrong = mFeed->Put(*mParser, mBuffer); wrong) {
+      return wrong;
+    }
+    if (!mParser->is_done()) {
+      break;
+    }
+    if (mParser->get().result_int() < kFirstFinalStatus) {
+      if (++mInterimAnswers > kMaxInterimAnswers) {
+        return error::header_limit;
+      }
+      StartAnswer(); // the answer itself is still to come
     }
   }
-  if (wrong == error::need_more) {
-    wrong = {};
-  }
-  if (!wrong && mParser->is_header_done() && mParser->need_eof()) {
-    wrong = error::bad_content_length; // an end that can't be told from a cut
+  if (mParser->is_header_done() && mParser->need_eof()) {
+    return error::bad_content_length; // an end that can't be told from a cut
   }
-  return wrong;
+  return {};
 }
 
 void
--- a/oriolewalk/http/connection.h
+++ b/oriolewalk/http/connection.h
@@ -23,6 +23,7 @@
 #include "oriolewalk/http/client_core.h"
 #include "oriolewalk/http/deadline.h"
 #include "oriolewalk/http/message.h"
+#include "oriolewalk/http/message_feed.h"
 #include "oriolewalk/settings/address.h"
 
 namespace oriolewalk::http {
@@ -93,6 +94,8 @@
   std::unique_ptr<call> mCall;
   std::optional<outgoing> mMessage;
   std::unique_ptr<parser> mParser; // set from the first use on
+  std::optional<message_feed> mFeed;
+  std::size_t mInterimAnswers = 0;
   state mState = state::Fresh;
   bool mUsedBefore = false;
   bool mReading = false;
--- a/oriolewalk/http/server.h
+++ b/oriolewalk/http/server.h
@@ -33,7 +33,10 @@
 // mMaxConnections of those.
 struct server_limits
 {
-  std::size_t mMaxHeaderBytes = 16UL * 1024; // beyond: 431
+  // Of the start line with all fields; of a chunk's line; of all trailers.
+  // Beyond: 431.
+  std::size_t mMaxHeaderBytes = 16UL * 1024;
+  std::size_t mMaxFields = 128; // trailers count; beyond: 431
   std::size_t mMaxBodyBytes = 1024UL * 1024; // beyond: 413
   // Beyond: the one that was idle for longest is closed; if none is idle, 503
   // and a close.
--- a/oriolewalk/http/session.cc
+++ b/oriolewalk/http/session.cc
@@ -156,6 +156,8 @@
   mParser->header_limit(
     static_cast<std::uint32_t>(mShared->mLimits.mMaxHeaderBytes));
   mParser->body_limit(mShared->mLimits.mMaxBodyBytes);
+  mFeed.emplace(feed_limits{ mShared->mLimits.mMaxHeaderBytes,
+                             mShared->mLimits.mMaxFields });
   mHeaderDone = false;
   mRequestBegun = false;
   SetDeadline(mShared->mLimits.mIdleTimeout);
@@ -232,15 +234,7 @@
     NoteIdle(false);
     SetDeadline(mShared->mLimits.mHeaderTimeout);
   }
-  error_code code;
-  while (mBuffer.size() > 0 && !mParser->is_done()) {
-    const std::size_t used = mParser->put(mBuffer.data(), code);
-    mBuffer.consume(used);
-    if (code) {
-      break;
-    }
-  }
-  if (code && code != beast::http::error::need_more) {
+  if (const error_code code = mFeed->Put(*mParser, mBuffer); code) {
     Refuse(code);
     return;
   }
--- a/oriolewalk/http/session.h
+++ b/oriolewalk/http/session.h
@@ -23,6 +23,7 @@
 
 #include "oriolewalk/http/deadline.h"
 #include "oriolewalk/http/message.h"
+#include "oriolewalk/http/message_feed.h"
 #include "oriolewalk/http/server.h"
 
 namespace oriolewalk::http {
@@ -110,6 +111,7 @@
   std::string mPeer;
   boost::beast::flat_buffer mBuffer;
   std::unique_ptr<parser> mParser; // set from the first use on
+  std::optional<message_feed> mFeed;
   std::optional<outgoing> mMessage;
   state mState = state::Reading;
   bool mReading = false;
