Connections that a node takes are bounded in number and bytes

Whoever reaches the machine reaches the port between our own processes. The RPC library allocates what a message's first bytes announce, up to 64 MiB for each connection, and a connection that said nothing kept its descriptor for good. Its accepting ended with the first failure, so that a process that was out of descriptors for a moment was deaf from then on.

incoming_connections counts both. Where a bound is reached, the connection that has been silent for longest, or that is longest about a message, is cut: our own processes send theirs within milliseconds and connect again. The node accepts in a loop of its own, which goes on after a pause.

--- a/oriolewalk/wire/rpc_node.cc
+++ b/oriolewalk/wire/rpc_node.cc
@@ -10,6 +10,7 @@
 #include <capnp/rpc-twoparty.h>
 #include <kj/async-io.h>
 
+#include "oriolewalk/wire/incoming_connections.h"
 #include "oriolewalk/wire/peer_link.h"
 #include "oriolewalk/wire/reply_code.h"
 #include "oriolewalk/wire/task_queue.h"
@@ -18,6 +19,9 @@
 
 namespace {
 
+// After a failed accept: most likely no file descriptor is left.
+constexpr kj::Duration kAcceptPause = 50 * kj::MILLISECONDS;
+
 // On the heap, since g++ 12 reports a false maybe-uninitialized for kj's and
 // tl's storage of an optional value together.
 using owned_answer = kj::Own<result<bytes>>;
@@ -106,6 +110,9 @@
 public:
   explicit implementation(rpc_options aOptions)
     : mOptions(aOptions)
+    , mIncoming({ aOptions.mMaxIncoming,
+                  aOptions.mMaxReceivingBytes,
+                  aOptions.mMaxMessageBytes })
     , mTasks(std::make_shared<task_queue>())
     , mThread([this]() { Run(); })
   {
@@ -191,7 +198,7 @@
       mListener = address->listen();
       mServer = kj::heap<capnp::TwoPartyServer>(
         kj::heap<channel_server>(mTasks, mOpen, mOnCall, mOnDeliver));
-      mAccepting = mServer->listen(*mListener).eagerlyEvaluate(nullptr);
+      mAccepting = Accept().eagerlyEvaluate(nullptr);
       return static_cast<std::uint16_t>(mListener->getPort());
     } catch (const kj::Exception& problem) {
       return Fail(error{
@@ -199,6 +206,22 @@
     }
   }
 
+  // Goes on also after a failure: a process that is out of descriptors for a
+  // moment must not be deaf from then on.
+  kj::Promise<void> Accept()
+  {
+    return mListener->accept().then(
+      [this](kj::Own<kj::AsyncIoStream> aStream) {
+        mServer->accept(mIncoming.Add(kj::mv(aStream)));
+        return Accept();
+      },
+      [this](kj::Exception&& /*aProblem*/) {
+        return mIo->provider->getTimer()
+          .afterDelay(kAcceptPause)
+          .then([this]() { return Accept(); });
+      });
+  }
+
   void Run()
   {
     auto io = kj::setupAsyncIo();
@@ -221,6 +244,7 @@
   }
 
   rpc_options mOptions;
+  incoming_connections mIncoming;
   // The loop's thread only.
   kj::AsyncIoContext* mIo = nullptr;
   bool mStopping = false;
--- a/oriolewalk/wire/rpc_node.h
+++ b/oriolewalk/wire/rpc_node.h
@@ -44,6 +44,15 @@
   milliseconds mSilenceTimeout{ 1500 };
   // Further one-way messages that the peer hasn't acknowledged are dropped.
   std::size_t mMaxUndelivered = 512;
+  // Connections from other processes; beyond, the one that was silent for
+  // longest is cut.
+  std::size_t mMaxIncoming = 1024;
+  // A larger message cuts its connection. Several times the largest of ours: a
+  // batch of log entries of 1 MiB, or one entry with a whole table.
+  std::size_t mMaxMessageBytes = 16UL * 1024 * 1024;
+  // Of messages that are being received on all of those connections; beyond,
+  // the one that is longest under way is cut.
+  std::size_t mMaxReceivingBytes = 64UL * 1024 * 1024;
   std::uint64_t mSeed = 1;
 };
 
