One budget of memory and descriptors for all connections of a process

What callers saw: a process ended for want of memory although each of its connections was within its limits: 4,096 of them might hold over 1 MiB each, on machines with a quarter of a GiB. Bodies that are never finished, answers that nobody takes, the last answer of each idle connection (kept for a minute) and bytes that arrived and were not read counted nowhere. Readiness had 4,096 places beside the callers', and took the last descriptor.

connection_budget divides memory and descriptors in one place: connections in and out, the pages, our own processes; an eighth is left where all shares are full. The server counts what its sessions hold. Where that is full, the one that is longest amid a request or an answer gives way (503 and not run, or a close); ordinary ones take milliseconds and are never the oldest. Handled requests are kept and count four times; a quarter of the room is for small requests, and a request alone is always served. A full listener closes idle connections, then those that have been stuck for half a second. Idle connections hold 4 KiB. The receive window is set, so that unread bytes are bounded too. A caller's patience is bounded, since the sum overflowed.

--- a/fuzzing/http_fuzz.cc
+++ b/fuzzing/http_fuzz.cc
@@ -2,10 +2,11 @@
 // loopback sockets in one thread.
 //
 // Server: whatever comes, in whatever pieces, the handler sees only requests
-// within the limits, every byte that goes back begins an HTTP answer, and
-// after the peer has gone no connection and no open request is left.
+// within the limits, every byte that goes back begins an HTTP answer, what the
+// server holds stays within the limits of one connection after each piece, and
+// after the peer has gone no connection, no open request and no byte is left.
 // Client: its callback comes exactly once, and never as never_started, since
-// the peer had got the request.
+// the peer had got the request; what it holds is bounded like the server's.
 
 #include <fuzzer/FuzzedDataProvider.h>
 
@@ -37,6 +38,10 @@
 
 constexpr std::size_t kMaxHeader = 512;
 constexpr std::size_t kMaxBody = 256;
+constexpr std::size_t kMaxFields = 8;
+// A read of 16 KiB beside what is waiting, twice for the buffer's growth, and
+// a record for each field.
+constexpr std::size_t kMostHeld = 40UL * 1024;
 constexpr int kMostRounds = 10'000;
 
 void
@@ -63,22 +68,32 @@
   }
   Require(header <= kMaxHeader);
   Require(aRequest.mBody.size() <= kMaxBody);
+  Require(aRequest.mHeaders.size() <= kMaxFields);
   Require(aRequest.mTarget.starts_with('/'));
 }
 
 // Sends the rest of the input in pieces, with turns of the loop in between.
+// A piece may be sent many times over.
+template<class Held>
 void
 SendPieces(FuzzedDataProvider& aInput,
            boost::asio::io_context& aContext,
            tcp::socket& aSocket,
-           std::string& aAnswer)
+           std::string& aAnswer,
+           Held aHeld)
 {
+  constexpr std::size_t kMostRepeats = 64;
   std::string room(4096, '\0');
   error_code code;
   while (aInput.remaining_bytes() > 0 && !code) {
     const std::string piece = aInput.ConsumeRandomLengthString();
-    aSocket.send(boost::asio::buffer(piece), 0, code);
-    aContext.poll();
+    const auto repeats =
+      aInput.ConsumeIntegralInRange<std::size_t>(1, kMostRepeats);
+    for (std::size_t time = 0; time < repeats && !code; ++time) {
+      aSocket.send(boost::asio::buffer(piece), 0, code);
+      aContext.poll();
+      Require(aHeld() <= kMostHeld);
+    }
     error_code read;
     const std::size_t count =
       aSocket.read_some(boost::asio::buffer(room), read);
@@ -105,6 +120,7 @@
   http::server_limits limits;
   limits.mMaxHeaderBytes = kMaxHeader;
   limits.mMaxBodyBytes = kMaxBody;
+  limits.mMaxFields = kMaxFields;
   http::server web(
     context,
     { "127.0.0.1", 0 },
@@ -120,11 +136,12 @@
   socket.connect(Loopback(*port));
   socket.non_blocking(true);
   std::string answer;
-  SendPieces(aInput, context, socket, answer);
+  SendPieces(aInput, context, socket, answer, [&] { return web.HeldBytes(); });
   Require(answer.empty() || answer.starts_with("HTTP/1."));
   socket.close();
-  RunUntil(context,
-           [&] { return web.Connections() == 0 && web.Active() == 0; });
+  RunUntil(context, [&] {
+    return web.Connections() == 0 && web.Active() == 0 && web.HeldBytes() == 0;
+  });
 }
 
 void
@@ -136,16 +153,18 @@
                                  acceptor.local_endpoint().port() };
   http::client caller(context, {});
   int calls = 0;
-  caller.Send(
-    where,
-    { .mMethod = aInput.ConsumeBool() ? "HEAD" : "GET" },
-    { .mMaxAnswerBytes = kMaxBody, .mMaxAnswerHeaderBytes = kMaxHeader },
-    [&](const http::send_outcome& aOutcome) {
-      ++calls;
-      Require(!std::holds_alternative<http::never_started>(aOutcome));
-      const auto* answer = std::get_if<http::answered>(&aOutcome);
-      Require(answer == nullptr || answer->mResponse.mBody.size() <= kMaxBody);
-    });
+  caller.Send(where,
+              { .mMethod = aInput.ConsumeBool() ? "HEAD" : "GET" },
+              { .mMaxAnswerBytes = kMaxBody,
+                .mMaxAnswerHeaderBytes = kMaxHeader,
+                .mMaxAnswerFields = kMaxFields },
+              [&](const http::send_outcome& aOutcome) {
+                ++calls;
+                Require(!std::holds_alternative<http::never_started>(aOutcome));
+                const auto* answer = std::get_if<http::answered>(&aOutcome);
+                Require(answer == nullptr ||
+                        answer->mResponse.mBody.size() <= kMaxBody);
+              });
   context.poll();
   tcp::socket socket(context);
   acceptor.accept(socket);
@@ -154,13 +173,15 @@
     context.poll();
   }
   std::string ignored;
-  SendPieces(aInput, context, socket, ignored);
+  SendPieces(
+    aInput, context, socket, ignored, [&] { return caller.HeldBytes(); });
   socket.close();
   RunUntil(context, [&] { return calls > 0; });
   caller.Close();
   context.restart();
   context.poll();
   Require(calls == 1);
+  Require(caller.HeldBytes() == 0);
 }
 
 } // namespace
--- a/oriolewalk/control/control_metrics.cc
+++ b/oriolewalk/control/control_metrics.cc
@@ -76,12 +76,13 @@
 }
 
 result<void>
-control_metrics::Listen(const settings::address& aAddress)
+control_metrics::Listen(const settings::address& aAddress,
+                        const connection_limits& aLimits)
 {
   mServer = std::make_unique<http::server>(
     mContext,
     aAddress,
-    http::server_limits{ .mMaxConnections = 16 },
+    http::Within(aLimits),
     [this](const http::request& aRequest, const http::responder& aResponder) {
       Handle(aRequest, aResponder);
     });
--- a/oriolewalk/control/control_metrics.h
+++ b/oriolewalk/control/control_metrics.h
@@ -13,6 +13,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/control/control_core.h"
 #include "oriolewalk/http/server.h"
@@ -33,7 +34,8 @@
   control_metrics& operator=(control_metrics&&) = delete;
 
   // GET /metrics and /healthz (200 while this process knows a leader).
-  result<void> Listen(const settings::address& aAddress);
+  result<void> Listen(const settings::address& aAddress,
+                      const connection_limits& aLimits);
 
   // Control thread.
   void Update(control_core& aCore);
--- a/oriolewalk/control/control_process.cc
+++ b/oriolewalk/control/control_process.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
+#include "oriolewalk/base/descriptor_budget.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/control/control_core.h"
 #include "oriolewalk/control/control_metrics.h"
@@ -30,6 +32,7 @@
 constexpr std::uint64_t kTicksPerUpdate = 10; // of the metrics
 // A planned stop waits so long at most for another voter to lead.
 constexpr seconds kHandOverBound{ 3 };
+constexpr std::size_t kMegabyte = 1'000'000;
 
 // A replication message with the stamp that keeps the time line in order.
 struct peer_message
@@ -79,7 +82,12 @@
     , mSignals(mContext, SIGTERM, SIGINT)
     , mCore(std::move(aCore))
     , mEvents(std::move(aEvents))
-    , mRpc({ .mSeed = std::random_device{}() })
+    , mBudget(BudgetOf(
+        { DescriptorLimit(0), MemoryLimit(kMegabyte * mSettings.mMemoryMb) },
+        connection_use::MostlyOutgoing))
+    , mRpc({ .mMaxIncoming = mBudget.mMaxPeers,
+             .mMaxReceivingBytes = mBudget.mMaxPeerBytes,
+             .mSeed = std::random_device{}() })
     , mStorage(std::move(aFolder), [this](voter::write_done aDone) {
       boost::asio::post(mContext,
                         [this, done = std::move(aDone)]() { OnWritten(done); });
@@ -118,7 +126,8 @@
   result<void> Listen()
   {
     if (!mSettings.mMetricsListen.mHost.empty()) {
-      if (auto shown = mMetrics.Listen(mSettings.mMetricsListen); !shown) {
+      if (auto shown = mMetrics.Listen(mSettings.mMetricsListen, mBudget.mPage);
+          !shown) {
         return shown;
       }
     }
@@ -328,6 +337,7 @@
   bool mStopping = false;
   time_point mStopAt{};
   int mExitCode = 0;
+  const connection_budget mBudget;
   wire::rpc_node mRpc;
   voter::storage_thread mStorage;
 };
--- a/oriolewalk/control/control_process.h
+++ b/oriolewalk/control/control_process.h
@@ -32,6 +32,9 @@
   // the leader has readmitted this node.
   bool mRejoin = false;
   std::uint64_t mSnapshotEvery = 50'000;
+  // Connections and their messages get a part of it, and the machine's memory
+  // where that is less.
+  std::uint64_t mMemoryMb = 256;
 };
 
 // Makes the folder of a founder. Errors: Conflict, if it has data already.
--- a/oriolewalk/entry/entry_process.cc
+++ b/oriolewalk/entry/entry_process.cc
@@ -13,6 +13,8 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
+#include "oriolewalk/base/descriptor_budget.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/entry/control_link.h"
 #include "oriolewalk/entry/heartbeat_loop.h"
@@ -32,6 +34,7 @@
 using observe::log_level;
 
 constexpr milliseconds kStopPollInterval{ 20 };
+constexpr std::size_t kMegabyte = 1'000'000;
 
 std::uint64_t
 DrawSeed()
@@ -60,7 +63,13 @@
     , mSignals(mControl, SIGTERM, SIGINT)
     , mStopTimer(mControl)
     , mLink(mTraffic, *mEvents, ToStrings(aSettings.mControls), DrawSeed())
-    , mClient(mTraffic, { .mMaxConnections = aSettings.mTargetConnections })
+    , mBudget(BudgetOf(
+        { DescriptorLimit(0), MemoryLimit(kMegabyte * aSettings.mMemoryMb) },
+        connection_use::MostlyIncoming))
+    , mClient(mTraffic,
+              http::Within(mBudget.mOut,
+                           http::client_limits{
+                             .mMaxConnections = aSettings.mTargetConnections }))
     , mLimits(DrawSeed())
     , mServices{ mLink,
                  mClient,
@@ -82,7 +91,7 @@
     , mServer(
         mTraffic,
         aSettings.mListen,
-        {},
+        http::Within(mBudget.mIn),
         [this](http::request aRequest, const http::responder& aResponder) {
           mHandler.Handle(std::move(aRequest), aResponder);
         })
@@ -195,6 +204,7 @@
   runtime_timer mStopTimer;
   time_point mStopAt{};
   control_link mLink;
+  const connection_budget mBudget;
   http::client mClient;
   shared_limits mLimits;
   call_services mServices;
--- a/oriolewalk/entry/entry_process.h
+++ b/oriolewalk/entry/entry_process.h
@@ -28,6 +28,9 @@
   // stay below the 60 connections that a target accepts, and a single entry can
   // still fill a target's 8 slots.
   std::uint64_t mTargetConnections = 8;
+  // Connections and their messages get a part of it, and the machine's memory
+  // where that is less.
+  std::uint64_t mMemoryMb = 256;
   // In a planned stop, the time for the balancer to notice that /healthz fails
   // before new connections are refused.
   milliseconds mBalancerNotice{ 2000 };
--- a/oriolewalk/host/caller_limits.cc
+++ b/oriolewalk/host/caller_limits.cc
@@ -10,6 +10,7 @@
 
 // Left for the answer's way back.
 constexpr milliseconds kAnswerWay{ 150 };
+constexpr milliseconds kMaxPatience{ 600'000 };
 
 void
 Take(std::int64_t aGiven, std::size_t& aLimit)
@@ -45,8 +46,11 @@
          milliseconds aPatience,
          std::optional<time_point> aCloses)
 {
+  // A caller may say any number; the sum with the time must not overflow.
+  const milliseconds patience =
+    std::clamp(aPatience, milliseconds(0), kMaxPatience);
   const time_point due =
-    std::min(aNow + aPatience, aCloses.value_or(time_point::max()));
+    std::min(aNow + patience, aCloses.value_or(time_point::max()));
   return std::max(aNow, due - kAnswerWay);
 }
 
--- a/oriolewalk/host/control_host.cc
+++ b/oriolewalk/host/control_host.cc
@@ -89,6 +89,8 @@
   , mAddresses(mOptions.mFounders)
   , mRpc({ .mMaxBackoff = kMostBackoff,
            .mSilenceTimeout = kPeerSilence,
+           .mMaxIncoming = mOptions.mBudget.mMaxPeers,
+           .mMaxReceivingBytes = mOptions.mBudget.mMaxPeerBytes,
            .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, Addresses(mOptions), std::random_device{}())
   , mOrders(aContext,
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -28,6 +28,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/flow/flow_core.h"
@@ -56,6 +57,7 @@
   // The founders' RPC addresses with their numbers.
   std::map<std::uint64_t, std::string> mFounders;
   flow::flow_options mFlow;
+  connection_budget mBudget; // of the process
 };
 
 class control_host
--- a/oriolewalk/host/entry_host.cc
+++ b/oriolewalk/host/entry_host.cc
@@ -33,6 +33,8 @@
   , mTimer(aContext)
   , mRpc({ .mMaxBackoff = kMostBackoff,
            .mSilenceTimeout = kPeerSilence,
+           .mMaxIncoming = mOptions.mBudget.mMaxPeers,
+           .mMaxReceivingBytes = mOptions.mBudget.mMaxPeerBytes,
            .mSeed = std::random_device{}() })
   , mLink(aContext, mRpc, mOptions.mControls, std::random_device{}())
 {
--- a/oriolewalk/host/entry_host.h
+++ b/oriolewalk/host/entry_host.h
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/host/leader_link.h"
@@ -31,6 +32,7 @@
   std::string mAddress;               // of our RPC, as others call it
   std::string mListen;                // where it is bound; empty: the same
   std::vector<std::string> mControls; // RPC addresses, at least one
+  connection_budget mBudget;          // of the process
 };
 
 class entry_host
--- a/oriolewalk/host/metrics_page.cc
+++ b/oriolewalk/host/metrics_page.cc
@@ -28,7 +28,8 @@
 } // namespace
 
 metrics_page::metrics_page(boost::asio::io_context& aContext,
-                           settings::address aListen)
+                           settings::address aListen,
+                           const connection_limits& aLimits)
   : mCallMs(mRegistry.Quantiles("oriole_flow_call_ms",
                                 "milliseconds from a call to its answer"))
   , mOrderMs(mRegistry.Quantiles(
@@ -59,7 +60,7 @@
   , mServer(
       aContext,
       std::move(aListen),
-      http::server_limits{ .mMaxConnections = 16 },
+      http::Within(aLimits),
       [this](const http::request& aRequest, const http::responder& aResponder) {
         if (aRequest.Path() == "/metrics") {
           aResponder.Send(
@@ -128,10 +129,15 @@
       .Set(static_cast<double>(aTo));
   };
   set("oriole_connections_open", "connections, busy and idle", aUse.mOpen);
-  set("oriole_connections_most", "the share of descriptors", aUse.mMost);
+  set("oriole_connections_most",
+      "the share of descriptors and memory",
+      aUse.mMost);
   set("oriole_connections_closed_for_room",
-      "idle connections that were closed for others",
+      "connections that were closed or refused for others",
       aUse.mClosedForRoom);
+  set("oriole_connections_held_bytes",
+      "what requests and answers hold",
+      aUse.mHeldBytes);
   return aUse.mOpen >= aUse.mMost || aUse.mClosedForRoom > 0;
 }
 
--- a/oriolewalk/host/metrics_page.h
+++ b/oriolewalk/host/metrics_page.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/flow/leader_core.h"
 #include "oriolewalk/http/server.h"
@@ -31,13 +32,16 @@
 {
   std::size_t mOpen = 0;
   std::size_t mMost = 0;
-  std::size_t mClosedForRoom = 0; // idle ones, since the beginning
+  std::size_t mClosedForRoom = 0; // since the beginning
+  std::size_t mHeldBytes = 0;     // of messages
 };
 
 class metrics_page
 {
 public:
-  metrics_page(boost::asio::io_context& aContext, settings::address aListen);
+  metrics_page(boost::asio::io_context& aContext,
+               settings::address aListen,
+               const connection_limits& aLimits);
 
   // Errors: Io. A process serves on without its page.
   result<void> Start();
--- a/oriolewalk/http/client.cc
+++ b/oriolewalk/http/client.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/post.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/http/client_core.h"
 #include "oriolewalk/http/connection.h"
@@ -49,6 +50,15 @@
 
 } // namespace
 
+client_limits
+Within(const connection_limits& aBudget, client_limits aLimits)
+{
+  aLimits.mMaxOpen = aBudget.mMaxConnections;
+  aLimits.mMaxHeldBytes = aBudget.mMaxHeldBytes;
+  aLimits.mReceiveWindow = aBudget.mReceiveWindow;
+  return aLimits;
+}
+
 void
 client::core::Launch(std::unique_ptr<call> aCall)
 {
@@ -281,6 +291,12 @@
   return mCore->ClosedForRoom();
 }
 
+std::size_t
+client::HeldBytes() const
+{
+  return mCore->HeldBytes();
+}
+
 void
 client::Close()
 {
--- a/oriolewalk/http/client.h
+++ b/oriolewalk/http/client.h
@@ -27,6 +27,7 @@
 #include <vector>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/http/message.h"
 #include "oriolewalk/settings/address.h"
@@ -106,8 +107,17 @@
   // Under the server's 60 s, so that it is we who close and a request never
   // meets a connection that the peer is just closing.
   milliseconds mIdleTimeout{ 20'000 };
+  // What answers hold that are being received, from all addresses together.
+  // Beyond, a large one is given up (unknown_outcome).
+  std::size_t mMaxHeldBytes = 64UL * 1024 * 1024;
+  // The system's buffer of what has arrived on a connection and was not read.
+  std::size_t mReceiveWindow = 64UL * 1024;
 };
 
+// The limits with those of a process's budget.
+client_limits
+Within(const connection_limits& aBudget, client_limits aLimits);
+
 // Keeps idle connections per address and uses the latest first. One read is
 // always under way, so that a peer's close is seen while a connection is idle;
 // a connection found dead before a byte was written is replaced, one that dies
@@ -131,6 +141,8 @@
   [[nodiscard]] std::size_t Open() const;
   // Closed while idle to make room for others, since the beginning.
   [[nodiscard]] std::size_t ClosedForRoom() const;
+  // What answers hold that are being received.
+  [[nodiscard]] std::size_t HeldBytes() const;
   // Cuts all connections; requests under way end as never_started or unknown.
   void Close();
 
--- a/oriolewalk/http/client_core.h
+++ b/oriolewalk/http/client_core.h
@@ -2,6 +2,7 @@
 
 // The client's pool. Inside http only.
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -57,6 +58,14 @@
   [[nodiscard]] const client_limits& Limits() const { return mLimits; }
   [[nodiscard]] std::size_t Open() const;
   [[nodiscard]] std::size_t ClosedForRoom() const;
+  // A connection holds aAfter bytes of an answer instead of aBefore. Any
+  // thread. False: all together hold too much.
+  bool Hold(std::size_t aBefore, std::size_t aAfter)
+  {
+    mHeldBytes += aAfter - aBefore;
+    return mHeldBytes <= mLimits.mMaxHeldBytes;
+  }
+  [[nodiscard]] std::size_t HeldBytes() const { return mHeldBytes; }
 
 private:
   struct idle_connection
@@ -96,6 +105,7 @@
   // Closed for room and no longer counted; each until it says that it closed.
   std::set<const connection*> mGivenUp;
   bool mClosed = false;
+  std::atomic<std::size_t> mHeldBytes = 0; // of all connections
 };
 
 } // namespace oriolewalk::http
--- a/oriolewalk/http/connection.cc
+++ b/oriolewalk/http/connection.cc
@@ -41,10 +41,14 @@
 using code = oriolewalk::error_code;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// While idle: a read that is under way then also takes the next answer.
+constexpr std::size_t kIdleReadBytes = 4UL * 1024;
 constexpr unsigned kVersion11 = 11;
 constexpr unsigned kFirstFinalStatus = 200;
 // 100 and the like, before the answer itself.
 constexpr std::size_t kMaxInterimAnswers = 16;
+// Answers up to this size get through however much larger ones hold.
+constexpr std::size_t kSmallAnswerBytes = 64UL * 1024;
 
 bool
 IsOurs(const header& aHeader)
@@ -72,6 +76,7 @@
   if (mState != state::Closed) {
     mCore->Remove(*this);
   }
+  ReleaseHeld();
   mCore->Ended(*this);
 }
 
@@ -136,10 +141,20 @@
   }
   mDeadline.Set(std::min(
     mCall->mDue, runtime_clock::now() + mCall->mOptions.mConnectTimeout));
-  mSocket.async_connect({ host, mTo.mPort },
-                        [self = shared_from_this()](system_code aCode) {
-                          self->HandleConnect(aCode);
-                        });
+  const asio::ip::tcp::endpoint end(host, mTo.mPort);
+  mSocket.open(end.protocol(), wrong);
+  if (wrong) {
+    FailCall(code::Unavailable, wrong.message());
+    CloseNow();
+    return;
+  }
+  // Before the handshake, which tells the peer the window.
+  mSocket.set_option(asio::socket_base::receive_buffer_size(
+                       static_cast<int>(mCore->Limits().mReceiveWindow)),
+                     wrong);
+  mSocket.async_connect(end, [self = shared_from_this()](system_code aCode) {
+    self->HandleConnect(aCode);
+  });
 }
 
 void
@@ -243,9 +258,13 @@
   if (mReading || mState == state::Closed) {
     return;
   }
+  const std::size_t count = mState == state::Idle ? kIdleReadBytes : kReadBytes;
+  if (mBuffer.size() == 0 && mBuffer.capacity() > count) {
+    mBuffer.shrink_to_fit();
+  }
   mReading = true;
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    mBuffer.prepare(count),
     [self = shared_from_this()](system_code aCode, std::size_t aCount) {
       self->mReading = false;
       self->HandleRead(aCode, aCount);
@@ -312,6 +331,22 @@
   return {};
 }
 
+bool
+connection::HoldReceived()
+{
+  const std::string& body = mParser->get().body();
+  const std::size_t bytes =
+    mBuffer.capacity() + std::min(body.capacity(), 2 * body.size());
+  const bool room = mCore->Hold(std::exchange(mHeldBytes, bytes), bytes);
+  return room || bytes <= kSmallAnswerBytes;
+}
+
+void
+connection::ReleaseHeld()
+{
+  mCore->Hold(std::exchange(mHeldBytes, 0), 0);
+}
+
 void
 connection::Parse()
 {
@@ -328,6 +363,9 @@
     CloseNow();
   } else if (mParser->is_done() && !(mAsking && mWriting)) {
     HandleAnswer();
+  } else if (!mParser->is_done() && !HoldReceived()) {
+    FailCall(code::Busy, "no memory is left for the answer");
+    CloseNow();
   } else if (!mParser->is_done()) {
     Read();
   }
@@ -348,6 +386,7 @@
 {
   const bool reuse = mParser->keep_alive() && !mWriting && mBuffer.size() == 0;
   auto message = mParser->release();
+  ReleaseHeld();
   response whole{ message.result_int(), {}, std::move(message.body()) };
   for (const auto& field : message) {
     whole.mHeaders.push_back(
@@ -432,6 +471,8 @@
   }
   mState = state::Closed;
   mDeadline.Stop();
+  ReleaseHeld();
+  mParser.reset();
   mCore->Remove(*this);
   system_code ignored;
   mSocket.close(ignored);
--- a/oriolewalk/http/connection.h
+++ b/oriolewalk/http/connection.h
@@ -78,6 +78,9 @@
   void StartAnswer();
   [[nodiscard]] boost::system::error_code Feed();
   void Parse();
+  // False: there is no room for the answer.
+  [[nodiscard]] bool HoldReceived();
+  void ReleaseHeld();
   void HandleAnswer();
   void HandleName(response aAnswer, bool aReuse);
   [[nodiscard]] bool Matches(const response& aResponse) const;
@@ -96,6 +99,7 @@
   std::unique_ptr<parser> mParser; // set from the first use on
   std::optional<message_feed> mFeed;
   std::size_t mInterimAnswers = 0;
+  std::size_t mHeldBytes = 0; // of an answer
   state mState = state::Fresh;
   bool mUsedBefore = false;
   bool mReading = false;
--- a/oriolewalk/http/server.cc
+++ b/oriolewalk/http/server.cc
@@ -19,6 +19,7 @@
 #include <boost/system/error_code.hpp>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/http/message.h"
@@ -40,6 +41,15 @@
 
 } // namespace
 
+server_limits
+Within(const connection_limits& aBudget, server_limits aLimits)
+{
+  aLimits.mMaxConnections = aBudget.mMaxConnections;
+  aLimits.mMaxHeldBytes = aBudget.mMaxHeldBytes;
+  aLimits.mReceiveWindow = aBudget.mReceiveWindow;
+  return aLimits;
+}
+
 responder::responder(std::shared_ptr<pending> aPending)
   : mPending(std::move(aPending))
 {
@@ -116,6 +126,12 @@
   }
   if (!code) {
     mAcceptor.set_option(asio::socket_base::reuse_address(true), code);
+    // Accepted sockets take it over; set on them it would come too late for
+    // the window that the peer is told.
+    error_code ignored;
+    mAcceptor.set_option(asio::socket_base::receive_buffer_size(
+                           static_cast<int>(mShared->mLimits.mReceiveWindow)),
+                         ignored);
     mAcceptor.bind(end, code);
   }
   if (!code) {
@@ -159,7 +175,7 @@
     return;
   }
   if (mShared->mConnections >= mShared->mLimits.mMaxConnections &&
-      !mShared->CloseOldestIdle()) {
+      !mShared->CloseForConnection()) {
     RefuseForLoad(aSocket);
   } else {
     std::make_shared<session>(std::move(aSocket), mShared)->Start();
@@ -267,6 +283,12 @@
   return mCore->Shared().mClosedForRoom;
 }
 
+std::size_t
+server::HeldBytes() const
+{
+  return mCore->Shared().mHeldBytes;
+}
+
 void
 server::Close()
 {
--- a/oriolewalk/http/server.h
+++ b/oriolewalk/http/server.h
@@ -18,6 +18,7 @@
 #include <memory>
 
 #include "oriolewalk/base/clock.h"
+#include "oriolewalk/base/connection_budget.h"
 #include "oriolewalk/base/error.h"
 #include "oriolewalk/http/message.h"
 #include "oriolewalk/settings/address.h"
@@ -28,19 +29,27 @@
 
 namespace oriolewalk::http {
 
-// A connection holds at most mMaxHeaderBytes + mMaxBodyBytes + one read
-// (16 KiB) of a peer's bytes, so the server's memory is bounded by
-// mMaxConnections of those.
+// One connection is bounded by its own limits, all of them together by
+// mMaxHeldBytes, and what has arrived and was not read by mMaxConnections times
+// mReceiveWindow; base/connection_budget.h chooses those of a process.
 struct server_limits
 {
   // Of the start line with all fields; of a chunk's line; of all trailers.
   // Beyond: 431.
   std::size_t mMaxHeaderBytes = 16UL * 1024;
-  std::size_t mMaxFields = 128; // trailers count; beyond: 431
+  std::size_t mMaxFields = 128;              // trailers count; beyond: 431
   std::size_t mMaxBodyBytes = 1024UL * 1024; // beyond: 413
-  // Beyond: the one that was idle for longest is closed; if none is idle, 503
-  // and a close.
+  // Beyond: the connection that was idle for longest is closed; if none is
+  // idle, the one that is longest, and for half a second, about sending a
+  // request or taking an answer; if there is none either, 503 and a close.
   std::size_t mMaxConnections = 4096;
+  // What requests and answers hold, on all connections. Beyond: whoever is
+  // longest about sending a request or taking an answer is refused (503, not
+  // run) or closed, so that those who finish soon are served. Requests in the
+  // handler's hands are kept, and count kHandledCopies times.
+  std::size_t mMaxHeldBytes = 64UL * 1024 * 1024;
+  // The system's buffer of what has arrived on a connection and was not read.
+  std::size_t mReceiveWindow = 64UL * 1024;
   milliseconds mHeaderTimeout{ 5'000 }; // from a request's first byte; 408
   milliseconds mBodyTimeout{ 10'000 };  // from the header's end; 408
   milliseconds mIdleTimeout{ 60'000 };  // between requests; a close
@@ -49,6 +58,13 @@
   milliseconds mWriteTimeout{ 10'000 };
 };
 
+// The limits with those of a process's budget.
+server_limits
+Within(const connection_limits& aBudget, server_limits aLimits = {});
+
+// The request, its decoded form, and its copy on the way to the leader.
+inline constexpr std::size_t kHandledCopies = 4;
+
 class session;
 
 // The right to answer one request. Copies share it: the first Send counts and
@@ -105,8 +121,10 @@
   // Requests whose answers are not yet wholly written.
   [[nodiscard]] std::size_t Active() const;
   [[nodiscard]] std::size_t Connections() const;
-  // Idle connections that were closed to make room for others.
+  // Connections that were closed or refused to make room for others.
   [[nodiscard]] std::size_t ClosedForRoom() const;
+  // What requests and answers hold.
+  [[nodiscard]] std::size_t HeldBytes() const;
   // Cuts all connections.
   void Close();
 
--- a/oriolewalk/http/session.cc
+++ b/oriolewalk/http/session.cc
@@ -4,17 +4,20 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include <boost/asio/buffer.hpp>
+#include <sys/socket.h>
+#include <sys/types.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
@@ -36,7 +39,18 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
+// While no request is under way, which most connections are most of the time;
+// most requests fit.
+constexpr std::size_t kIdleReadBytes = 4UL * 1024;
+// A parsed field beside its text: the parser's record, then ours.
+constexpr std::size_t kFieldBytes = 128;
+// Larger requests, and those that aren't whole, leave a part of the room to the
+// others.
+constexpr std::size_t kSmallRequestBytes = 64UL * 1024;
+constexpr std::size_t kSmallRequestsPart = 4;
 constexpr milliseconds kLingerTimeout{ 1'000 };
+// An ordinary request or answer takes less, over any distance.
+constexpr milliseconds kStalledBound{ 500 };
 constexpr std::size_t kMaxLinger = 1024UL * 1024;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
@@ -44,6 +58,7 @@
 constexpr unsigned kTimedOut = 408;
 constexpr unsigned kTooLarge = 413;
 constexpr unsigned kHeaderTooLarge = 431;
+constexpr unsigned kUnavailable = 503;
 
 std::string
 Describe(const asio::ip::tcp::socket& aSocket)
@@ -87,36 +102,162 @@
   mShared->mOpen.insert(this);
 }
 
-// Silent callers otherwise keep out whoever comes next, for as long as an idle
-// connection is kept: a minute.
-bool
-session_shared::CloseOldestIdle()
+std::shared_ptr<session>
+session_shared::TakeFirst(session_order& aOrder,
+                          const session* aSpared,
+                          time_point aUntil)
 {
-  std::shared_ptr<session> oldest;
-  {
-    const std::scoped_lock lock(mLock);
-    while (!oldest && !mIdle.empty()) {
-      oldest = mIdle.begin()->second->weak_from_this().lock();
-      mIdle.erase(mIdle.begin());
+  const std::scoped_lock lock(mLock);
+  auto next = aOrder.begin();
+  while (next != aOrder.end() && next->second.mSince <= aUntil) {
+    if (next->second.mSession == aSpared) {
+      ++next;
+      continue;
     }
+    auto taken = next->second.mSession->weak_from_this().lock();
+    next = aOrder.erase(next);
+    if (taken) {
+      ++mClosedForRoom;
+      return taken;
+    }
+  }
+  return nullptr;
+}
+
+// Peers that send nothing, or never finish, otherwise keep out whoever comes
+// next for as long as the time-outs allow.
+bool
+session_shared::CloseForConnection()
+{
+  auto closed = TakeFirst(mIdle, nullptr);
+  if (!closed) {
+    closed = TakeFirst(mStalled, nullptr, runtime_clock::now() - kStalledBound);
   }
-  if (!oldest) {
-    return false;
+  if (closed) {
+    closed->Close();
+  }
+  return closed != nullptr;
+}
+
+bool
+session_shared::MakeRoom(std::size_t aMost, const session* aSpared)
+{
+  while (mHeldBytes > aMost) {
+    const auto shed = TakeFirst(mStalled, aSpared);
+    if (!shed) {
+      return false;
+    }
+    shed->Shed();
   }
-  ++mClosedForRoom;
-  oldest->Close();
   return true;
 }
 
 void
-session::NoteIdle(bool aIdle)
+session::LeaveOrders()
+{
+  if (mTicket == 0) {
+    return;
+  }
+  const std::scoped_lock lock(mShared->mLock);
+  mShared->mIdle.erase(mTicket);
+  mShared->mStalled.erase(mTicket);
+  mTicket = 0;
+}
+
+void
+session::JoinOrder(session_order session_shared::*aOrder)
 {
+  LeaveOrders();
   const std::scoped_lock lock(mShared->mLock);
-  mShared->mIdle.erase(std::exchange(mIdleSince, 0));
-  if (aIdle) {
-    mIdleSince = ++mShared->mLastIdle;
-    mShared->mIdle.emplace(mIdleSince, this);
+  mTicket = ++mShared->mLastTicket;
+  ((*mShared).*aOrder)
+    .emplace(mTicket, waiting_session{ this, runtime_clock::now() });
+}
+
+void
+session::Hold(std::size_t aBytes)
+{
+  if (!mShed) {
+    const std::size_t before = mHeldBytes.exchange(aBytes);
+    mShared->mHeldBytes += aBytes - before;
+  }
+}
+
+std::size_t
+session::ReceivedBytes() const
+{
+  const auto& message = mParser->get();
+  const auto fields =
+    static_cast<std::size_t>(std::distance(message.begin(), message.end()));
+  // A length that the peer has announced is reserved at once and costs nothing
+  // until it comes.
+  const std::size_t body =
+    std::min(message.body().capacity(), 2 * message.body().size());
+  return mBuffer.capacity() + fields * kFieldBytes + body;
+}
+
+bool
+session::HoldReceived()
+{
+  Hold(ReceivedBytes());
+  const std::size_t limit = mShared->mLimits.mMaxHeldBytes;
+  return mShared->MakeRoom(limit - limit / kSmallRequestsPart, this) ||
+         HoldsAll();
+}
+
+bool
+session::HoldHandled(const request& aRequest)
+{
+  const std::size_t bytes = aRequest.mTarget.size() + aRequest.mBody.size() +
+                            aRequest.mHeaders.size() * kFieldBytes;
+  Hold(kHandledCopies * bytes);
+  const std::size_t limit = mShared->mLimits.mMaxHeldBytes;
+  return mShared->MakeRoom(bytes > kSmallRequestBytes
+                             ? limit - limit / kSmallRequestsPart
+                             : limit,
+                           this) ||
+         HoldsAll();
+}
+
+// A request within its own limits is served however small the room is.
+bool
+session::HoldsAll() const
+{
+  return mShared->mHeldBytes == mHeldBytes;
+}
+
+// Any thread: what it held is free for others at once.
+void
+session::Shed()
+{
+  if (!mShed.exchange(true)) {
+    mShared->mHeldBytes -= mHeldBytes.exchange(0);
+    // Not dispatch: the caller may be amid a step of this very session.
+    asio::post(mSocket.get_executor(),
+               [self = shared_from_this()] { self->HandleShed(); });
+  }
+}
+
+void
+session::HandleShed()
+{
+  switch (mState) {
+    case state::Reading:
+      if (mRequestBegun) {
+        RefuseForRoom();
+        return;
+      }
+      break;
+    case state::Answering:
+      break;
+    case state::Writing:
+    case state::Lingering:
+    case state::Closed:
+      CloseNow();
+      return;
   }
+  // It went on in the meantime.
+  mShed = false;
 }
 
 session::~session()
@@ -124,8 +265,9 @@
   {
     const std::scoped_lock lock(mShared->mLock);
     mShared->mOpen.erase(this);
-    mShared->mIdle.erase(mIdleSince);
   }
+  LeaveOrders();
+  mShared->mHeldBytes -= mHeldBytes.exchange(0);
   --mShared->mConnections;
 }
 
@@ -158,6 +300,7 @@
   mParser->body_limit(mShared->mLimits.mMaxBodyBytes);
   mFeed.emplace(feed_limits{ mShared->mLimits.mMaxHeaderBytes,
                              mShared->mLimits.mMaxFields });
+  Hold(0);
   mHeaderDone = false;
   mRequestBegun = false;
   SetDeadline(mShared->mLimits.mIdleTimeout);
@@ -166,7 +309,7 @@
   } else if (mPeerGone) {
     CloseNow();
   } else {
-    NoteIdle(true);
+    JoinOrder(&session_shared::mIdle);
     Read();
   }
 }
@@ -177,9 +320,14 @@
   if (mReading || mState == state::Closed) {
     return;
   }
+  const std::size_t count =
+    mState == state::Reading && mRequestBegun ? kReadBytes : kIdleReadBytes;
+  if (mBuffer.size() == 0 && mBuffer.capacity() > count) {
+    mBuffer.shrink_to_fit();
+  }
   mReading = true;
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    mBuffer.prepare(count),
     [self = shared_from_this()](error_code aCode, std::size_t aCount) {
       self->mReading = false;
       self->HandleRead(aCode, aCount);
@@ -229,9 +377,10 @@
 void
 session::Parse()
 {
-  if (!mRequestBegun) {
+  const bool first = !mRequestBegun;
+  if (first) {
     mRequestBegun = true;
-    NoteIdle(false);
+    LeaveOrders();
     SetDeadline(mShared->mLimits.mHeaderTimeout);
   }
   if (const error_code code = mFeed->Put(*mParser, mBuffer); code) {
@@ -242,8 +391,18 @@
     mHeaderDone = true;
     HandleHeader();
   }
+  if (mState != state::Reading) {
+    return;
+  }
   if (mParser->is_done()) {
     Dispatch();
+    return;
+  }
+  if (first) {
+    JoinOrder(&session_shared::mStalled);
+  }
+  if (!HoldReceived()) {
+    RefuseForRoom();
   } else if (mPeerGone) {
     HandleGone();
   } else {
@@ -260,11 +419,17 @@
     !mParser->is_done() &&
     beast::iequals(message[beast::http::field::expect], "100-continue");
   if (waits) {
-    // 25 bytes into an empty send buffer: does not block.
     static constexpr std::string_view kContinue =
       "HTTP/1.1 100 Continue\r\n\r\n";
-    error_code ignored;
-    asio::write(mSocket, asio::buffer(kContinue), ignored);
+    // A peer that reads none of its answers has filled the send buffer, and
+    // must not make this thread wait.
+    const ssize_t sent = ::send(mSocket.native_handle(),
+                                kContinue.data(),
+                                kContinue.size(),
+                                MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(kContinue.size())) {
+      CloseNow();
+    }
   }
 }
 
@@ -272,9 +437,10 @@
 session::Dispatch()
 {
   mDeadline.Clear();
-  mState = state::Answering;
+  LeaveOrders();
   mKeepAlive = mParser->keep_alive();
   auto message = mParser->release();
+  mParser.reset();
   mVersion = message.version();
   mHead = message.method() == beast::http::verb::head;
   request whole{ std::string(message.method_string()),
@@ -290,6 +456,11 @@
     whole.mHeaders.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
+  if (!HoldHandled(whole)) {
+    RefuseForRoom();
+    return;
+  }
+  mState = state::Answering;
   ++mShared->mActive;
   ++mNumber;
   if (mBuffer.size() == 0) {
@@ -321,9 +492,19 @@
                     { { "Content-Type", "application/json" } },
                     std::string(R"({"error":")") + aReason +
                       R"(","step":"reading the request","peer":""})" };
+  if (aStatus == kUnavailable) {
+    refusal.mHeaders.push_back({ "Retry-After", "1" });
+  }
+  mParser.reset();
   Write(std::move(refusal), false);
 }
 
+void
+session::RefuseForRoom()
+{
+  RefuseWith(kUnavailable, "no memory is left for the request; it was not run");
+}
+
 void
 session::HandleTimeout()
 {
@@ -387,6 +568,10 @@
   }
   mHead = false;
   SetDeadline(mShared->mLimits.mWriteTimeout);
+  JoinOrder(&session_shared::mStalled);
+  Hold(mMessage->body().size());
+  // Answers are sent also where that isn't enough: they are ready.
+  static_cast<void>(mShared->MakeRoom(mShared->mLimits.mMaxHeldBytes, this));
   beast::http::async_write(
     mSocket,
     *mMessage,
@@ -399,6 +584,7 @@
 session::HandleWritten(error_code aCode, bool aKeepAlive)
 {
   --mShared->mActive;
+  mMessage.reset();
   if (mState == state::Closed) {
     return;
   }
@@ -421,6 +607,7 @@
   error_code ignored;
   mSocket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   mBuffer.consume(mBuffer.size());
+  Hold(0);
   if (mPeerGone) {
     CloseNow();
     return;
@@ -449,7 +636,8 @@
   }
   const bool answering = mState == state::Answering;
   mState = state::Closed;
-  NoteIdle(false);
+  LeaveOrders();
+  Hold(0);
   mDeadline.Stop();
   error_code ignored;
   mSocket.close(ignored);
--- a/programs/oriole_control.cc
+++ b/programs/oriole_control.cc
@@ -44,6 +44,11 @@
   aParser.Address("metrics-listen",
                   aSettings.mMetricsListen,
                   "where /metrics and /healthz are shown; nowhere if empty");
+  aParser.Number("memory-mb",
+                 aSettings.mMemoryMb,
+                 { 32, 1'000'000 },
+                 "megabytes",
+                 "the memory that this process may use");
   aParser.Number("snapshot-every",
                  aSettings.mSnapshotEvery,
                  { 100, 10'000'000 },
--- a/programs/oriole_entry.cc
+++ b/programs/oriole_entry.cc
@@ -42,6 +42,11 @@
                  { 1, kMostConnections },
                  "connections",
                  "most that are kept to one target");
+  aParser.Number("memory-mb",
+                 aSettings.mMemoryMb,
+                 { 32, 1'000'000 },
+                 "megabytes",
+                 "the memory that this process may use");
   aParser.Duration("balancer-notice",
                    aSettings.mBalancerNotice,
                    { milliseconds(0), kMostNotice },
--- a/testing/host/caller_limits_test.cc
+++ b/testing/host/caller_limits_test.cc
@@ -34,4 +34,14 @@
   CHECK(AnswerBy(stopped, milliseconds(100), std::nullopt) == stopped);
 }
 
+TEST_CASE("a caller's patience may be any number")
+{
+  // Added to the time the largest one overflowed.
+  const time_point now{ seconds(100) };
+  CHECK(AnswerBy(now, milliseconds::min(), std::nullopt) == now);
+  CHECK(AnswerBy(now, milliseconds::max(), std::nullopt) > now);
+  CHECK(AnswerBy(now, milliseconds::max(), std::nullopt) <
+        now + seconds(3'600));
+}
+
 } // namespace oriolewalk::host
--- a/testing/http/endless_message_test.cc
+++ b/testing/http/endless_message_test.cc
@@ -72,6 +72,7 @@
   for (int time = 0; time < 400 && web.mServer.Active() == 0; ++time) {
     caller.Send(piece);
     std::this_thread::sleep_for(std::chrono::microseconds(200));
+    CHECK(web.mServer.HeldBytes() <= 64 * kKiB);
   }
   CHECK_THAT(caller.ReadToEnd(), Catch::StartsWith("HTTP/1.1 431"));
   CHECK(web.mHandled == 0);
@@ -122,6 +123,7 @@
   // Not by its time-out, until which the answer grew.
   CHECK(std::get<unknown_outcome>(outcome).mError.mCode ==
         error_code::InvalidArgument);
+  CHECK(caller.HeldBytes() == 0);
 }
 
 } // namespace
--- a/testing/http/sized_server.h
+++ b/testing/http/sized_server.h
@@ -47,6 +47,7 @@
   limits.mMaxHeaderBytes = 2 * kKiB;
   limits.mMaxFields = 16;
   limits.mMaxBodyBytes = 64 * kKiB;
+  limits.mMaxHeldBytes = 256 * kKiB;
   return limits;
 }
 
