A control process asks for the table for a few callers at a time

Each read brings a copy of the whole table from the leader and another one into the answer. Four are asked for at a time; others get 503 at once (error_code::Full: nothing was done, and soon again it fails again).

--- a/oriolewalk/base/error.cc
+++ b/oriolewalk/base/error.cc
@@ -8,9 +8,10 @@
 std::string_view
 ToString(error_code aCode)
 {
-  static constexpr std::array<std::string_view, 10> kNames = {
-    "invalid argument", "not found", "conflict", "not leader", "unavailable",
-    "timeout",          "busy",      "corrupt",  "i/o error",  "internal error",
+  static constexpr std::array<std::string_view, 11> kNames = {
+    "invalid argument", "not found",      "conflict", "not leader",
+    "unavailable",      "timeout",        "busy",     "corrupt",
+    "i/o error",        "internal error", "full",
   };
   return kNames.at(static_cast<std::size_t>(aCode));
 }
--- a/oriolewalk/base/error.h
+++ b/oriolewalk/base/error.h
@@ -32,6 +32,7 @@
   Corrupt,     // Stored or received bytes fail their check.
   Io,          // The operating system refused; the message has its reason.
   Internal,
+  Full, // No room is left; nothing was done, and soon again it fails again.
 };
 
 std::string_view
--- a/oriolewalk/control/operator_json.cc
+++ b/oriolewalk/control/operator_json.cc
@@ -41,6 +41,7 @@
     case error_code::NotLeader:
     case error_code::Unavailable:
     case error_code::Busy:
+    case error_code::Full:
       return kUnavailable;
     case error_code::Timeout:
       return kGatewayTimeout;
--- a/oriolewalk/host/control_calls.cc
+++ b/oriolewalk/host/control_calls.cc
@@ -14,6 +14,8 @@
 
 // A summary of heartbeats that took longer says little by then.
 constexpr milliseconds kTellBeatsBound{ 700 };
+// Each brings a copy of the whole table from the leader.
+constexpr std::size_t kMaxTableReads = 4;
 
 } // namespace
 
@@ -145,9 +147,29 @@
                   time_point aUntil,
                   flow_callback aDone)
 {
+  if (std::holds_alternative<flow::table_read>(aRequest)) {
+    AskTable(aUntil, std::move(aDone));
+    return;
+  }
   mLink.Ask(std::move(aRequest), aUntil, std::move(aDone));
 }
 
+void
+control_host::AskTable(time_point aUntil, flow_callback aDone)
+{
+  if (mTableReads >= kMaxTableReads) {
+    aDone(Fail(error_code::Full, "reading the table", "others are reading it"));
+    return;
+  }
+  ++mTableReads;
+  mLink.Ask(flow::table_read{},
+            aUntil,
+            [this, done = std::move(aDone)](result<flow::flow_answer> aAnswer) {
+              --mTableReads;
+              done(std::move(aAnswer));
+            });
+}
+
 void
 control_host::Ask(const flow::worker_heartbeat& aBeat,
                   time_point aUntil,
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -138,6 +138,8 @@
   void OnCall(std::uint16_t aKind,
               const bytes& aBody,
               const wire::reply_function& aReply);
+  // Refuses (Busy) beyond a few at once.
+  void AskTable(time_point aUntil, flow_callback aDone);
   void OnFlowCall(const flow::flow_request& aRequest,
                   wire::reply_function aReply);
   void OnAdviceCall(const flow::advice_request& aRequest,
@@ -181,6 +183,7 @@
   runtime_timer mTimer;
   std::map<flow::call_number, flow_callback> mCalls;
   flow::call_number mLastCall = 0;
+  std::size_t mTableReads = 0; // under way
   std::uint64_t mLife = 0; // of mCore: late answers to an older one are dropped
   bool mPumpScheduled = false;
   // Until when this process certainly leads; for the RPC node's thread, which
--- a/oriolewalk/wire/reply_code.cc
+++ b/oriolewalk/wire/reply_code.cc
@@ -24,7 +24,7 @@
   if (aCode == kReplyOk) {
     return aBody;
   }
-  constexpr auto kLast = static_cast<std::uint16_t>(error_code::Internal);
+  constexpr auto kLast = static_cast<std::uint16_t>(error_code::Full);
   const bool known = aCode - 1 <= kLast;
   return Fail(
     error{ known ? static_cast<error_code>(aCode - 1) : error_code::Internal,
