Bodies that would be much larger in memory are refused before they are read

Two bytes of a job's text ("{}") became a record of 200 and more, once in the entry, on the way and in the leader, before anybody looked at the job; a body of 1 MiB took 68 MiB of an entry. A worker's labels were of any number and length, and are kept in the state.

Steps, dependencies and labels are counted before they are read.

--- a/oriolewalk/flow/types.h
+++ b/oriolewalk/flow/types.h
@@ -237,10 +237,23 @@
   }
 };
 
+// Limits of a job; what is larger is refused.
+inline constexpr std::size_t kMaxJobSteps = 1'000;
+inline constexpr std::uint32_t kMaxJobTasks = 100'000; // of all steps
+inline constexpr std::size_t kMaxNameBytes = 1'024; // an image, a label, a rack
+// Limit of a worker's description, whose names are bounded alike.
+inline constexpr std::size_t kMaxLabels = 256;
+
 // Errors: InvalidArgument, which names the step and the field.
 result<void>
 CheckJob(const job_spec& aJob);
 
+// What a job takes in the state, without and with each time that it runs.
+std::size_t
+SpecBytes(const job_spec& aJob);
+std::size_t
+OccurrenceBytes(const job_spec& aJob);
+
 struct task_ref
 {
   job_id mJob;
--- a/testing/platform/calls_test.cc
+++ b/testing/platform/calls_test.cc
@@ -97,6 +97,41 @@
   CHECK_FALSE(platform::ReadClientCall(Call("PUT", "/p/1")));
 }
 
+TEST_CASE("a body that would be much larger in memory is refused unread")
+{
+  // Two bytes of the text became a record of a step.
+  const auto list = [](const std::string& aItem, std::size_t aCount) {
+    std::string text = "[" + aItem;
+    for (std::size_t item = 1; item < aCount; ++item) {
+      text += "," + aItem;
+    }
+    return text + "]";
+  };
+  const auto isRead = [](const std::string& aSteps) {
+    return platform::ReadClientCall(
+             Call("POST", "/p/1", R"({"spec":"","steps":)" + aSteps + "}"))
+      .has_value();
+  };
+  CHECK(isRead(list(R"({"count":1})", flow::kMaxJobSteps)));
+  CHECK_FALSE(isRead(list("{}", flow::kMaxJobSteps + 1)));
+  CHECK_FALSE(isRead(R"([{"count":1},{"count":1,"dependsOn":)" +
+                     list("0", flow::kMaxJobSteps + 1) + "}]"));
+  const auto isHeard = [](const std::string& aLabels) {
+    return platform::ReadRegistryCall(
+             Call("POST",
+                  "/v1/instances/i-7f/heartbeat",
+                  R"({"service":"s","address":"10.0.0.9:80","zone":"z",)"
+                  R"("state":"ready","capacity":{"cpu":1,"memMb":1},)"
+                  R"("clockMs":1,"seq":4,"labels":)" +
+                    aLabels + "}"))
+      .has_value();
+  };
+  CHECK(isHeard(list(R"("a")", flow::kMaxLabels)));
+  CHECK_FALSE(isHeard(list(R"("a")", flow::kMaxLabels + 1)));
+  CHECK_FALSE(
+    isHeard(R"([")" + std::string(flow::kMaxNameBytes + 1, 'a') + R"("])"));
+}
+
 TEST_CASE("an answer says no more than is known")
 {
   CHECK(StatusOf(Job(flow::job_reply::Accepted)) == 200);
