What callers, workers and operators leave in the state is bounded by memory

A job of a hundred bytes asked for 100,000 tasks, each with a record in every control process: a few such jobs took the memory of all of them, and again at each start, since they stand in the log. Waves of upkeep are kept for good, with their machines, and workers could be invented without end.

The shares are a quarter and two sixteenths of the process's memory.

--- a/oriolewalk/flow/flow_state.cc
+++ b/oriolewalk/flow/flow_state.cc
@@ -308,6 +308,7 @@
 {
   mJobIndex.clear();
   mLive.clear();
+  mJobBytes = 0;
   mNumbers.clear();
   mPlaced.clear();
   mBestEffort.clear();
@@ -319,6 +320,7 @@
   }
   for (auto& [id, job] : mJobs) {
     mJobIndex.emplace(id, &job);
+    mJobBytes += job.Bytes();
     UpdateLive(id, job);
     organisations::quota_account* account = AccountOf(job);
     for (const auto& [number, occurrence] : job.mOccurrences) {
--- a/oriolewalk/flow/flow_state.h
+++ b/oriolewalk/flow/flow_state.h
@@ -90,6 +90,8 @@
   {
     return mWorkers;
   }
+  // What all jobs take in the memory, ended ones too.
+  [[nodiscard]] std::size_t JobBytes() const { return mJobBytes; }
   [[nodiscard]] const job_record* FindJob(const job_id& aId) const;
   [[nodiscard]] const worker_record* FindWorker(worker_number aWorker) const;
   // The number of the worker's latest known incarnation; 0 if there is none.
@@ -303,6 +305,7 @@
   // lookups of a job belong to each run.
   std::unordered_map<job_id, job_record*> mJobIndex;
   std::map<job_id, const job_record*> mLive;
+  std::size_t mJobBytes = 0;
   std::map<worker_id, worker_number> mNumbers;
   std::unordered_map<std::string, std::size_t> mQueueIndexes; // index by name
   std::unordered_map<worker_number, placed_runs> mPlaced;
--- a/oriolewalk/flow/flow_state_jobs.cc
+++ b/oriolewalk/flow/flow_state_jobs.cc
@@ -53,6 +53,7 @@
   job.mSpec = aSubmit.mSpec;
   job.mQueue = aSubmit.mQueue;
   job.mSubmittedWallMs = aWallMs;
+  mJobBytes += SpecBytes(job.mSpec);
   if (job.mSpec.mRecurrence.mRepeatCount == 0) {
     OpenOccurrence(job, 0, aWallMs);
   }
@@ -73,6 +74,7 @@
     opened.mSteps.emplace_back().mTasks.resize(step.mCount);
   }
   aJob.mOccurrences.insert_or_assign(aNumber, std::move(opened));
+  mJobBytes += OccurrenceBytes(aJob.mSpec);
   aJob.mNextOccurrence = aNumber + 1;
 }
 
@@ -178,6 +180,7 @@
     const auto found = mJobs.find(id);
     if (found != mJobs.end() && !mLive.contains(id)) {
       mJobIndex.erase(id);
+      mJobBytes -= found->second.Bytes();
       mJobs.erase(found);
       mCrashes.ForgetJob(id);
     }
--- a/oriolewalk/flow/leader_calls.cc
+++ b/oriolewalk/flow/leader_calls.cc
@@ -185,6 +185,18 @@
     AnswerCaller(aCall, job_reply::Malformed, sound.error().mMessage);
     return;
   }
+  if (!HasRoomFor(SpecBytes(aJob.mSpec) + OccurrenceBytes(aJob.mSpec))) {
+    mPort.mLogDecision(
+      { "job.refused",
+        { { "job", id },
+          { "reason", "memory" },
+          { "job_bytes", std::to_string(mState.JobBytes()) } } });
+    mPort.mAnswer(
+      aCall,
+      job_answer{
+        job_reply::Refused, {}, 0, mOptions.mFullRetryDelay.count() });
+    return;
+  }
   if (RefuseIfHopeless(aCall, job_id(id), *queue, aJob.mSpec, *owner)) {
     return;
   }
@@ -196,6 +208,19 @@
     aCall, submit_job{ job_id(id), *queue, aJob.mSpec }, *owner);
 }
 
+void
+leader_core::FailForRoom(call_number aCall)
+{
+  mPort.mFail(aCall, { error_code::Full, "propose", {}, "no memory is left" });
+}
+
+bool
+leader_core::HasRoomFor(std::size_t aBytes) const
+{
+  return mState.JobBytes() + mProposedJobBytes + aBytes <=
+         mOptions.mMaxJobBytes;
+}
+
 // Whether the organisation still exists, and whether the id is free, is decided
 // where the job is committed.
 void
@@ -204,14 +229,18 @@
                                const organisation_id& aOwner)
 {
   const job_id id = aSubmit.mId;
+  const std::size_t bytes =
+    SpecBytes(aSubmit.mSpec) + OccurrenceBytes(aSubmit.mSpec);
   command_body body = std::move(aSubmit);
   if (!aOwner.Value().empty()) {
     body = submit_owned_job{ std::get<submit_job>(std::move(body)), aOwner };
   }
   mAdmission.OnProposed(id);
+  mProposedJobBytes += bytes;
   const bool proposed = mPort.mPropose(
-    std::move(body), [this, aCall, id](const apply_outcome& aDone) {
+    std::move(body), [this, aCall, id, bytes](const apply_outcome& aDone) {
       mAdmission.OnSettled(id);
+      mProposedJobBytes -= bytes;
       if (!aDone.mError) {
         AnswerCaller(aCall, job_reply::Accepted);
       } else if (aDone.mError->mCode == error_code::Conflict) {
@@ -222,6 +251,7 @@
     });
   if (!proposed) {
     mAdmission.OnSettled(id);
+    mProposedJobBytes -= bytes;
     FailBusy(aCall);
   }
 }
@@ -303,6 +333,14 @@
 leader_core::Handle(call_number aCall, const worker_heartbeat& aHeartbeat)
 {
   const worker_number number = mState.NumberOf(aHeartbeat.mDescription.mId);
+  if (number == 0 && mState.Workers().size() >= mOptions.mMaxWorkers) {
+    mPort.mLogDecision(
+      { "worker.refused",
+        { { "worker", aHeartbeat.mDescription.mId.Value() },
+          { "workers", std::to_string(mState.Workers().size()) } } });
+    FailForRoom(aCall);
+    return;
+  }
   if (number == 0) {
     Register(aCall, aHeartbeat, aHeartbeat.mDescription);
     return;
--- a/oriolewalk/flow/leader_core.h
+++ b/oriolewalk/flow/leader_core.h
@@ -189,6 +189,7 @@
 
   void Propose(command_body aBody, leader_port::on_applied aThen = {});
   void FailBusy(call_number aCall);
+  void FailForRoom(call_number aCall);
   // Proposes aBody and answers the call with aAnswer once it is applied.
   void ProposeAndAnswer(call_number aCall,
                         command_body aBody,
@@ -213,6 +214,8 @@
   [[nodiscard]] const job_record* FindVisibleJob(
     std::string_view aPath,
     const std::optional<organisation_id>& aCaller) const;
+  // Whether the memory has room for so much more of jobs.
+  [[nodiscard]] bool HasRoomFor(std::size_t aBytes) const;
   void ProposeSubmission(call_number aCall,
                          submit_job aSubmit,
                          const organisation_id& aOwner);
@@ -412,7 +415,8 @@
   recent_peak mTopPriorityPeak;           // concurrent queries
   std::vector<std::string> mFreeAdvisors; // for the present plan
   admission mAdmission;
-  cell_loads mLoads; // of the last plan of all steps
+  std::size_t mProposedJobBytes = 0; // of submissions that aren't committed
+  cell_loads mLoads;                 // of the last plan of all steps
   freed_rate mFreed;
   std::uint64_t mLastQuery;
   std::vector<advice_call> mAdviceCalls;
--- a/oriolewalk/flow/leader_waves.cc
+++ b/oriolewalk/flow/leader_waves.cc
@@ -23,6 +23,18 @@
                                  : wave_reply::Conflict });
     return;
   }
+  std::size_t bytes = order.Bytes();
+  for (const auto& [number, wave] : mState.Waves()) {
+    bytes += wave.mOrder.Bytes();
+  }
+  if (bytes > mOptions.mMaxWaveBytes) {
+    mPort.mLogDecision({ "wave.refused",
+                         { { "wave", std::to_string(order.mNumber) },
+                           { "reason", "memory" },
+                           { "bytes", std::to_string(bytes) } } });
+    FailForRoom(aCall);
+    return;
+  }
   const bool proposed = mPort.mPropose(
     put_wave{ { order, mAt.mWallMs, {}, {} } },
     [this, aCall, order](const apply_outcome& aOutcome) {
--- a/oriolewalk/flow/options.h
+++ b/oriolewalk/flow/options.h
@@ -72,6 +72,15 @@
   // to 4 ms, and half of a core handles this many workers with capacity to
   // spare.
   std::size_t mMaxWorkersWithoutRelays = 400;
+  // What jobs may take in the memory, ended ones too; beyond, new ones are
+  // refused. Their callers come back after mFullRetryDelay: ended jobs are
+  // forgotten only after mEndedJobRetention.
+  std::size_t mMaxJobBytes = 64UL * 1024 * 1024;
+  milliseconds mFullRetryDelay{ 5'000 };
+  // The same for the operators' waves.
+  std::size_t mMaxWaveBytes = 16UL * 1024 * 1024;
+  // Beyond, a worker that isn't known is not registered: each takes a few KiB.
+  std::size_t mMaxWorkers = 10'000;
   // How long a task of a long-running step may be away from work before it
   // counts as unavailable.
   milliseconds mAvailabilityNotice{ 1'000 };
@@ -80,4 +89,18 @@
   plan_policy mPlan;
 };
 
+// The options of a process with so many bytes of memory.
+inline flow_options
+WithinMemory(flow_options aOptions, std::size_t aMemoryBytes)
+{
+  constexpr std::size_t kJobsPart = 4;
+  constexpr std::size_t kWavesPart = 16;
+  constexpr std::size_t kWorkersPart = 16;
+  constexpr std::size_t kWorkerBytes = 4'096;
+  aOptions.mMaxJobBytes = aMemoryBytes / kJobsPart;
+  aOptions.mMaxWaveBytes = aMemoryBytes / kWavesPart;
+  aOptions.mMaxWorkers = aMemoryBytes / kWorkersPart / kWorkerBytes;
+  return aOptions;
+}
+
 } // namespace oriolewalk::flow
--- a/oriolewalk/flow/records.h
+++ b/oriolewalk/flow/records.h
@@ -109,6 +109,11 @@
   organisation_id mOwner;
 
   [[nodiscard]] bool IsActive() const { return mState == job_state::Active; }
+  // What the job takes in the memory.
+  [[nodiscard]] std::size_t Bytes() const
+  {
+    return SpecBytes(mSpec) + mOccurrences.size() * OccurrenceBytes(mSpec);
+  }
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
--- a/oriolewalk/machines/wave.h
+++ b/oriolewalk/machines/wave.h
@@ -23,6 +23,17 @@
   std::uint32_t mMaxCount = 1;  // machines that may be down at once
 
   bool operator==(const wave_order&) const = default;
+  // What it takes in the memory, once in the order and once where it is done.
+  [[nodiscard]] std::size_t Bytes() const
+  {
+    constexpr std::size_t kMachineBytes = 128;
+    constexpr std::size_t kOrderBytes = 256;
+    std::size_t bytes = kOrderBytes;
+    for (const machine_id& machine : mMachines) {
+      bytes += kMachineBytes + 2 * machine.Value().size();
+    }
+    return bytes;
+  }
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
   {
