--- a/oriolewalk/cell/cell_state.cc
+++ b/oriolewalk/cell/cell_state.cc
@@ -113,6 +113,7 @@
   mFinished.clear();
   std::ranges::for_each(mWaiting, [](auto& aSet) { aSet.clear(); });
   mCapacity = {};
+  mRecords = 0;
   for (std::size_t slot = 0; slot < mWorkers.size(); ++slot) {
     worker_record& worker = mWorkers[slot];
     worker.mBooked = {};
@@ -133,6 +134,7 @@
 cell_state::Recount(job_record& aJob)
 {
   mKeys.emplace(std::pair(aJob.mSpec.mOrganisation, aJob.mKey), aJob.mNumber);
+  mRecords += aJob.Records();
   aJob.mOrganisation = FindOrAddOrganisation(aJob.mSpec.mOrganisation);
   if (aJob.mFinishedMs != 0) {
     mFinished.emplace(aJob.mFinishedMs, aJob.mNumber);
--- a/oriolewalk/cell/cell_state.h
+++ b/oriolewalk/cell/cell_state.h
@@ -81,6 +81,8 @@
   {
     return mJobs;
   }
+  // What all jobs take in the memory, in task records of about 50 bytes.
+  [[nodiscard]] std::size_t Records() const { return mRecords; }
   // Indexed by slot. A removed worker leaves a record with mKnown == false.
   [[nodiscard]] std::span<const worker_record> Workers() const
   {
@@ -206,6 +208,7 @@
   std::vector<organisation_record> mOrganisations;
   std::unordered_map<organisation_id, organisation_slot> mOrganisationSlots;
   std::array<std::set<organisation_slot>, kClassCount> mWaiting;
+  std::size_t mRecords = 0;
   std::set<std::pair<std::int64_t, job_number>> mFinished;
   resources mCapacity;
 };
--- a/oriolewalk/cell/cell_state_jobs.cc
+++ b/oriolewalk/cell/cell_state_jobs.cc
@@ -207,6 +207,7 @@
     const job_number number = mFinished.begin()->second;
     const job_record& job = mJobs.at(number);
     mKeys.erase({ job.mSpec.mOrganisation, job.mKey });
+    mRecords -= job.Records();
     mJobs.erase(number);
     mFinished.erase(mFinished.begin());
     aOutcome.mChanged = true;
--- a/oriolewalk/cell/records.h
+++ b/oriolewalk/cell/records.h
@@ -78,6 +78,12 @@
   organisation_slot mOrganisation = 0;
 
   [[nodiscard]] job_state State() const;
+  // What the job takes in the memory, in task records.
+  [[nodiscard]] std::size_t Records() const
+  {
+    constexpr std::size_t kOfTheJob = 8;
+    return kOfTheJob + mTasks.size();
+  }
 
   template<class Archive>
   void serialize(Archive& aArchive) // NOLINT(readability-identifier-naming)
--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -22,6 +22,8 @@
 
 constexpr std::uint16_t kOk = 200;
 constexpr std::uint16_t kCreated = 201;
+// Of all jobs in the cell, ended ones too: about 12 MB.
+constexpr std::size_t kMaxRecords = 250'000;
 
 std::optional<std::uint64_t>
 ParseNumber(std::string_view aText)
@@ -273,10 +275,21 @@
     Answer(aCall, ErrorAnswer(spec.error().At(kStep)));
     return;
   }
+  const std::size_t tasks = spec->mTasks;
+  if (mCore.State().Cell().Records() + mProposedTasks + tasks > kMaxRecords) {
+    Answer(aCall,
+           ErrorAnswer(error{ error_code::Full,
+                              std::string(kStep),
+                              {},
+                              "no memory is left for the job" }));
+    return;
+  }
   const cell::submit_job submit{ request_key(aRequest.mKey), *spec };
+  mProposedTasks += tasks;
   const bool taken = mCore.Propose(
     cell::cell_command(submit),
-    [this, aCall](const applied& aOutcome, time_point) {
+    [this, aCall, tasks](const applied& aOutcome, time_point) {
+      mProposedTasks -= tasks;
       const auto& outcome = std::get<cell::apply_outcome>(aOutcome);
       const cell::cell_state& cells = mCore.State().Cell();
       const cell::job_record* job =
@@ -292,6 +305,7 @@
         JsonAnswer(outcome.mReplayed ? kOk : kCreated, JobJson(cells, *job)));
     });
   if (!taken) {
+    mProposedTasks -= tasks;
     Answer(aCall, ErrorAnswer(NotTaken(kStep)));
   }
 }
--- a/oriolewalk/control/operator_desk.h
+++ b/oriolewalk/control/operator_desk.h
@@ -76,6 +76,7 @@
   void NotFound(call_id aCall, const protocol::operator_request& aRequest);
 
   control_core& mCore;
+  std::size_t mProposedTasks = 0; // of jobs that aren't committed
 };
 
 } // namespace oriolewalk::control
