--- a/programs/oriole_soak.cc
+++ b/programs/oriole_soak.cc
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,8 @@
 #include "oriolewalk/base/clock.h"
 #include "oriolewalk/base/timer.h"
 #include "oriolewalk/http/client.h"
+#include "testing/crowd/peer_crowd.h"
+#include "testing/crowd/peer_script.h"
 #include "testing/soak/caller_crowd.h"
 #include "testing/soak/fault_plan.h"
 #include "testing/soak/link_proxy.h"
@@ -42,6 +45,7 @@
   std::uint64_t mJobsPerSecond = 6;
   bool mFaults = true;
   bool mOrganisations = true;
+  bool mCrowds = false;  // peers that keep to no limit, beside the faults
   std::string mScenario; // empty: faults drawn by the seed
 };
 
@@ -49,6 +53,8 @@
 constexpr std::uint16_t kControlPort = 8'166;
 constexpr std::uint16_t kInternalPort = 7'720;
 constexpr std::uint16_t kPolicyPort = 9'000;
+constexpr std::uint16_t kReadinessPort = 8'167;
+constexpr std::uint16_t kMetricsPort = 9'470;
 // The third number of an address, by what is there; scripts/soak knows them
 // too.
 constexpr int kControlNet = 1;
@@ -188,6 +194,9 @@
       if (mOptions.mFaults) {
         PlanFaults();
       }
+      if (mOptions.mCrowds) {
+        PlanCrowds();
+      }
       RunAfter(mContext, seconds(mOptions.mSeconds), [this]() {
         mDesk.Close();
         mCrowd.Close();
@@ -216,6 +225,58 @@
     }
   }
 
+  void PlanCrowds()
+  {
+    for (const crowd_visit& one :
+         MakeCrowdPlan(mOptions.mSeed, seconds(mOptions.mSeconds))) {
+      RunAfter(mContext, one.mAt, [this, one]() { PlayCrowd(one); });
+    }
+  }
+
+  // Where peers of the script connect, without the links between.
+  [[nodiscard]] std::optional<settings::address> CrowdTarget(
+    crowd::place aPlace,
+    std::uint64_t aIndex) const
+  {
+    const std::size_t entry = aIndex % mOptions.mPlaces.mEntries;
+    const std::size_t control = aIndex % mOptions.mPlaces.mControls;
+    switch (aPlace) {
+      case crowd::place::Callers:
+        return settings::address{ Ip(kEntryNet, entry), kCallersPort };
+      case crowd::place::Readiness:
+        return settings::address{ Ip(kEntryNet, entry), kReadinessPort };
+      case crowd::place::Metrics:
+        return settings::address{ Ip(kControlNet, control), kMetricsPort };
+      case crowd::place::Control:
+        return settings::address{ Ip(kControlNet, control), kControlPort };
+      case crowd::place::Internal:
+        return settings::address{ Ip(kControlBehind, control), kInternalPort };
+      case crowd::place::Worker:
+        break;
+    }
+    return std::nullopt;
+  }
+
+  // Callers may be refused meanwhile, on all entries where it is the leader.
+  void PlayCrowd(const crowd_visit& aVisit)
+  {
+    const auto scripts = crowd::SoakScripts();
+    const crowd::peer_script& script = scripts[aVisit.mScript % scripts.size()];
+    const auto target = CrowdTarget(script.mPlace, aVisit.mIndex);
+    if (!target) {
+      return;
+    }
+    std::fprintf(stderr,
+                 "crowd %lld ms: %s at %s\n",
+                 static_cast<long long>(aVisit.mAt.count()),
+                 script.mName.c_str(),
+                 target->ToString().c_str());
+    auto peers = std::make_shared<crowd::peer_crowd>(mContext, script, *target);
+    mCrowd.NoteHarm();
+    static_cast<void>(peers->Start());
+    RunAfter(mContext, aVisit.mFor, [this, peers]() { mCrowd.NoteHarm(); });
+  }
+
   void Play(const fault& aFault)
   {
     std::fprintf(stderr, "fault %s\n", aFault.Describe().c_str());
@@ -390,7 +451,7 @@
   "oriole-soak [--seed N] [--net N] [--controls N] [--entries N]\n"
   "            [--workers N] [--seconds N] [--jobs-per-second N] "
   "[--no-faults] [--no-organisations]\n"
-  "            [--scenario lost-seeds]\n"
+  "            [--crowd] [--scenario lost-seeds]\n"
   "Started by scripts/soak, which starts the processes at 127.NET.x.y.\n";
 
 bool
@@ -401,6 +462,25 @@
   return read.ec == std::errc() && read.ptr == end;
 }
 
+// False: it is no switch.
+bool
+SetSwitch(int aChosen, soak_options& aOptions)
+{
+  switch (aChosen) {
+    case 'x':
+      aOptions.mFaults = false;
+      return true;
+    case 'r':
+      aOptions.mCrowds = true;
+      return true;
+    case 'o':
+      aOptions.mOrganisations = false;
+      return true;
+    default:
+      return false;
+  }
+}
+
 // False: the command line is wrong.
 bool
 ReadOptions(int aCount, char** aArguments, soak_options& aOptions)
@@ -426,6 +506,7 @@
       { "jobs-per-second", required_argument, nullptr, 'j' },
       { "no-faults", no_argument, nullptr, 'x' },
       { "no-organisations", no_argument, nullptr, 'o' },
+      { "crowd", no_argument, nullptr, 'r' },
       { "scenario", required_argument, nullptr, 'p' },
       { nullptr, 0, nullptr, 0 } });
   for (;;) {
@@ -434,12 +515,7 @@
     if (chosen == -1) {
       break;
     }
-    if (chosen == 'x') {
-      aOptions.mFaults = false;
-      continue;
-    }
-    if (chosen == 'o') {
-      aOptions.mOrganisations = false;
+    if (SetSwitch(chosen, aOptions)) {
       continue;
     }
     if (chosen == 'p') {
--- a/testing/soak/fault_plan.cc
+++ b/testing/soak/fault_plan.cc
@@ -157,4 +157,23 @@
   return plan;
 }
 
+std::vector<crowd_visit>
+MakeCrowdPlan(std::uint64_t aSeed, milliseconds aSpan)
+{
+  constexpr std::uint64_t kApart = 0x63726f77; // from the faults' draws
+  random_source random(aSeed ^ kApart);
+  std::vector<crowd_visit> plan;
+  milliseconds at = Between(random, milliseconds(100), milliseconds(1'000));
+  while (at < aSpan) {
+    crowd_visit visit;
+    visit.mAt = at;
+    visit.mFor = Between(random, milliseconds(300), milliseconds(2'500));
+    visit.mScript = random.Below(1'000'000);
+    visit.mIndex = random.Below(1'000'000);
+    plan.push_back(visit);
+    at += Between(random, milliseconds(300), milliseconds(1'500));
+  }
+  return plan;
+}
+
 } // namespace oriolewalk::soak
--- a/testing/soak/fault_plan.h
+++ b/testing/soak/fault_plan.h
@@ -78,4 +78,17 @@
               const fault_places& aPlaces,
               milliseconds aSpan);
 
+// Peers that keep to no limit, for a while beside the faults.
+struct crowd_visit
+{
+  milliseconds mAt{ 0 };
+  milliseconds mFor{ 0 };
+  std::uint64_t mScript = 0; // of any number of scripts, and of places
+  std::uint64_t mIndex = 0;
+};
+
+// Drawn apart from the faults, whose plans are the same with and without it.
+std::vector<crowd_visit>
+MakeCrowdPlan(std::uint64_t aSeed, milliseconds aSpan);
+
 } // namespace oriolewalk::soak
