Strangers on the port between our processes give way before known peers

Cause: too many connections cut the one whose last bytes were oldest. Six hundred that came within milliseconds were all younger than links of control processes that had last sent 50 ms before, so those were cut, again with each wave of new ones.

A connection that hasn't sent a whole message gives way first.

Refusals for want of memory say that the request was not taken up, which is what the process knows.

--- a/oriolewalk/http/server.h
+++ b/oriolewalk/http/server.h
@@ -45,8 +45,8 @@
   std::size_t mMaxConnections = 4096;
   // What requests and answers hold, on all connections. Beyond: whoever is
   // longest about sending a request or taking an answer is refused (503, not
-  // run) or closed, so that those who finish soon are served. Requests in the
-  // handler's hands are kept, and count kHandledCopies times.
+  // taken up) or closed, so that those who finish soon are served. Requests in
+  // the handler's hands are kept, and count kHandledCopies times.
   std::size_t mMaxHeldBytes = 64UL * 1024 * 1024;
   // The system's buffer of what has arrived on a connection and was not read.
   std::size_t mReceiveWindow = 64UL * 1024;
--- a/oriolewalk/http/session.cc
+++ b/oriolewalk/http/session.cc
@@ -502,7 +502,7 @@
 void
 session::RefuseForRoom()
 {
-  RefuseWith(kUnavailable, "no memory is left for the request; it was not run");
+  RefuseWith(kUnavailable, "no memory is left; the request was not taken up");
 }
 
 void
--- a/oriolewalk/http/session.h
+++ b/oriolewalk/http/session.h
@@ -89,7 +89,7 @@
   void Start();
   // Any thread.
   void Close();
-  // Gives up what it holds; a request that isn't whole is refused as not run.
+  // Gives up what it holds; a request that isn't whole is refused.
   void Shed();
   void Answer(std::uint64_t aNumber, response aResponse);
   void Watch(std::uint64_t aNumber, std::function<void()> aGone);
--- a/oriolewalk/wire/incoming_connections.cc
+++ b/oriolewalk/wire/incoming_connections.cc
@@ -17,6 +17,7 @@
 // A read that insists on more is that of a message's body; shorter ones are of
 // its frame.
 constexpr std::size_t kFrameBytes = 4'096;
+constexpr std::uint64_t kReadsOfMessage = 2;
 
 } // namespace
 
@@ -30,13 +31,14 @@
     , mInner(kj::mv(aInner))
     , mCut(kj::newPromiseAndFulfiller<std::size_t>())
     , mCutBranch(mCut.promise.fork())
+    , mActivity(++mAll.mLast)
   {
-    NoteActivity();
+    mAll.mStrangers.emplace(mActivity, this);
   }
   ~counted_stream()
   {
     EndMessage();
-    mAll.mByActivity.erase(mActivity);
+    mAll.Forget(mActivity);
   }
   KJ_DISALLOW_COPY(counted_stream);
 
@@ -44,7 +46,7 @@
   void Cut()
   {
     EndMessage();
-    mAll.mByActivity.erase(mActivity);
+    mAll.Forget(mActivity);
     mIsCut = true;
     mCut.fulfiller->fulfill(0);
   }
@@ -104,11 +106,16 @@
   }
 
 private:
+  // The first read is of a message's frame, the second one of what the frame
+  // announced.
   void NoteActivity()
   {
-    mAll.mByActivity.erase(mActivity);
+    if (++mReads < kReadsOfMessage) {
+      return;
+    }
+    mAll.Forget(mActivity);
     mActivity = ++mAll.mLast;
-    mAll.mByActivity.emplace(mActivity, this);
+    mAll.mKnown.emplace(mActivity, this);
   }
 
   void BeginMessage(std::size_t aBytes)
@@ -134,6 +141,7 @@
   kj::PromiseFulfillerPair<std::size_t> mCut;
   kj::ForkedPromise<std::size_t> mCutBranch;
   std::uint64_t mActivity = 0;
+  std::uint64_t mReads = 0;
   std::uint64_t mMessage = 0;
   std::size_t mMessageBytes = 0;
   bool mIsCut = false;
@@ -151,12 +159,19 @@
 kj::Own<kj::AsyncIoStream>
 incoming_connections::Add(kj::Own<kj::AsyncIoStream> aStream)
 {
-  while (mByActivity.size() >= mLimits.mMaxConnections) {
-    CutFirst(mByActivity);
+  while (Open() >= mLimits.mMaxConnections) {
+    CutFirst(mStrangers.empty() ? mKnown : mStrangers);
   }
   return kj::heap<counted_stream>(*this, kj::mv(aStream));
 }
 
+void
+incoming_connections::Forget(std::uint64_t aActivity)
+{
+  mStrangers.erase(aActivity);
+  mKnown.erase(aActivity);
+}
+
 void
 incoming_connections::CutFirst(const stream_order& aOrder)
 {
--- a/oriolewalk/wire/incoming_connections.h
+++ b/oriolewalk/wire/incoming_connections.h
@@ -7,10 +7,11 @@
 //   server.accept(open.Add(kj::mv(stream)));
 //
 // Whoever reaches the machine reaches the port, and the RPC library allocates
-// what a message's first bytes announce. Where a bound is reached, the
-// connection whose peer has been silent for longest, or has been longest about
-// a message, is cut: our own processes send theirs within milliseconds and
-// connect again.
+// what a message's first bytes announce. Where a bound is reached, a connection
+// is cut: among too many the oldest one that has not sent a whole message, and
+// only where there is none the one that has been silent for longest; among too
+// large messages the one that is longest under way. Our own processes send
+// theirs within milliseconds and connect again.
 //
 // The thread of the event loop.
 
@@ -37,7 +38,10 @@
   // The same stream, counted until it goes. Must go before this does.
   kj::Own<kj::AsyncIoStream> Add(kj::Own<kj::AsyncIoStream> aStream);
 
-  [[nodiscard]] std::size_t Open() const { return mByActivity.size(); }
+  [[nodiscard]] std::size_t Open() const
+  {
+    return mStrangers.size() + mKnown.size();
+  }
   // Cut for the others, since the beginning.
   [[nodiscard]] std::size_t Cut() const { return mCut; }
 
@@ -47,10 +51,12 @@
   using stream_order = std::map<std::uint64_t, counted_stream*>;
 
   void CutFirst(const stream_order& aOrder);
+  void Forget(std::uint64_t aActivity);
 
   incoming_limits mLimits;
-  stream_order mByActivity; // all, by their last bytes
-  stream_order mReceiving;  // those amid a message, by its begin
+  stream_order mStrangers; // that sent no whole message, by their begin
+  stream_order mKnown;     // the others, by their last bytes
+  stream_order mReceiving; // those amid a message, by its begin
   std::size_t mReceivingBytes = 0;
   std::uint64_t mLast = 0;
   std::size_t mCut = 0;
--- a/testing/wire/incoming_connections_test.cc
+++ b/testing/wire/incoming_connections_test.cc
@@ -116,6 +116,34 @@
   CHECK(IsAnswered(server, 10));
 }
 
+TEST_CASE("connections that come all at once leave the known ones open")
+{
+  // Our own processes' were cut for newer ones of strangers, and the group
+  // lost its leader.
+  const echo_node server({ .mMaxIncoming = 8 });
+  rpc_node client(rpc_options{});
+  const auto isAnswered = [&]() {
+    std::promise<result<bytes>> done;
+    client.Call(
+      "127.0.0.1:" + std::to_string(server.mPort),
+      1,
+      "x",
+      kLong,
+      [&](result<bytes> aAnswer) { done.set_value(std::move(aAnswer)); });
+    return done.get_future().get().has_value();
+  };
+  REQUIRE(isAnswered());
+  std::vector<std::unique_ptr<stranger>> silent;
+  silent.reserve(64);
+  for (int number = 0; number < 64; ++number) {
+    silent.push_back(std::make_unique<stranger>(server.mPort));
+    silent.back()->Send("GET / HTTP/1.1\r\n");
+  }
+  silent.front()->ReadToEnd(); // the others have been taken
+  CHECK(isAnswered());         // by the connection that was there before
+  client.Stop();
+}
+
 TEST_CASE("a message beyond the limit cuts its connection")
 {
   // The library allocates what a message's first bytes announce.
