--- a/testing/crowd/peer_crowd.cc
+++ b/testing/crowd/peer_crowd.cc
@@ -59,7 +59,9 @@
     }
     mSocket.async_connect(EndOf(mCrowd.mAddress),
                           [self = shared_from_this()](error_code aCode) {
-                            aCode ? self->End() : self->Begin();
+                            if (!self->mEnded) {
+                              aCode ? self->End() : self->Begin();
+                            }
                           });
   }
 
@@ -204,11 +206,12 @@
   ++mReopened;
   auto pause = std::make_shared<runtime_timer>(mContext);
   pause->expires_after(kReopenPause);
-  pause->async_wait([this, pause](error_code aCode) {
-    if (!aCode) {
-      Open();
-    }
-  });
+  pause->async_wait(
+    [this, pause, here = std::weak_ptr(mHere)](error_code aCode) {
+      if (!aCode && !here.expired()) {
+        Open();
+      }
+    });
 }
 
 } // namespace oriolewalk::crowd
--- a/testing/crowd/peer_crowd.h
+++ b/testing/crowd/peer_crowd.h
@@ -55,6 +55,8 @@
   const settings::address mAddress;
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::vector<std::shared_ptr<peer>> mPeers;
+  // Goes with the crowd: a pause may end later.
+  std::shared_ptr<char> mHere = std::make_shared<char>();
   std::size_t mSent = 0;
   std::size_t mOpened = 0;
   std::size_t mReopened = 0;
