A resend of a job in a full cell gets its recorded answer

The promise is that a resend gets the recorded outcome, and it takes no room.

688 unit tests and cell:many-tasks-of-a-cell pass. The resend in a full cell itself has no test yet.

--- a/oriolewalk/control/operator_desk.cc
+++ b/oriolewalk/control/operator_desk.cc
@@ -276,7 +276,11 @@
     return;
   }
   const std::size_t tasks = spec->mTasks;
-  if (mCore.State().Cell().Records() + mProposedTasks + tasks > kMaxRecords) {
+  const cell::cell_state& before = mCore.State().Cell();
+  // A resend takes no room, and gets its recorded answer.
+  const bool isResend =
+    before.FindKey(spec->mOrganisation, request_key(aRequest.mKey)).has_value();
+  if (!isResend && before.Records() + mProposedTasks + tasks > kMaxRecords) {
     Answer(aCall,
            ErrorAnswer(error{ error_code::Full,
                               std::string(kStep),
