Recurring jobs: the time is looked at before the memory

The memory of a job's next time was added up at each tick, also where it isn't due. A comment named the wrong error. No change of behaviour; 688 unit tests pass.

--- a/oriolewalk/flow/leader_core.cc
+++ b/oriolewalk/flow/leader_core.cc
@@ -217,9 +217,9 @@
     const job_record& job = *record;
     const recurrence& times = job.mSpec.mRecurrence;
     if (job.IsActive() && job.mNextOccurrence < times.mRepeatCount &&
-        HasRoomFor(OccurrenceBytes(job.mSpec)) &&
         mAt.mWallMs >=
-          times.mFirstWallMs + job.mNextOccurrence * times.mPeriodMs) {
+          times.mFirstWallMs + job.mNextOccurrence * times.mPeriodMs &&
+        HasRoomFor(OccurrenceBytes(job.mSpec))) {
       Propose(open_occurrence{ id, job.mNextOccurrence });
     }
   }
--- a/oriolewalk/host/control_host.h
+++ b/oriolewalk/host/control_host.h
@@ -138,7 +138,7 @@
   void OnCall(std::uint16_t aKind,
               const bytes& aBody,
               const wire::reply_function& aReply);
-  // Refuses (Busy) beyond a few at once.
+  // Refuses (Full) beyond a few at once.
   void AskTable(time_point aUntil, flow_callback aDone);
   void OnFlowCall(const flow::flow_request& aRequest,
                   wire::reply_function aReply);
